--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"sync"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/steps"
+	"shallotcourse/internal/wire"
+
+	"shallotcourse/internal/route"
+)
+
+type (
+	// peers holds the links that are up, by target and by entry instance.
+	peers struct {
+		mu      sync.RWMutex
+		agents  map[string]link.Peer
+		entries map[string]link.Peer
+		// last is the agent incarnation that was linked last, by target.
+		last map[string]string
+	}
+)
+
+func newPeers() *peers {
+	return &peers{agents: map[string]link.Peer{}, entries: map[string]link.Peer{}, last: map[string]string{}}
+}
+
+// LinkUp implements link.Handler.
+func (e *Entry) LinkUp(p link.Peer) {
+	h := p.Hello()
+	if h.Role == wire.RoleEntry {
+		e.peers.mu.Lock()
+		e.peers.entries[h.Instance] = p
+		e.peers.mu.Unlock()
+		return
+	}
+	e.peers.mu.Lock()
+	before := e.peers.last[h.Target]
+	e.peers.agents[h.Target], e.peers.last[h.Target] = p, h.Incarnation
+	e.peers.mu.Unlock()
+	switch before {
+	case "":
+	case h.Incarnation:
+		e.open.broadcast(steps.Relinked{Target: h.Target})
+	default:
+		e.open.broadcast(steps.LinkLost{Target: h.Target})
+	}
+	e.calls.linkChanged(h.Target)
+}
+
+// LinkDown implements link.Handler. The link may come back to the same
+// incarnation; until then its targets get no new work.
+func (e *Entry) LinkDown(p link.Peer, reason error) {
+	h := p.Hello()
+	if h.Role == wire.RoleEntry {
+		e.peers.mu.Lock()
+		if e.peers.entries[h.Instance] == p {
+			delete(e.peers.entries, h.Instance)
+		}
+		e.peers.mu.Unlock()
+		return
+	}
+	e.peers.mu.Lock()
+	current := e.peers.agents[h.Target] == p
+	if current {
+		delete(e.peers.agents, h.Target)
+	}
+	e.peers.mu.Unlock()
+	if !current {
+		return
+	}
+	_ = e.cfg.Log.Log("msg", "link down", "target", h.Target, "reason", reason)
+	e.view.Update(func(v route.View) (route.View, bool) { return v.WithoutLoad(h.Target), true })
+	e.calls.linkChanged(h.Target)
+	e.cfg.Timer.After(e.bounds.Relink, func() {
+		if p, ok := e.agent(h.Target); !ok || p.Hello().Incarnation != h.Incarnation {
+			e.open.broadcast(steps.LinkLost{Target: h.Target})
+		}
+	})
+}
+
+// Receive implements link.Handler. Messages of other parts are ignored.
+func (e *Entry) Receive(p link.Peer, m wire.Message) {
+	target := p.Hello().Target
+	switch m := m.(type) {
+	case wire.Token:
+		e.open.post(m.Request, steps.Received{Target: target, Message: m})
+	case wire.Opened:
+		e.open.post(m.Request, steps.Received{Target: target, Message: m})
+	case wire.Refused:
+		e.open.post(m.Request, steps.Received{Target: target, Message: m})
+	case wire.StageFailed:
+		e.open.post(m.Request, steps.Received{Target: target, Message: m})
+	case wire.Stale:
+		e.open.post(m.Request, steps.Received{Target: target, Message: m})
+	case wire.Outcome:
+		e.calls.deliver(m)
+	case wire.Load:
+		e.load(m)
+	case wire.Leaving:
+		e.view.Update(func(v route.View) (route.View, bool) { return v.WithLeaving(m.Target), true })
+	case wire.QuotaRequest:
+		e.admit.quotaRequest(p, m)
+	case wire.QuotaGrant:
+		e.admit.quotaGrant(m)
+	}
+}
+
+// agent returns the link to a target's agent.
+func (e *Entry) agent(target string) (link.Peer, bool) {
+	e.peers.mu.RLock()
+	defer e.peers.mu.RUnlock()
+	p, ok := e.peers.agents[target]
+	return p, ok
+}
+
+// send sends a message to the agent of a target.
+func (e *Entry) send(target string, m wire.Message) error {
+	p, ok := e.agent(target)
+	if !ok {
+		return fault.Newf(fault.Unavailable, "no link to the agent of %s", target)
+	}
+	return p.Send(m)
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/steps"
+	"shallotcourse/internal/store"
+	"shallotcourse/pkg/resrc"
+)
+
+type (
+	// text is a string, or a list of parts with text, as the chat format
+	// allows.
+	text string
+
+	// prompt is a string or a list of token values.
+	prompt struct {
+		text   string
+		tokens []uint32
+	}
+
+	message struct {
+		Role    string `json:"role"`
+		Content text   `json:"content"`
+	}
+
+	// modelRequest holds the fields of both request formats that have an
+	// effect here.
+	modelRequest struct {
+		Model               string    `json:"model"`
+		Prompt              prompt    `json:"prompt"`
+		Messages            []message `json:"messages"`
+		MaxTokens           *int      `json:"max_tokens"`
+		MaxCompletionTokens *int      `json:"max_completion_tokens"`
+		N                   *int      `json:"n"`
+		Seed                *int64    `json:"seed"`
+		Stream              bool      `json:"stream"`
+		StreamOptions       struct {
+			IncludeUsage bool `json:"include_usage"`
+		} `json:"stream_options"`
+	}
+)
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *text) UnmarshalJSON(b []byte) error {
+	var s string
+	if json.Unmarshal(b, &s) == nil {
+		*t = text(s)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return err
+	}
+	var all strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return fault.Invalid("messages.content.type", p.Type, "text")
+		}
+		all.WriteString(p.Text)
+	}
+	*t = text(all.String())
+	return nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *prompt) UnmarshalJSON(b []byte) error {
+	if json.Unmarshal(b, &p.text) == nil {
+		return nil
+	}
+	return json.Unmarshal(b, &p.tokens)
+}
+
+// plan turns a request into a plan and the number of layers of its version.
+func (e *Entry) plan(r modelRequest, account, id string) (steps.Plan, int, error) {
+	snap := e.cfg.Snapshot.Value()
+	model, adapter, err := findModel(snap, r.Model)
+	if err != nil {
+		return steps.Plan{}, 0, err
+	}
+	version, ok := store.Spec[resrc.ModelVersion](snap, model.Version)
+	if !ok {
+		return steps.Plan{}, 0, fault.Newf(fault.NotFound, "version %s of the model does not exist", model.Version)
+	}
+	if r.N != nil && *r.N != 1 {
+		return steps.Plan{}, 0, fault.Invalid("n", *r.N, "1")
+	}
+	tokens := e.promptTokens(r)
+	if len(tokens) == 0 {
+		return steps.Plan{}, 0, fault.Invalid("prompt", "", "at least one token")
+	}
+	limit, err := maxTokens(r, model.MaxTokens-len(tokens))
+	if err != nil {
+		return steps.Plan{}, 0, err
+	}
+	p := steps.Plan{
+		Request: id, Account: account, Version: model.Version, Adapter: adapter,
+		Prompt: tokens, Seed: rand.Uint64(), MaxTokens: limit,
+	}
+	if r.Seed != nil {
+		p.Seed = uint64(*r.Seed)
+	}
+	return p, version.Layers, nil
+}
+
+// findModel returns the model that a caller names, directly or by an adapter.
+func findModel(snap store.Snapshot, name string) (resrc.Model, string, error) {
+	if m, ok := store.Spec[resrc.Model](snap, name); ok {
+		return m, "", nil
+	}
+	unknown := fault.Newf(fault.NotFound, "model %q does not exist", name)
+	unknown.Field = "model"
+	a, ok := store.Spec[resrc.Adapter](snap, name)
+	if !ok {
+		return resrc.Model{}, "", unknown
+	}
+	v, ok := store.Spec[resrc.ModelVersion](snap, a.Version)
+	if !ok {
+		return resrc.Model{}, "", unknown
+	}
+	m, ok := store.Spec[resrc.Model](snap, v.Model)
+	if !ok {
+		return resrc.Model{}, "", unknown
+	}
+	// An adapter belongs to one version, which may not be the model's current
+	// one.
+	m.Version = a.Version
+	return m, name, nil
+}
+
+func (e *Entry) promptTokens(r modelRequest) []uint32 {
+	switch {
+	case len(r.Messages) > 0:
+		return e.cfg.Tokenizer.Encode(chatText(r.Messages))
+	case len(r.Prompt.tokens) > 0:
+		return r.Prompt.tokens
+	case r.Prompt.text != "":
+		return e.cfg.Tokenizer.Encode(r.Prompt.text)
+	}
+	return nil
+}
+
+// chatText renders messages as one prompt that ends where the answer begins.
+func chatText(messages []message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString("<|" + m.Role + "|>\n" + string(m.Content) + "\n")
+	}
+	b.WriteString("<|assistant|>\n")
+	return b.String()
+}
+
+// maxTokens returns the bound of the answer within the room that the prompt
+// leaves.
+func maxTokens(r modelRequest, room int) (int, error) {
+	if room < 1 {
+		return 0, fault.Newf(fault.TooLarge, "prompt leaves no room for an answer")
+	}
+	wanted := r.MaxCompletionTokens
+	if wanted == nil {
+		wanted = r.MaxTokens
+	}
+	if wanted == nil {
+		return min(room, defaultMaxTokens), nil
+	}
+	if *wanted < 1 {
+		return 0, fault.Invalid("max_tokens", *wanted, "1 or more")
+	}
+	return min(room, *wanted), nil
+}
+
+// readRequest decodes a request and checks the fields that its path needs.
+func readRequest(r *http.Request, chat bool) (modelRequest, error) {
+	var m modelRequest
+	if err := readJSON(r, &m); err != nil {
+		return m, err
+	}
+	if chat && len(m.Messages) == 0 {
+		return m, fault.Invalid("messages", nil, "at least one message")
+	}
+	if !chat {
+		m.Messages = nil
+	}
+	return m, nil
+}
+
+func newID() string { return uuid.NewString() }
--- /dev/null
+++ b/internal/route/hash.go
@@ -0,0 +1,52 @@
+package route
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owner returns the member with the highest rendezvous rank for a key; empty
+// when there are no members.
+func Owner(key string, members []string) string {
+	top := Subset(key, members, 1)
+	if len(top) == 0 {
+		return ""
+	}
+	return top[0]
+}
+
+// Subset returns the n members that rank highest for a key. A member that
+// joins or leaves changes only the subsets that it is or was in.
+func Subset(key string, members []string, n int) []string {
+	k := xxhash.Sum64String(key)
+	out := slices.Clone(members)
+	slices.SortFunc(out, func(a, b string) int {
+		if c := cmp.Compare(rank(k, b), rank(k, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return out[:min(n, len(out))]
+}
+
+// Prefix hashes the start of a prompt for cache affinity. Prompts shorter
+// than the block have no affinity.
+func Prefix(tokens []uint32, block int) uint64 {
+	if len(tokens) < block {
+		return 0
+	}
+	b := make([]byte, 4*block)
+	for i, t := range tokens[:block] {
+		binary.LittleEndian.PutUint32(b[4*i:], t)
+	}
+	return max(1, xxhash.Sum64(b))
+}
+
+func rank(key uint64, member string) uint64 {
+	d := xxhash.NewWithSeed(key)
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
