--- /dev/null
+++ b/internal/cmds/operator.go
@@ -0,0 +1,111 @@
+// Package cmds holds the commands of the shallotcourse binary, one a file.
+package cmds
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/pkg/clnt"
+	"shallotcourse/pkg/resrc"
+)
+
+const (
+	// entriesVariable names the environment variable with the entries'
+	// addresses, separated by commas.
+	entriesVariable = "SHALLOTCOURSE_ENTRIES"
+	// operatorKeyVariable names the environment variable with the key.
+	operatorKeyVariable = "SHALLOTCOURSE_OPERATOR_KEY"
+)
+
+// operatorFlags are the flags that all operator commands share.
+type operatorFlags struct {
+	entries []string
+	key     string
+	output  string
+}
+
+// OperatorCommands returns the commands that talk to the operator interface.
+func OperatorCommands() []*cobra.Command {
+	return []*cobra.Command{
+		getCommand(), applyCommand(), deleteCommand(), watchCommand(), drainCommand(), auditCommand(), statusCommand(),
+	}
+}
+
+func (f *operatorFlags) register(c *cobra.Command) {
+	flags := c.Flags()
+	flags.StringSliceVar(&f.entries, "entry", nil, "address of an entry, may be repeated; default $"+entriesVariable)
+	flags.StringVar(&f.key, "key", "", "operator key; default $"+operatorKeyVariable)
+	flags.StringVarP(&f.output, "output", "o", "table", "output form: table or json")
+}
+
+// client returns a client from the flags and the environment.
+func (f *operatorFlags) client() (*clnt.Client, error) {
+	if f.output != "table" && f.output != "json" {
+		return nil, fault.Invalid("--output", f.output, "table, json")
+	}
+	entries, key := f.entries, f.key
+	if value := os.Getenv(entriesVariable); len(entries) == 0 && value != "" {
+		entries = strings.Split(value, ",")
+	}
+	if key == "" {
+		key = os.Getenv(operatorKeyVariable)
+	}
+	if len(entries) == 0 {
+		return nil, fault.Invalid("--entry", "", "the address of an entry, or $"+entriesVariable)
+	}
+	if key == "" {
+		return nil, fault.Invalid("--key", "", "an operator key, or $"+operatorKeyVariable)
+	}
+	return clnt.New(entries, key), nil
+}
+
+// show writes v as JSON, or calls table to write rows.
+func (f *operatorFlags) show(w io.Writer, v any, header string, table func(row func(cells ...string))) error {
+	if f.output == "json" {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return writeFailure(e.Encode(v))
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(cells ...string) { _, _ = io.WriteString(t, strings.Join(cells, "\t")+"\n") }
+	row(strings.Fields(header)...)
+	table(row)
+	return writeFailure(t.Flush())
+}
+
+func writeFailure(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fault.New(fault.Internal, "cannot write the output").WithCause(err)
+}
+
+// kindNamed accepts a kind in any case, and its plural.
+func kindNamed(name string) (resrc.Kind, error) {
+	for _, kind := range resrc.Kinds {
+		if strings.EqualFold(name, string(kind)) || strings.EqualFold(name, string(kind)+"s") {
+			return kind, nil
+		}
+	}
+	return "", fault.Invalid("KIND", name, "Model, ModelVersion, Adapter, Target, ClientAccount, Service")
+}
+
+// completeKinds offers the kinds as the first argument.
+func completeKinds(_ *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+	var names []string
+	if len(args) == 0 {
+		for _, kind := range resrc.Kinds {
+			names = append(names, string(kind))
+		}
+	}
+	return names, cobra.ShellCompDirectiveNoFileComp
+}
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/internal/fakes/fplat/state.go
@@ -0,0 +1,173 @@
+package fplat
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/plat"
+)
+
+func (p *Platform) readRow(r *http.Request) (any, error) {
+	key := r.URL.Query().Get("Key")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row, ok := p.rows[key]
+	if !ok {
+		return nil, fault.Newf(fault.NotFound, "row %q", key)
+	}
+	return row, nil
+}
+
+func (p *Platform) listRows(r *http.Request) (any, error) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("Limit"))
+	if err != nil || limit < 1 || limit > maxListRows {
+		return nil, fault.Invalid("Limit", q.Get("Limit"), "1 to 1000")
+	}
+	prefix, after := q.Get("Prefix"), q.Get("After")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := []plat.Row{}
+	for key, row := range p.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b plat.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (p *Platform) commit(r *http.Request) (any, error) {
+	var t plat.Txn
+	if err := readJSON(r, &t); err != nil {
+		return nil, err
+	}
+	if len(t.Writes) > maxTxnWrites {
+		return nil, fault.Newf(fault.TooLarge, "%d writes; allowed: %d", len(t.Writes), maxTxnWrites)
+	}
+	for _, w := range t.Writes {
+		if len(w.Value) > maxRowBytes {
+			return nil, fault.Newf(fault.TooLarge, "row %q has %d bytes; allowed: %d", w.Key, len(w.Value), maxRowBytes)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range t.Conditions {
+		if p.rows[c.Key].Version != c.Version {
+			p.counts.Conflicts++
+			return nil, fault.Newf(fault.Conflict, "row %q has version %d, not %d", c.Key, p.rows[c.Key].Version, c.Version)
+		}
+	}
+	p.lastVersion++
+	for _, w := range t.Writes {
+		if w.Delete {
+			delete(p.rows, w.Key)
+			continue
+		}
+		p.rows[w.Key] = plat.Row{Key: w.Key, Version: p.lastVersion, Value: w.Value}
+	}
+	return struct{ Version uint64 }{p.lastVersion}, nil
+}
+
+func (p *Platform) getObject(r *http.Request) (any, error) {
+	name := r.URL.Query().Get("Name")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	data, ok := p.objects[name]
+	if !ok {
+		return nil, fault.Newf(fault.NotFound, "object %q", name)
+	}
+	return data, nil
+}
+
+func (p *Platform) putObject(r *http.Request) (any, error) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, fault.New(fault.TooLarge, "the object does not fit").WithCause(err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects[r.URL.Query().Get("Name")] = data
+	return struct{}{}, nil
+}
+
+func (p *Platform) reserve(r *http.Request) (any, error) {
+	var body struct {
+		Name  string
+		Bytes int64
+	}
+	if err := readJSON(r, &body); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if wait, ok := p.weights.Take(p.clock.Now(), body.Bytes); !ok {
+		return nil, fault.New(fault.Overloaded, "the rate of the weight store is used up").WithRetryAfter(wait)
+	}
+	p.counts.WeightBytes += body.Bytes
+	return struct{}{}, nil
+}
+
+// listInstances shows the list as it was ListLag ago.
+func (p *Platform) listInstances(*http.Request) (any, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.ListReads++
+	at := p.clock.Now().Add(-time.Duration(p.faults.ListLag))
+	for _, d := range slices.Backward(p.lists) {
+		if !d.since.After(at) {
+			return d.list, nil
+		}
+	}
+	return []plat.Instance{}, nil
+}
+
+// SetInstance adds or replaces an instance in the true list.
+func (p *Platform) SetInstance(i plat.Instance) {
+	p.changeList(i.Name, func(list []plat.Instance) []plat.Instance { return append(list, i) })
+}
+
+// RemoveInstance removes an instance from the true list.
+func (p *Platform) RemoveInstance(name string) {
+	p.changeList(name, func(list []plat.Instance) []plat.Instance { return list })
+}
+
+// changeList records a new list without the named instance, after change.
+func (p *Platform) changeList(name string, change func([]plat.Instance) []plat.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []plat.Instance{}
+	if len(p.lists) > 0 {
+		for _, i := range p.lists[len(p.lists)-1].list {
+			if i.Name != name {
+				list = append(list, i)
+			}
+		}
+	}
+	list = change(list)
+	slices.SortFunc(list, func(a, b plat.Instance) int { return strings.Compare(a.Name, b.Name) })
+	p.lists = append(p.lists, datedList{since: p.clock.Now(), list: list})
+}
+
+func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
+	var i plat.Instance
+	if err := readJSON(r, &i); err != nil {
+		fault.WriteBody(w, err)
+		return
+	}
+	i.Name = mux.Vars(r)["Name"]
+	p.SetInstance(i)
+	reply(w, i)
+}
+
+func (p *Platform) deleteInstance(w http.ResponseWriter, r *http.Request) {
+	p.RemoveInstance(mux.Vars(r)["Name"])
+	reply(w, struct{}{})
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -74,6 +74,9 @@
 		Detail string
 		// Field is the path of the offending input field, if any.
 		Field string
+		// Revision is the current revision of the resource in a Conflict; 0
+		// when the resource is absent.
+		Revision uint64
 		// RetryAfter is positive only where Outcome is NotRun.
 		RetryAfter time.Duration
 		// Cause is kept for logs and is not shown to the caller.
--- /dev/null
+++ b/internal/opapi/opapi.go
@@ -0,0 +1,358 @@
+// Package opapi is the operators' HTTP interface: resources, watch, audit and
+// status.
+package opapi
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/store"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/wire"
+	"shallotcourse/pkg/resrc"
+)
+
+const (
+	// ChangeHeader carries the change identifier that the client chose. A
+	// write that is repeated under the same identifier is accepted once.
+	ChangeHeader = "Shallotcourse-Change"
+
+	// maxBodyBytes bounds one resource.
+	maxBodyBytes = 256 << 10
+	// maxWatches bounds open watch streams.
+	maxWatches = 64
+	// heartbeatInterval is the time between lines of an idle watch, by which
+	// the client tells an idle stream from a silent connection.
+	heartbeatInterval = 5 * time.Second
+	// readTimeout bounds the table reads of one request.
+	readTimeout = 5 * time.Second
+	// maxAuditRows bounds one page of the audit.
+	maxAuditRows = 500
+)
+
+var changeForm = regexp.MustCompile(`^[A-Za-z0-9._-]{8,64}$`)
+
+type (
+	// Operator may use the interface.
+	Operator struct {
+		Name string
+		// KeyHash is the hex SHA-256 digest of the operator's key.
+		KeyHash string
+	}
+
+	// Options are the parts that the interface works on. Store is required.
+	Options struct {
+		Store *store.Store
+		// Sync gives the peers of the status; it may be nil.
+		Sync      *store.Sync
+		Operators []Operator
+		// Self is the process that serves the interface.
+		Self  wire.Hello
+		Clock timer.Service
+		Log   log.Logger
+	}
+
+	// Event is one line of a watch: a change, or a heartbeat without one.
+	Event struct {
+		// Revision is the revision up to which the stream is complete.
+		Revision uint64
+		Change   *resrc.Change `json:",omitempty"`
+	}
+
+	// Status is the answer of /v1/status.
+	Status struct {
+		Revision uint64
+		Ready    bool
+		Table    TableStatus
+		// Instances holds the process itself and its linked peers.
+		Instances []InstanceStatus
+	}
+
+	// TableStatus is what the process knows of the table.
+	TableStatus struct {
+		Reachable bool
+		LastRead  time.Time `json:",omitzero"`
+	}
+
+	// InstanceStatus is the configuration in force in one process.
+	InstanceStatus struct {
+		Instance    string
+		Incarnation string
+		Role        wire.Role
+		DataCentre  string
+		Target      string `json:",omitempty"`
+		Revision    uint64
+	}
+
+	handler struct {
+		Options
+		// keys are the operators' decoded key hashes, in their order.
+		keys    [][]byte
+		watches chan struct{}
+	}
+
+	// operation is one request after authentication. It returns the answer.
+	operation func(r *http.Request, operator string) (any, error)
+)
+
+// New returns the handler of all paths under /v1/.
+func New(o Options) http.Handler {
+	if o.Clock == nil {
+		o.Clock = timer.System{}
+	}
+	if o.Log == nil {
+		o.Log = log.NewNopLogger()
+	}
+	h := &handler{Options: o, watches: make(chan struct{}, maxWatches)}
+	for _, operator := range o.Operators {
+		// A hash that does not decode matches no key.
+		key, _ := hex.DecodeString(operator.KeyHash)
+		h.keys = append(h.keys, key)
+	}
+	r := mux.NewRouter()
+	r.Handle("/v1/resources/{Kind}", h.serve(h.list)).Methods(http.MethodGet)
+	r.Handle("/v1/resources/{Kind}/{Name}", h.serve(h.get)).Methods(http.MethodGet)
+	r.Handle("/v1/resources/{Kind}/{Name}", h.serve(h.put)).Methods(http.MethodPut)
+	r.Handle("/v1/resources/{Kind}/{Name}", h.serve(h.remove)).Methods(http.MethodDelete)
+	r.Handle("/v1/audit", h.serve(h.audit)).Methods(http.MethodGet)
+	r.Handle("/v1/status", h.serve(h.status)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/watch", h.watch).Methods(http.MethodGet)
+	r.NotFoundHandler = http.HandlerFunc(notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(notFound)
+	return r
+}
+
+// HashKey returns the form in which keys are kept.
+func HashKey(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
+func (h *handler) serve(f operation) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		operator, err := h.authenticate(r)
+		if err != nil {
+			fault.WriteBody(w, err)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		answer, err := f(r, operator)
+		if err != nil {
+			h.report(r, operator, err)
+			fault.WriteBody(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer)
+	})
+}
+
+// authenticate returns the operator's name. All keys are compared, each in
+// constant time, so that the time tells nothing about them.
+func (h *handler) authenticate(r *http.Request) (string, error) {
+	key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(key))
+	found := -1
+	for i, known := range h.keys {
+		if subtle.ConstantTimeCompare(known, digest[:]) == 1 {
+			found = i
+		}
+	}
+	if !bearer || found < 0 {
+		return "", fault.New(fault.Unauthorized, "an operator key is required")
+	}
+	return h.Operators[found].Name, nil
+}
+
+func (h *handler) report(r *http.Request, operator string, err error) {
+	e := fault.As(err)
+	_ = level.Info(h.Log).Log("msg", "operator request failed", "operator", operator, "method", r.Method,
+		"path", r.URL.Path, "code", e.Code, "outcome", e.Outcome, "err", err)
+}
+
+func (h *handler) list(r *http.Request, _ string) (any, error) {
+	kind, err := kindOf(r)
+	if err != nil {
+		return nil, err
+	}
+	resources := h.Store.Snapshot().List(kind)
+	if resources == nil {
+		resources = []resrc.Resource{}
+	}
+	return resources, nil
+}
+
+func (h *handler) get(r *http.Request, _ string) (any, error) {
+	kind, err := kindOf(r)
+	if err != nil {
+		return nil, err
+	}
+	name := mux.Vars(r)["Name"]
+	resource, ok := h.Store.Snapshot().Get(kind, name)
+	if !ok {
+		return nil, fault.Newf(fault.NotFound, "%s %q", kind, name)
+	}
+	return resource, nil
+}
+
+// put writes a resource. The revision in the body is the expected one.
+func (h *handler) put(r *http.Request, operator string) (any, error) {
+	kind, err := kindOf(r)
+	if err != nil {
+		return nil, err
+	}
+	id, err := changeID(r)
+	if err != nil {
+		return nil, err
+	}
+	resource, err := readResource(r)
+	if err != nil {
+		return nil, err
+	}
+	name := mux.Vars(r)["Name"]
+	if resource.Kind != kind {
+		return nil, fault.Invalid("Kind", string(resource.Kind), string(kind)+", as in the path")
+	}
+	if resource.Name != name {
+		return nil, fault.Invalid("Name", resource.Name, name+", as in the path")
+	}
+	return h.Store.Put(r.Context(), store.Write{
+		ID: id, Actor: operator, Kind: kind, Name: name, Expected: resource.Revision, Spec: resource.Spec,
+		Check: func(s store.Snapshot) error { return checkPut(s, resource) },
+	})
+}
+
+// remove deletes a resource at the revision that the query names.
+func (h *handler) remove(r *http.Request, operator string) (any, error) {
+	kind, err := kindOf(r)
+	if err != nil {
+		return nil, err
+	}
+	id, err := changeID(r)
+	if err != nil {
+		return nil, err
+	}
+	expected, err := number(r, "Revision", 0)
+	if err != nil {
+		return nil, err
+	}
+	if expected == 0 {
+		return nil, fault.Invalid("Revision", r.URL.Query().Get("Revision"), "the revision of the resource")
+	}
+	name := mux.Vars(r)["Name"]
+	return h.Store.Delete(r.Context(), store.Write{
+		ID: id, Actor: operator, Kind: kind, Name: name, Expected: expected,
+		Check: func(s store.Snapshot) error { return checkDelete(s, kind, name) },
+	})
+}
+
+// audit returns change rows from the table, which has all of them. Without
+// After, it returns the last ones.
+func (h *handler) audit(r *http.Request, _ string) (any, error) {
+	limit, err := number(r, "Limit", 100)
+	if err != nil {
+		return nil, err
+	}
+	if limit < 1 || limit > maxAuditRows {
+		return nil, fault.Invalid("Limit", limit, "1 to 500")
+	}
+	revision := h.Store.Snapshot().Revision
+	after, err := number(r, "After", revision-min(revision, limit))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := timer.WithTimeout(r.Context(), h.Clock, readTimeout)
+	defer cancel()
+	changes, err := h.Store.Audit(ctx, after, int(limit))
+	if err != nil {
+		return nil, err
+	}
+	return changes, nil
+}
+
+func (h *handler) status(*http.Request, string) (any, error) {
+	health, revision := h.Store.Health().Value(), h.Store.Snapshot().Revision
+	s := Status{
+		Revision: revision, Ready: health.Read,
+		Table:     TableStatus{Reachable: health.Reachable, LastRead: health.LastRead},
+		Instances: []InstanceStatus{instanceOf(h.Self, revision)},
+	}
+	if h.Sync == nil {
+		return s, nil
+	}
+	s.Ready = h.Sync.Ready()
+	for _, p := range h.Sync.Peers() {
+		s.Instances = append(s.Instances, instanceOf(p.Hello, p.Revision))
+	}
+	return s, nil
+}
+
+func instanceOf(h wire.Hello, revision uint64) InstanceStatus {
+	return InstanceStatus{
+		Instance: h.Instance, Incarnation: h.Incarnation, Role: h.Role, DataCentre: h.DataCentre,
+		Target: h.Target, Revision: revision,
+	}
+}
+
+func kindOf(r *http.Request) (resrc.Kind, error) {
+	name := mux.Vars(r)["Kind"]
+	for _, kind := range resrc.Kinds {
+		if string(kind) == name {
+			return kind, nil
+		}
+	}
+	return "", fault.Invalid("Kind", name, "Model, ModelVersion, Adapter, Target, ClientAccount, Service")
+}
+
+func changeID(r *http.Request) (string, error) {
+	id := r.Header.Get(ChangeHeader)
+	if id != "" && !changeForm.MatchString(id) {
+		return "", fault.Invalid(ChangeHeader, id, "8 to 64 letters, digits, '.', '_' and '-'")
+	}
+	return id, nil
+}
+
+func readResource(r *http.Request) (resrc.Resource, error) {
+	var resource resrc.Resource
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return resource, fault.Newf(fault.TooLarge, "the body has more than %d bytes or was cut off", maxBodyBytes).WithCause(err)
+	}
+	if err := json.Unmarshal(body, &resource); err != nil {
+		if fault.Is(err, fault.BadInput) {
+			return resource, err
+		}
+		return resource, fault.Newf(fault.BadInput, "the body is not a resource: %v", err).WithCause(err)
+	}
+	return resource, nil
+}
+
+// number returns a query parameter, or a default when it is absent.
+func number(r *http.Request, name string, otherwise uint64) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fault.Invalid(name, text, "a number")
+	}
+	return n, nil
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	fault.WriteBody(w, fault.Newf(fault.NotFound, "%s %s", r.Method, r.URL.Path))
+}
--- /dev/null
+++ b/internal/opapi/watch.go
@@ -0,0 +1,98 @@
+package opapi
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
+	"shallotcourse/pkg/resrc"
+)
+
+// watch streams the changes after a revision as JSON lines until the client
+// goes away.
+func (h *handler) watch(w http.ResponseWriter, r *http.Request) {
+	if _, err := h.authenticate(r); err != nil {
+		fault.WriteBody(w, err)
+		return
+	}
+	select {
+	case h.watches <- struct{}{}:
+		defer func() { <-h.watches }()
+	default:
+		fault.WriteBody(w, fault.New(fault.Overloaded, "too many watches are open").WithRetryAfter(heartbeatInterval))
+		return
+	}
+	// Without Since, the stream starts at the revision in force.
+	since, err := number(r, "Since", h.Store.Snapshot().Revision)
+	if err != nil {
+		fault.WriteBody(w, err)
+		return
+	}
+	h.stream(w, r, since)
+}
+
+// stream sends the changes after a revision, then new ones as they come into
+// force. A failure before the first line is answered as such; after it, the
+// client resumes elsewhere from the last line that it has read.
+func (h *handler) stream(w http.ResponseWriter, r *http.Request, since uint64) {
+	ticks, stop := h.Clock.Every(heartbeatInterval)
+	defer stop()
+	encoder, control := json.NewEncoder(w), http.NewResponseController(w)
+	for first := true; ; first = false {
+		// The version is read before the changes, so that none is missed.
+		_, seen := h.Store.Section().Get()
+		changes, err := h.history(r, since)
+		if err != nil {
+			if first {
+				fault.WriteBody(w, err)
+			}
+			return
+		}
+		if first {
+			w.Header().Set("Content-Type", "application/jsonl")
+		}
+		events := eventsOf(changes, since)
+		since = events[len(events)-1].Revision
+		for _, e := range events {
+			if encoder.Encode(e) != nil {
+				return
+			}
+		}
+		if control.Flush() != nil {
+			return
+		}
+		if len(changes) > 0 {
+			continue
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-h.Store.Section().Changed(seen):
+		case <-ticks:
+		}
+	}
+}
+
+// eventsOf returns one event for each change, or a heartbeat.
+func eventsOf(changes []resrc.Change, since uint64) []Event {
+	if len(changes) == 0 {
+		return []Event{{Revision: since}}
+	}
+	events := make([]Event, len(changes))
+	for i := range changes {
+		events[i] = Event{Revision: changes[i].Revision, Change: &changes[i]}
+	}
+	return events
+}
+
+// history returns the changes after a revision from the log, or from the
+// table when the log does not reach back.
+func (h *handler) history(r *http.Request, since uint64) ([]resrc.Change, error) {
+	if changes, ok := h.Store.ChangesSince(since); ok {
+		return changes, nil
+	}
+	ctx, cancel := timer.WithTimeout(r.Context(), h.Clock, readTimeout)
+	defer cancel()
+	return h.Store.Audit(ctx, since, maxAuditRows)
+}
--- /dev/null
+++ b/internal/plat/client.go
@@ -0,0 +1,239 @@
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
+)
+
+const (
+	// defaultTimeout bounds one request to the platform. It is below the 2 s
+	// between polls, so that a silent connection costs at most one poll.
+	defaultTimeout = 1500 * time.Millisecond
+	// maxAnswerBytes bounds one answer of the platform.
+	maxAnswerBytes = 32 << 20
+)
+
+type (
+	// Client is the HTTP client of the platform. Table and Instances both
+	// have a List, so the interfaces are fields rather than methods.
+	Client struct {
+		Table     Table
+		Objects   Objects
+		Instances Instances
+		Weights   Weights
+	}
+
+	// Option changes the settings of a client.
+	Option func(*transport)
+
+	transport struct {
+		base    string
+		http    *http.Client
+		clock   timer.Service
+		timeout time.Duration
+		reads   *Bucket
+		writes  *Bucket
+	}
+
+	request struct {
+		method, path string
+		query        url.Values
+		body         []byte
+		// effect says that the request changes state, so that a lost answer
+		// leaves its outcome unknown.
+		effect bool
+	}
+
+	table     struct{ t *transport }
+	objects   struct{ t *transport }
+	instances struct{ t *transport }
+	weights   struct{ t *transport }
+)
+
+// WithTimeout sets the bound of one request.
+func WithTimeout(d time.Duration) Option { return func(t *transport) { t.timeout = d } }
+
+// WithClock sets the timer service.
+func WithClock(s timer.Service) Option { return func(t *transport) { t.clock = s } }
+
+// WithRates bounds this process's reads and writes per second; 0 is no bound.
+func WithRates(readsPerSecond, writesPerSecond float64) Option {
+	return func(t *transport) {
+		t.reads = NewBucket(readsPerSecond, int(readsPerSecond/4)+1)
+		t.writes = NewBucket(writesPerSecond, int(writesPerSecond/4)+1)
+	}
+}
+
+// WithTransport sets the HTTP transport.
+func WithTransport(rt http.RoundTripper) Option {
+	return func(t *transport) { t.http = &http.Client{Transport: rt} }
+}
+
+// NewClient returns a client of the platform at a base URL.
+func NewClient(baseURL string, options ...Option) *Client {
+	t := &transport{base: baseURL, clock: timer.System{}, timeout: defaultTimeout}
+	for _, o := range options {
+		o(t)
+	}
+	if t.http == nil {
+		dialer := &net.Dialer{Timeout: t.timeout}
+		t.http = &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
+		}}
+	}
+	return &Client{Table: table{t}, Objects: objects{t}, Instances: instances{t}, Weights: weights{t}}
+}
+
+// do sends a request and returns the body of a 2xx answer.
+func (t *transport) do(ctx context.Context, r request) ([]byte, error) {
+	ctx, cancel := timer.WithTimeout(ctx, t.clock, t.timeout)
+	defer cancel()
+	bucket := t.reads
+	if r.effect {
+		bucket = t.writes
+	}
+	if err := bucket.Wait(ctx, t.clock); err != nil {
+		return nil, err
+	}
+	// Before a connection is obtained, no byte of the request can have been
+	// sent; after that, a failure leaves the outcome open.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.method, t.url(r), bytes.NewReader(r.body))
+	if err != nil {
+		return nil, fault.New(fault.Internal, "cannot build a request to the platform").WithCause(err)
+	}
+	// Without GetBody, net/http sends nothing a second time on its own.
+	req.GetBody = nil
+	resp, err := t.http.Do(req)
+	if err != nil {
+		return nil, lost(ctx, r, connected.Load(), err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return nil, refused(r, resp)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, lost(ctx, r, true, err)
+	}
+	return data, nil
+}
+
+func (t *transport) url(r request) string {
+	u := t.base + r.path
+	if len(r.query) > 0 {
+		u += "?" + r.query.Encode()
+	}
+	return u
+}
+
+// decode sends a request and decodes the JSON answer into v.
+func (t *transport) decode(ctx context.Context, r request, v any) error {
+	data, err := t.do(ctx, r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return fault.New(fault.Malformed, "answer of the platform does not decode").WithCause(err)
+	}
+	return nil
+}
+
+func lost(ctx context.Context, r request, sent bool, cause error) error {
+	e := fault.Newf(fault.Unavailable, "no answer of the platform to %s %s", r.method, r.path)
+	if eris.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		e.Detail += " within the timeout"
+	}
+	if sent && r.effect {
+		e = e.WithOutcome(fault.Unknown)
+	}
+	return e.WithCause(eris.Wrap(cause, "platform request"))
+}
+
+func refused(r request, resp *http.Response) error {
+	e := fault.ReadBody(resp.StatusCode, resp.Body)
+	if !r.effect {
+		return e.WithOutcome(fault.NotRun)
+	}
+	return e
+}
+
+func marshal(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "request to the platform does not encode").WithCause(err)
+	}
+	return b, nil
+}
+
+// Read implements Table.
+func (c table) Read(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.t.decode(ctx, request{method: http.MethodGet, path: "/table/row", query: url.Values{"Key": {key}}}, &row)
+	return row, err
+}
+
+// List implements Table.
+func (c table) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	var rows []Row
+	q := url.Values{"Prefix": {prefix}, "After": {after}, "Limit": {strconv.Itoa(limit)}}
+	err := c.t.decode(ctx, request{method: http.MethodGet, path: "/table/rows", query: q}, &rows)
+	return rows, err
+}
+
+// Commit implements Table.
+func (c table) Commit(ctx context.Context, x Txn) error {
+	b, err := marshal(x)
+	if err != nil {
+		return err
+	}
+	_, err = c.t.do(ctx, request{method: http.MethodPost, path: "/table/commit", body: b, effect: true})
+	return err
+}
+
+// Get implements Objects.
+func (c objects) Get(ctx context.Context, name string) ([]byte, error) {
+	return c.t.do(ctx, request{method: http.MethodGet, path: "/object", query: url.Values{"Name": {name}}})
+}
+
+// Put implements Objects.
+func (c objects) Put(ctx context.Context, name string, data []byte) error {
+	q := url.Values{"Name": {name}}
+	_, err := c.t.do(ctx, request{method: http.MethodPut, path: "/object", query: q, body: data, effect: true})
+	return err
+}
+
+// List implements Instances.
+func (c instances) List(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	err := c.t.decode(ctx, request{method: http.MethodGet, path: "/instances"}, &list)
+	return list, err
+}
+
+// Reserve implements Weights.
+func (c weights) Reserve(ctx context.Context, name string, size int64) error {
+	b, err := marshal(struct {
+		Name  string
+		Bytes int64
+	}{name, size})
+	if err != nil {
+		return err
+	}
+	_, err = c.t.do(ctx, request{method: http.MethodPost, path: "/weights/reserve", body: b, effect: true})
+	return err
+}
--- /dev/null
+++ b/internal/store/script_test.go
@@ -0,0 +1,293 @@
+package store
+
+import (
+	"context"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"shallotcourse/internal/fakes/fplat"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/plat"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/wire"
+	"shallotcourse/pkg/resrc"
+)
+
+type (
+	// skewedClock is the system clock plus an offset that a script moves.
+	skewedClock struct {
+		timer.System
+		offset atomic.Int64
+	}
+
+	// process is one process of a script.
+	process struct {
+		store *Store
+		sync  *Sync
+	}
+
+	// wiredPeer delivers messages to the other process at once.
+	wiredPeer struct {
+		hello  func() wire.Hello
+		target func(m wire.Message)
+	}
+
+	// world is the state of one script.
+	world struct {
+		clock    *skewedClock
+		platform *fplat.Platform
+		server   *httptest.Server
+		procs    map[string]*process
+		links    map[string][2]*wiredPeer
+	}
+)
+
+func (c *skewedClock) Now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
+
+func (p *wiredPeer) Hello() wire.Hello     { return p.hello() }
+func (p *wiredPeer) Close(error)           {}
+func (p *wiredPeer) Done() <-chan struct{} { return nil }
+func (p *wiredPeer) Send(m wire.Message) error {
+	b, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	decoded, err := wire.Decode(b)
+	if err == nil {
+		p.target(decoded)
+	}
+	return err
+}
+
+// TestScripts guards against lost updates, lost answers that are reported
+// wrongly, reverts and processes that serve before they know the
+// configuration; each file in testdata names its failure.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			w := &world{clock: &skewedClock{}, procs: map[string]*process{}, links: map[string][2]*wiredPeer{}}
+			w.platform = fplat.New(w.clock)
+			w.server = httptest.NewServer(w.platform)
+			e.Defer(w.server.Close)
+			e.Values["world"] = w
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"proc": onWorld((*world).proc), "put": onWorld((*world).put), "delete": onWorld((*world).remove),
+			"race": onWorld((*world).race), "faults": onWorld((*world).faults), "refresh": onWorld((*world).refresh),
+			"link": onWorld((*world).link), "unlink": onWorld((*world).unlink), "heartbeat": onWorld((*world).heartbeat),
+			"push": onWorld((*world).push), "offer": onWorld((*world).offer), "elapse": onWorld((*world).elapse),
+			"expect": onWorld((*world).expect), "ready": onWorld((*world).ready), "changes": onWorld((*world).changes),
+		},
+	})
+}
+
+// onWorld adapts a command: "!" expects a failure, and a trailing "=CODE/OUTCOME"
+// argument names the failure that is expected.
+func onWorld(f func(*world, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		want := ""
+		if n := len(args); n > 0 && strings.HasPrefix(args[n-1], "=") {
+			want, args = args[n-1][1:], args[:n-1]
+		}
+		err := f(ts.Value("world").(*world), args)
+		if (err != nil) != neg {
+			ts.Fatalf("unexpected result: %v", err)
+		}
+		if err != nil && want != "" {
+			e := fault.As(err)
+			if got := string(e.Code) + "/" + string(e.Outcome); got != want {
+				ts.Fatalf("got %s, want %s: %v", got, want, err)
+			}
+		}
+	}
+}
+
+func (w *world) proc(args []string) error {
+	client := plat.NewClient(w.server.URL, plat.WithClock(w.clock), plat.WithTimeout(200*time.Millisecond))
+	s := New(client.Table, WithClock(w.clock))
+	w.procs[args[0]] = &process{store: s, sync: NewSync(s)}
+	return nil
+}
+
+// put PROC NAME LAYERS EXPECTED [ID [TIMEOUT]]
+func (w *world) put(args []string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeoutOf(args))
+	defer cancel()
+	_, err := w.procs[args[0]].store.Put(ctx, writeOf(args[1], args[2], args[3], args[4:]))
+	return err
+}
+
+// delete PROC NAME EXPECTED
+func (w *world) remove(args []string) error {
+	x := writeOf(args[1], "1", args[2], nil)
+	_, err := w.procs[args[0]].store.Delete(context.Background(), x)
+	return err
+}
+
+// race NAME EXPECTED PROC... : all put at once; exactly one must win.
+func (w *world) race(args []string) error {
+	var (
+		wg   sync.WaitGroup
+		won  atomic.Int64
+		lost atomic.Int64
+	)
+	for i, p := range args[2:] {
+		wg.Go(func() {
+			_, err := w.procs[p].store.Put(context.Background(), writeOf(args[0], strconv.Itoa(i+1), args[1], nil))
+			if err == nil {
+				won.Add(1)
+			} else if fault.Is(err, fault.Conflict) {
+				lost.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if won.Load() != 1 || lost.Load() != int64(len(args)-3) {
+		return fault.Newf(fault.Internal, "%d won, %d lost", won.Load(), lost.Load())
+	}
+	return nil
+}
+
+// faults [outage] [silent] [lose-answers=N] [lose-requests=N]
+func (w *world) faults(args []string) error {
+	var f fplat.Faults
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "outage":
+			f.Outage = true
+		case "silent":
+			f.Silent = true
+		case "lose-answers":
+			f.LoseAnswers = n
+		case "lose-requests":
+			f.LoseRequests = n
+		default:
+			return fault.Invalid("faults", arg, "a known switch")
+		}
+	}
+	w.platform.SetFaults(f)
+	return nil
+}
+
+func (w *world) refresh(args []string) error {
+	return w.procs[args[0]].store.Refresh(context.Background())
+}
+
+// link A B
+func (w *world) link(args []string) error {
+	a, b := w.procs[args[0]], w.procs[args[1]]
+	pair := [2]*wiredPeer{{hello: helloOf(args[1], b)}, {hello: helloOf(args[0], a)}}
+	pair[0].target = func(m wire.Message) { b.sync.Receive(pair[1], m) }
+	pair[1].target = func(m wire.Message) { a.sync.Receive(pair[0], m) }
+	w.links[args[0]+args[1]] = pair
+	a.sync.LinkUp(pair[0])
+	b.sync.LinkUp(pair[1])
+	return nil
+}
+
+func (w *world) unlink(args []string) error {
+	pair := w.links[args[0]+args[1]]
+	w.procs[args[0]].sync.LinkDown(pair[0])
+	w.procs[args[1]].sync.LinkDown(pair[1])
+	return nil
+}
+
+// heartbeat A B : each end of the link sends its revision to the other.
+func (w *world) heartbeat(args []string) error {
+	pair := w.links[args[0]+args[1]]
+	for i, name := range args {
+		if err := pair[i].Send(wire.Heartbeat{Revision: w.procs[name].store.Snapshot().Revision}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) push(args []string) error {
+	w.procs[args[0]].sync.pushAll()
+	return nil
+}
+
+// offer PROC REVISION : a peer offers an empty configuration of a revision.
+func (w *world) offer(args []string) error {
+	revision, _ := strconv.ParseUint(args[1], 10, 64)
+	if !w.procs[args[0]].store.ApplySnapshot(NewSnapshot(revision, nil)) {
+		return fault.New(fault.Conflict, "not adopted")
+	}
+	return nil
+}
+
+func (w *world) elapse(args []string) error {
+	d, err := time.ParseDuration(args[0])
+	w.clock.offset.Add(int64(d))
+	return err
+}
+
+// expect PROC REVISION [NAME LAYERS] : LAYERS 0 means absent.
+func (w *world) expect(args []string) error {
+	s := w.procs[args[0]].store.Snapshot()
+	if got := strconv.FormatUint(s.Revision, 10); got != args[1] {
+		return fault.Newf(fault.Internal, "%s is at revision %s", args[0], got)
+	}
+	if len(args) < 4 {
+		return nil
+	}
+	v, _ := Spec[resrc.ModelVersion](s, args[2])
+	if got := strconv.Itoa(v.Layers); got != args[3] {
+		return fault.Newf(fault.Internal, "%s has %s layers", args[2], got)
+	}
+	return nil
+}
+
+func (w *world) ready(args []string) error {
+	if !w.procs[args[0]].sync.Ready() {
+		return fault.New(fault.Unavailable, "not ready")
+	}
+	return nil
+}
+
+// changes PROC COUNT : the table has exactly so many change rows.
+func (w *world) changes(args []string) error {
+	list, err := w.procs[args[0]].store.Audit(context.Background(), 0, 500)
+	if err == nil && strconv.Itoa(len(list)) != args[1] {
+		return fault.Newf(fault.Internal, "%d change rows", len(list))
+	}
+	return err
+}
+
+func helloOf(name string, p *process) func() wire.Hello {
+	revision := p.store.Snapshot().Revision
+	return func() wire.Hello { return wire.Hello{Instance: name, Revision: revision} }
+}
+
+func writeOf(name, layers, expected string, rest []string) Write {
+	n, _ := strconv.Atoi(layers)
+	revision, _ := strconv.ParseUint(expected, 10, 64)
+	w := Write{
+		Actor: "test", Kind: resrc.KindModelVersion, Name: name, Expected: revision,
+		Spec: resrc.ModelVersion{Model: "oak", Layers: n},
+	}
+	if len(rest) > 0 {
+		w.ID = rest[0]
+	}
+	return w
+}
+
+func timeoutOf(args []string) time.Duration {
+	if len(args) > 5 {
+		d, _ := time.ParseDuration(args[5])
+		return d
+	}
+	return 10 * time.Second
+}
--- /dev/null
+++ b/pkg/clnt/clnt.go
@@ -0,0 +1,280 @@
+// Package clnt is the Go client of the operators' interface.
+package clnt
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/opapi"
+	"shallotcourse/internal/timer"
+	"shallotcourse/pkg/resrc"
+)
+
+const (
+	// attemptTimeout bounds one request to one entry. It is above the 10 s
+	// that an entry takes at most to settle a write.
+	attemptTimeout = 12 * time.Second
+	// dialTimeout bounds the connection to one entry.
+	dialTimeout = time.Second
+	// maxAnswerBytes bounds one answer.
+	maxAnswerBytes = 16 << 20
+	// rounds is the number of times that all entries are tried.
+	rounds = 2
+	// roundPause is the time between two rounds.
+	roundPause = 500 * time.Millisecond
+)
+
+type (
+	// Client talks to the entries. It is safe for concurrent use.
+	Client struct {
+		entries []string
+		key     string
+		http    *http.Client
+		clock   timer.Service
+		// next is the index of the entry to try first: the last that answered.
+		next atomic.Int64
+	}
+
+	// Status is what one entry knows of itself and its linked peers.
+	Status = opapi.Status
+	// InstanceStatus is the configuration in force in one process.
+	InstanceStatus = opapi.InstanceStatus
+	// Event is one line of a watch.
+	Event = opapi.Event
+
+	request struct {
+		method, path string
+		query        url.Values
+		body         []byte
+		// change is the change identifier; empty for a read.
+		change string
+		// pinned says that the write can no longer take effect once a conflict
+		// with its expected revision was seen.
+		pinned bool
+	}
+)
+
+// New returns a client of the entries, given as base URLs or host:port, with
+// an operator key.
+func New(entries []string, key string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c := &Client{key: key, clock: timer.System{}, http: &http.Client{
+		Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: 30 * time.Second},
+	}}
+	for _, e := range entries {
+		if !strings.Contains(e, "://") {
+			e = "http://" + e
+		}
+		c.entries = append(c.entries, strings.TrimRight(e, "/"))
+	}
+	return c
+}
+
+// Entries returns the base URLs of the entries.
+func (c *Client) Entries() []string { return c.entries }
+
+// Get returns one resource as it is in force at the entry that answers.
+func (c *Client) Get(ctx context.Context, kind resrc.Kind, name string) (resrc.Resource, error) {
+	var r resrc.Resource
+	err := c.call(ctx, request{method: http.MethodGet, path: resourcePath(kind, name)}, &r)
+	return r, err
+}
+
+// List returns the resources of a kind in order of their names.
+func (c *Client) List(ctx context.Context, kind resrc.Kind) ([]resrc.Resource, error) {
+	var list []resrc.Resource
+	err := c.call(ctx, request{method: http.MethodGet, path: "/v1/resources/" + url.PathEscape(string(kind))}, &list)
+	return list, err
+}
+
+// Put creates or replaces a resource; its Revision is the expected one. The
+// change identifier may be empty; a repeated Put with the same identifier is
+// accepted once.
+func (c *Client) Put(ctx context.Context, r resrc.Resource, changeID string) (resrc.Change, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return resrc.Change{}, fault.New(fault.BadInput, "the resource does not encode").WithCause(err)
+	}
+	return c.write(ctx, request{
+		method: http.MethodPut, path: resourcePath(r.Kind, r.Name), body: body, change: changeID, pinned: r.Revision > 0,
+	})
+}
+
+// Delete removes a resource at the expected revision.
+func (c *Client) Delete(ctx context.Context, kind resrc.Kind, name string, revision uint64, changeID string) (resrc.Change, error) {
+	q := url.Values{"Revision": {strconv.FormatUint(revision, 10)}}
+	return c.write(ctx, request{
+		method: http.MethodDelete, path: resourcePath(kind, name), query: q, change: changeID, pinned: revision > 0,
+	})
+}
+
+// Audit returns up to limit changes after a revision.
+func (c *Client) Audit(ctx context.Context, after uint64, limit int) ([]resrc.Change, error) {
+	return c.audit(ctx, url.Values{"After": {strconv.FormatUint(after, 10)}, "Limit": {strconv.Itoa(limit)}})
+}
+
+// AuditLast returns the last changes, up to limit.
+func (c *Client) AuditLast(ctx context.Context, limit int) ([]resrc.Change, error) {
+	return c.audit(ctx, url.Values{"Limit": {strconv.Itoa(limit)}})
+}
+
+func (c *Client) audit(ctx context.Context, q url.Values) ([]resrc.Change, error) {
+	var changes []resrc.Change
+	err := c.call(ctx, request{method: http.MethodGet, path: "/v1/audit", query: q}, &changes)
+	return changes, err
+}
+
+// Status returns the status of one entry.
+func (c *Client) Status(ctx context.Context, entry string) (Status, error) {
+	var s Status
+	data, err := c.attempt(ctx, entry, request{method: http.MethodGet, path: "/v1/status"})
+	if err != nil {
+		return s, err
+	}
+	return s, decode(data, &s)
+}
+
+func (c *Client) write(ctx context.Context, r request) (resrc.Change, error) {
+	if r.change == "" {
+		r.change = uuid.NewString()
+	}
+	var change resrc.Change
+	err := c.call(ctx, r, &change)
+	return change, err
+}
+
+// call tries the entries in turn until one gives a definite answer. A write
+// whose answer was lost goes to the next entry under the same identifier.
+func (c *Client) call(ctx context.Context, r request, v any) error {
+	if len(c.entries) == 0 {
+		return fault.Invalid("Entries", c.entries, "one address or more")
+	}
+	var last *fault.Error
+	unknown := false
+	for round := range rounds {
+		if round > 0 && timer.Sleep(ctx, c.clock, roundPause) != nil {
+			break
+		}
+		for range c.entries {
+			i := c.next.Load()
+			data, err := c.attempt(ctx, c.entries[i], r)
+			if err == nil {
+				return decode(data, v)
+			}
+			last = fault.As(err)
+			unknown = unknown || last.Outcome == fault.Unknown
+			if definite(last) {
+				return settled(last, r, unknown)
+			}
+			c.next.CompareAndSwap(i, (i+1)%int64(len(c.entries)))
+			if ctx.Err() != nil {
+				return settled(last, r, unknown)
+			}
+		}
+	}
+	return settled(last, r, unknown)
+}
+
+// definite reports whether another entry would give the same answer.
+func definite(e *fault.Error) bool {
+	switch e.Code {
+	case fault.BadInput, fault.Unauthorized, fault.NotFound, fault.Conflict, fault.KeyReused, fault.TooLarge, fault.Malformed:
+		return true
+	default:
+		return false
+	}
+}
+
+// settled gives the failure its outcome over all attempts. After a lost
+// answer, the first attempt may still take effect, unless a conflict shows
+// that the resource has left the expected revision, to which it never returns.
+func settled(e *fault.Error, r request, unknown bool) error {
+	if !unknown || r.change == "" || (r.pinned && e.Code == fault.Conflict) {
+		return e
+	}
+	e = e.WithOutcome(fault.Unknown)
+	e.Detail += "; an earlier attempt may have taken effect, look for change " + r.change + " in the audit"
+	return e
+}
+
+// attempt sends the request to one entry.
+func (c *Client) attempt(ctx context.Context, entry string, r request) ([]byte, error) {
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, attemptTimeout)
+	defer cancel()
+	resp, err := c.send(ctx, entry, r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, unanswered(entry, r, true, err)
+	}
+	return data, nil
+}
+
+// send returns the answer of one entry if its status is 2xx.
+func (c *Client) send(ctx context.Context, entry string, r request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	target := entry + r.path
+	if len(r.query) > 0 {
+		target += "?" + r.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.method, target, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, fault.Invalid("Entry", entry, "host:port or a URL").WithCause(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if r.change != "" {
+		req.Header.Set(opapi.ChangeHeader, r.change)
+	}
+	if len(r.body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, unanswered(entry, r, connected.Load(), err)
+	}
+	if resp.StatusCode/100 == 2 {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	return nil, fault.ReadBody(resp.StatusCode, resp.Body)
+}
+
+func unanswered(entry string, r request, sent bool, cause error) error {
+	e := fault.Newf(fault.Unavailable, "no answer from entry %s", entry).WithCause(cause)
+	if errors.Is(cause, context.Canceled) {
+		e.Detail += " before the request was given up"
+	}
+	if sent && r.change != "" {
+		return e.WithOutcome(fault.Unknown)
+	}
+	return e
+}
+
+func decode(data []byte, v any) error {
+	if err := json.Unmarshal(data, v); err != nil {
+		return fault.New(fault.Malformed, "the entry's answer does not decode").WithOutcome(fault.Unknown).WithCause(err)
+	}
+	return nil
+}
+
+func resourcePath(kind resrc.Kind, name string) string {
+	return "/v1/resources/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
--- a/pkg/resrc/resrc.go
+++ b/pkg/resrc/resrc.go
@@ -166,6 +166,6 @@
 		// FromRevision is the resource's revision before; 0 if it was absent.
 		FromRevision uint64
 		// Body is the JSON form of the spec; empty for a delete.
-		Body json.RawMessage
+		Body json.RawMessage `json:",omitempty"`
 	}
 )
