--- a/internal/fakes/fplat/platform.go
+++ b/internal/fakes/fplat/platform.go
@@ -4,6 +4,8 @@
 package fplat
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -70,6 +72,10 @@
 		// LoseProbability is the share of writes that lose their answer after
 		// they took effect.
 		LoseProbability float64
+		// LateProbability is the share of writes that lose their connection and
+		// take effect only LateBy later.
+		LateProbability float64
+		LateBy          resrc.Duration
 		// ListLag is the age of the instance list that is shown.
 		ListLag resrc.Duration
 		// Rates are not bounded when 0.
@@ -154,10 +160,15 @@
 			fault.WriteBody(w, err)
 			return
 		}
+		// The server notices that the client has gone only once the body has
+		// been read.
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			fault.WriteBody(w, fault.New(fault.TooLarge, "the body does not fit").WithCause(err))
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		if f.Silent {
-			// The server notices that the client has gone only once the body
-			// has been read.
-			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
@@ -167,6 +178,10 @@
 		if effect && p.use(func(f *Faults) *int { return &f.LoseRequests }) {
 			panic(http.ErrAbortHandler)
 		}
+		if effect && p.chance(func(f Faults) float64 { return f.LateProbability }) {
+			p.handleLate(r, time.Duration(f.LateBy), handle)
+			panic(http.ErrAbortHandler)
+		}
 		answer, err := handle(r)
 		if effect && p.loseAnswer() {
 			panic(http.ErrAbortHandler)
@@ -199,12 +214,22 @@
 }
 
 func (p *Platform) loseAnswer() bool {
-	if p.use(func(f *Faults) *int { return &f.LoseAnswers }) {
-		return true
-	}
+	return p.use(func(f *Faults) *int { return &f.LoseAnswers }) ||
+		p.chance(func(f Faults) float64 { return f.LoseProbability })
+}
+
+// handleLate lets a request take effect after its connection was lost.
+func (p *Platform) handleLate(r *http.Request, d time.Duration, handle func(*http.Request) (any, error)) {
+	late := r.Clone(context.Background())
+	p.clock.After(d, func() { _, _ = handle(late) })
+}
+
+// chance decides by a probability of the switches.
+func (p *Platform) chance(probability func(Faults) float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.faults.LoseProbability <= 0 || p.random.Float64() >= p.faults.LoseProbability {
+	share := probability(p.faults)
+	if share <= 0 || p.random.Float64() >= share {
 		return false
 	}
 	p.counts.Lost++
--- a/internal/fakes/fplat/state.go
+++ b/internal/fakes/fplat/state.go
@@ -90,7 +90,7 @@
 func (p *Platform) putObject(r *http.Request) (any, error) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, fault.New(fault.TooLarge, "the object does not fit").WithCause(err)
+		return nil, fault.New(fault.Internal, "the body was cut off").WithCause(err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/store/prop_test.go
@@ -0,0 +1,73 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"shallotcourse/pkg/resrc"
+)
+
+// Guards against a store that goes back, skips a change, or serves peers a
+// log with gaps, whatever the order in which deltas and snapshots arrive.
+func TestStoreFollowsHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		states := drawHistory(t)
+		last := len(states) - 1
+		s := New(nil)
+		for range rapid.IntRange(1, 30).Draw(t, "deliveries") {
+			before := s.Snapshot().Revision
+			from := rapid.IntRange(0, last).Draw(t, "from")
+			to := rapid.IntRange(from, last).Draw(t, "to")
+			if rapid.Bool().Draw(t, "snapshot") {
+				is.Equal(s.ApplySnapshot(states[to].snapshot), uint64(to) > before)
+			} else {
+				var changes []resrc.Change
+				for i := from + 1; i <= to; i++ {
+					changes = append(changes, states[i].change)
+				}
+				complete := s.ApplyChanges(changes)
+				is.Equal(complete, uint64(from) <= before || len(changes) == 0)
+			}
+			now := s.Snapshot()
+			is.True(now.Revision >= before)
+			is.Equal(now.resources, states[now.Revision].snapshot.resources)
+			since := rapid.IntRange(0, last).Draw(t, "since")
+			changes, ok := s.ChangesSince(uint64(since))
+			for i, c := range changes {
+				is.Equal(c, states[since+1+i].change)
+			}
+			is.True(!ok || uint64(since+len(changes)) >= now.Revision)
+		}
+	})
+}
+
+type state struct {
+	change   resrc.Change
+	snapshot Snapshot
+}
+
+// drawHistory returns the states by revision, from the empty one on.
+func drawHistory(t *rapid.T) []state {
+	states := []state{{}}
+	for range rapid.IntRange(1, 20).Draw(t, "changes") {
+		last := states[len(states)-1].snapshot
+		c := resrc.Change{
+			Revision: last.Revision + 1, Kind: resrc.KindModelVersion, Operation: resrc.OperationDelete,
+			Name: fmt.Sprintf("oak-%d", rapid.IntRange(1, 3).Draw(t, "name")),
+		}
+		if rapid.Bool().Draw(t, "put") {
+			c.Operation = resrc.OperationPut
+			c.Body = []byte(fmt.Sprintf(`{"Model":"oak","Layers":%d}`, rapid.IntRange(1, 9).Draw(t, "layers")))
+		}
+		next, ok := last.WithChange(c)
+		if !ok {
+			t.Fatalf("change %v does not apply", c)
+		}
+		states = append(states, state{c, next})
+	}
+	return states
+}
