--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,24 @@
+// Command standin serves stand-ins for the systems around shallotcourse, for
+// tests and local runs.
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"shallotcourse/internal/fakes/fengn"
+	"shallotcourse/internal/fakes/fserv"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:          "standin",
+		Short:        "Serve stand-ins for the systems around shallotcourse",
+		SilenceUsage: true,
+	}
+	root.AddCommand(fengn.Command(), fserv.Command())
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
