--- a/internal/wire/msg.go
+++ b/internal/wire/msg.go
@@ -235,7 +235,10 @@
 	// Stale rejects a message of an older attempt or an unknown request.
 	Stale struct {
 		Request string
+		// Attempt is the sender's attempt; 0 if it does not know the request.
 		Attempt int
+		// Rejected is the attempt of the rejected message.
+		Rejected int
 	}
 
 	// Resync asks the last stage to repeat tokens after a redial.
