--- /dev/null
+++ b/internal/agent/admit.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"slices"
+
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/wire"
+)
+
+// open admits a new session or continues an existing one. Work in flight may
+// always continue, even on a target that is leaving.
+func (a *Agent) open(p link.Peer, m wire.Open) {
+	for {
+		s, reason := a.admitSession(p, m)
+		if reason != "" {
+			_ = p.Send(wire.Refused{Request: m.Request, Attempt: m.Attempt, Index: m.Index, Reason: reason})
+			return
+		}
+		if s.open(p, m) {
+			return
+		}
+		// The session was freed meanwhile; the request starts anew.
+	}
+}
+
+func (a *Agent) admitSession(p link.Peer, m wire.Open) (*session, wire.RefuseReason) {
+	draining := a.draining()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s, ok := a.sessions[m.Request]; ok {
+		return s, ""
+	}
+	if m.Index < 0 || m.Index >= len(m.Chain) || a.cfg.Engine == nil {
+		return nil, wire.RefusedNotLoaded
+	}
+	switch {
+	case a.leaving || draining:
+		return nil, wire.RefusedLeaving
+	case !a.ready || a.held.Version != m.Version || a.held.Layers != m.Chain[m.Index].Layers:
+		return nil, wire.RefusedNotLoaded
+	case m.Adapter != "" && !slices.Contains(a.held.Adapters, m.Adapter):
+		return nil, wire.RefusedNotLoaded
+	case len(a.sessions)+a.calls >= a.limit.limit():
+		return nil, wire.RefusedFull
+	}
+	s := newSession(a, m.Request, p.Hello().Incarnation)
+	a.sessions[m.Request] = s
+	return s, ""
+}
+
+// admitCall counts a call in, or returns why it is refused.
+func (a *Agent) admitCall() wire.RefuseReason {
+	draining := a.draining()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.cfg.Service == nil:
+		return wire.RefusedNotLoaded
+	case a.leaving || draining:
+		return wire.RefusedLeaving
+	case len(a.sessions)+a.calls >= a.limit.limit():
+		return wire.RefusedFull
+	}
+	a.calls++
+	return ""
+}
+
+func (a *Agent) callEnded() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls--
+}
+
+// remove forgets a freed session.
+func (a *Agent) remove(s *session) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sessions[s.request] == s {
+		delete(a.sessions, s.request)
+	}
+}
--- /dev/null
+++ b/internal/agent/calls.go
@@ -0,0 +1,133 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"shallotcourse/internal/engine"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/once"
+	"shallotcourse/internal/store"
+	"shallotcourse/internal/wire"
+	"shallotcourse/pkg/resrc"
+)
+
+// call dispatches a service call. Only calls that must take effect at most
+// once pass through the journal.
+func (a *Agent) call(p link.Peer, m wire.Call) {
+	entry := p.Hello().Incarnation
+	if m.Repeatable {
+		if reason := a.admitCall(); reason != "" {
+			_ = p.Send(refusedCall(m, reason))
+			return
+		}
+		go a.dispatch(m, entry)
+		return
+	}
+	switch d := a.journalCall(m, entry).(type) {
+	case once.Answer:
+		_ = p.Send(d.Outcome)
+	case once.Dispatch:
+		go a.dispatch(m, entry)
+	case once.Drop:
+	}
+}
+
+// journalCall records a call before it is dispatched. A call that is not
+// admitted is recorded as NotRun, so that it never runs later.
+func (a *Agent) journalCall(m wire.Call, entry string) once.Decision {
+	a.journalMu.Lock()
+	defer a.journalMu.Unlock()
+	now := a.cfg.Timer.Now()
+	d := a.journal.Call(m, now)
+	switch d := d.(type) {
+	case once.Dispatch:
+		if reason := a.admitCall(); reason != "" {
+			o := refusedCall(m, reason)
+			a.journal.Done(o, now)
+			return once.Answer{Outcome: o}
+		}
+		a.await(m.Nonce, entry)
+	case once.Answer:
+		if d.Outcome.State == wire.OutcomeRunning {
+			a.await(m.Nonce, entry)
+		}
+	case once.Drop:
+	}
+	return d
+}
+
+// await registers an entry for the outcome of a running call.
+func (a *Agent) await(nonce, entry string) {
+	if !slices.Contains(a.waiters[nonce], entry) {
+		a.waiters[nonce] = append(a.waiters[nonce], entry)
+	}
+}
+
+func (a *Agent) query(p link.Peer, m wire.Query) {
+	a.journalMu.Lock()
+	o := a.journal.Query(m, a.cfg.Timer.Now())
+	if o.State == wire.OutcomeRunning {
+		a.await(m.Nonce, p.Hello().Incarnation)
+	}
+	a.journalMu.Unlock()
+	_ = p.Send(o)
+}
+
+func (a *Agent) dispatch(m wire.Call, entry string) {
+	ctx, cancel := a.within(context.Background(), a.callTimeout(m))
+	defer cancel()
+	begin := a.cfg.Timer.Now()
+	answer, err := a.cfg.Service.Do(ctx, engine.ServiceCall{
+		Method: m.Method, Path: m.Path, Header: http.Header(m.Header), Body: m.Body, Repeatable: m.Repeatable,
+	})
+	a.meter.record(a.cfg.Timer.Now().Sub(begin), err == nil)
+	o := outcomeOf(m, answer, err)
+	waiting := []string{entry}
+	if !m.Repeatable {
+		a.journalMu.Lock()
+		a.journal.Done(o, a.cfg.Timer.Now())
+		waiting = a.waiters[m.Nonce]
+		delete(a.waiters, m.Nonce)
+		a.journalMu.Unlock()
+	}
+	a.callEnded()
+	for _, incarnation := range waiting {
+		if p, ok := a.entry(incarnation); ok {
+			_ = p.Send(o)
+		}
+	}
+}
+
+func (a *Agent) callTimeout(m wire.Call) time.Duration {
+	limit := a.cfg.Times.Call
+	if t, ok := store.Spec[resrc.Target](a.cfg.Config.Value(), a.cfg.Target); ok {
+		if s, ok := store.Spec[resrc.Service](a.cfg.Config.Value(), t.Service); ok {
+			limit = cmp.Or(time.Duration(s.Timeout), limit)
+		}
+	}
+	if m.Deadline > 0 {
+		limit = min(limit, m.Deadline)
+	}
+	return limit
+}
+
+func outcomeOf(m wire.Call, answer engine.ServiceAnswer, err error) wire.Outcome {
+	o := wire.Outcome{ID: m.ID, Nonce: m.Nonce, State: wire.OutcomeDone, Status: answer.Status, Header: answer.Header, Body: answer.Body}
+	if err == nil {
+		return o
+	}
+	o.State, o.Detail = wire.OutcomeUnknown, detail(err)
+	if fault.As(err).Outcome == fault.NotRun {
+		o.State = wire.OutcomeNotRun
+	}
+	return o
+}
+
+func refusedCall(m wire.Call, reason wire.RefuseReason) wire.Outcome {
+	return wire.Outcome{ID: m.ID, Nonce: m.Nonce, State: wire.OutcomeNotRun, Detail: string(reason)}
+}
--- /dev/null
+++ b/internal/agent/session.go
@@ -0,0 +1,242 @@
+package agent
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"shallotcourse/internal/engine"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/steps"
+	"shallotcourse/internal/wire"
+)
+
+// session connects the state machine of one stage to links and the engine.
+type session struct {
+	agent   *Agent
+	request string
+	// ctx ends when the session is freed.
+	ctx    context.Context
+	finish context.CancelFunc
+
+	// mu guards the fields below; no I/O is done under it.
+	mu      sync.Mutex
+	machine *steps.Session
+	// entry is the incarnation of the coordinator.
+	entry string
+	freed bool
+	// cancelOrphan and cancelLost stop timers that are running.
+	cancelOrphan func()
+	cancelLost   func()
+}
+
+func newSession(a *Agent, request, entry string) *session {
+	ctx, finish := context.WithCancel(context.Background())
+	return &session{
+		agent: a, request: request, entry: entry, ctx: ctx, finish: finish,
+		machine: steps.NewSession(a.cfg.Limits.Steps),
+	}
+}
+
+// open returns false if the session has been freed.
+func (s *session) open(p link.Peer, m wire.Open) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.freed {
+		return false
+	}
+	if m.Attempt >= s.machine.Attempt() {
+		s.entry = p.Hello().Incarnation
+		s.stopOrphan()
+		if _, up := s.agent.entry(s.entry); !up {
+			// The message is from an old link that was replaced and lost.
+			s.startOrphan()
+		}
+	}
+	if m.Index < len(m.Chain) && len(m.Chain) > 1 {
+		s.agent.cfg.Dialer.Want(m.Chain[(m.Index+1)%len(m.Chain)].Address)
+	}
+	s.carryOut(p, s.machine.Open(m))
+	return true
+}
+
+func (s *session) start(p link.Peer, m wire.Start) {
+	s.apply(p, func(x *steps.Session) []steps.Decision { return x.Start(m) })
+}
+
+func (s *session) step(p link.Peer, m wire.Step) {
+	s.apply(p, func(x *steps.Session) []steps.Decision { return x.Step(m) })
+}
+
+func (s *session) token(p link.Peer, m wire.Token) {
+	s.apply(p, func(x *steps.Session) []steps.Decision { return x.Token(m) })
+}
+
+func (s *session) resync(p link.Peer, m wire.Resync) {
+	s.apply(p, func(x *steps.Session) []steps.Decision { return x.Resync(m) })
+}
+
+func (s *session) cancel(attempt int) {
+	s.apply(nil, func(x *steps.Session) []steps.Decision { return x.Cancel(attempt) })
+}
+
+func (s *session) end() {
+	s.apply(nil, func(x *steps.Session) []steps.Decision { return x.End() })
+}
+
+func (s *session) stale(p link.Peer, m wire.Stale) {
+	from := p.Hello().Target
+	s.apply(nil, func(x *steps.Session) []steps.Decision {
+		if next, ok := successor(x); !ok || next.Target != from {
+			return nil
+		}
+		return x.SuccessorStale(m)
+	})
+}
+
+// apply gives an input to the state machine and carries out its decisions.
+func (s *session) apply(from link.Peer, input func(*steps.Session) []steps.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.freed {
+		return
+	}
+	s.carryOut(from, input(s.machine))
+}
+
+// carryOut is called under the lock: Send only queues, and engine requests run
+// on goroutines of their own.
+func (s *session) carryOut(from link.Peer, decisions []steps.Decision) {
+	for len(decisions) > 0 {
+		d := decisions[0]
+		decisions = decisions[1:]
+		switch d := d.(type) {
+		case steps.OpenEngine:
+			go s.openEngine(d.Generation, s.machine.Request(), s.machine.Last())
+		case steps.CloseEngine:
+			go s.closeEngine(d.Generation)
+		case steps.Truncate:
+			go s.truncateEngine(d)
+		case steps.Run:
+			go s.run(d)
+		case steps.SendOpened:
+			s.toEntry(d.Opened)
+		case steps.SendRefused:
+			s.toEntry(d.Refused)
+			if d.Refused.Reason == wire.RefusedEngine {
+				decisions = append(decisions, s.machine.End()...)
+			}
+		case steps.SendStep:
+			s.toSuccessor(d.Step)
+		case steps.SendToken:
+			decisions = append(decisions, s.sendToken(d)...)
+		case steps.SendFailed:
+			s.agent.logStageFailed(d.Failed)
+			s.toEntry(d.Failed)
+		case steps.SendStale:
+			if from != nil {
+				_ = from.Send(d.Stale)
+			}
+		case steps.Free:
+			s.free()
+		}
+	}
+}
+
+// sendToken feeds a chain of one stage directly.
+func (s *session) sendToken(d steps.SendToken) []steps.Decision {
+	if d.Entry {
+		s.toEntry(d.Token)
+	}
+	if !d.ToFirst {
+		return nil
+	}
+	if s.machine.Index() == 0 {
+		return s.machine.Token(d.Token)
+	}
+	s.toSuccessor(d.Token)
+	return nil
+}
+
+func (s *session) free() {
+	s.freed = true
+	s.stopOrphan()
+	s.stopLost()
+	s.finish()
+	s.agent.remove(s)
+}
+
+// engineID names an engine session; it is unique over all incarnations.
+func (s *session) engineID(generation int) string {
+	return s.agent.cfg.Incarnation + "." + s.request + "." + strconv.Itoa(generation)
+}
+
+func (s *session) openEngine(generation int, o wire.Open, last bool) {
+	ctx, cancel := s.agent.within(s.ctx, s.agent.cfg.Times.Engine)
+	defer cancel()
+	state, err := s.agent.cfg.Engine.Open(ctx, engine.SessionRequest{
+		Session: s.engineID(generation), Version: o.Version, Adapter: o.Adapter, Layers: o.Chain[o.Index].Layers,
+		Prompt: o.Prompt, Seed: o.Seed, Priority: o.Priority, Sample: last,
+	})
+	s.apply(nil, func(x *steps.Session) []steps.Decision {
+		if err != nil {
+			return x.EngineFailed(generation, detail(err))
+		}
+		return x.EngineOpened(generation, state.Next)
+	})
+}
+
+func (s *session) truncateEngine(d steps.Truncate) {
+	ctx, cancel := s.agent.within(s.ctx, s.agent.cfg.Times.Engine)
+	defer cancel()
+	_, err := s.agent.cfg.Engine.Truncate(ctx, s.engineID(d.Generation), d.Position)
+	s.apply(nil, func(x *steps.Session) []steps.Decision {
+		if err != nil {
+			return x.EngineFailed(d.Generation, detail(err))
+		}
+		return x.Truncated(d.Generation)
+	})
+}
+
+// closeEngine outlives the session.
+func (s *session) closeEngine(generation int) {
+	ctx, cancel := s.agent.within(context.Background(), s.agent.cfg.Times.Engine)
+	defer cancel()
+	_ = s.agent.cfg.Engine.Cancel(ctx, s.engineID(generation))
+}
+
+func (s *session) run(d steps.Run) {
+	done := s.agent.meter.begin(s.agent.cfg.Timer.Now())
+	result, err := s.runOnce(d)
+	if fault.Is(err, fault.Unavailable) && s.ctx.Err() == nil {
+		// The engine keeps what it has run, so a lost answer can be fetched.
+		result, err = s.runOnce(d)
+	}
+	done(s.agent.cfg.Timer.Now(), d.Count, err == nil)
+	s.apply(nil, func(x *steps.Session) []steps.Decision {
+		if err != nil {
+			return x.EngineFailed(d.Generation, detail(err))
+		}
+		return x.Ran(d.Generation, resultOf(result))
+	})
+}
+
+func (s *session) runOnce(d steps.Run) (engine.StepResult, error) {
+	ctx, cancel := s.agent.within(s.ctx, s.agent.stepTimeout())
+	defer cancel()
+	return s.agent.cfg.Engine.Step(ctx, s.engineID(d.Generation), engine.StepRequest{Position: d.Position, Count: d.Count, Data: d.Data})
+}
+
+func resultOf(r engine.StepResult) steps.Result {
+	out := steps.Result{Position: r.Position, Count: r.Count, Data: r.Data}
+	for _, t := range r.Tokens {
+		out.Tokens = append(out.Tokens, steps.Sampled(t))
+	}
+	return out
+}
+
+func detail(err error) string {
+	f := fault.As(err)
+	return string(f.Code) + ": " + f.Detail
+}
