--- /dev/null
+++ b/internal/conf/entry.go
@@ -0,0 +1,110 @@
+package conf
+
+import "time"
+
+type (
+	// Entry holds the settings of an entry.
+	Entry struct {
+		// Instance is unique among all processes.
+		Instance   string
+		DataCentre string
+		Region     string
+		// Listen is for callers, OperatorListen for operators and metrics, and
+		// LinkListen for the other processes.
+		Listen         string
+		OperatorListen string
+		LinkListen     string
+		// Advertise is the address at which other processes reach LinkListen.
+		Advertise string
+		// Platform is the URL of the platform.
+		Platform string
+		// Peers are the advertised addresses of other entries.
+		Peers []string
+		// OperatorKeyHashes are hex SHA-256 digests of operator keys.
+		OperatorKeyHashes []string
+		Limits            EntryLimits
+		// BalancerLag is how long the balancer may still send callers after
+		// /readyz has failed.
+		BalancerLag Duration
+		// StopTimeout bounds the wait for open requests after BalancerLag.
+		StopTimeout Duration
+		Links       Links
+		Log         Log
+	}
+
+	// EntryLimits bounds what callers may ask of one entry.
+	EntryLimits struct {
+		BodyBytes   int64
+		HeaderBytes int64
+		// QueueLength bounds waiting requests, QueuePerAccount those of one
+		// client account.
+		QueueLength     int
+		QueuePerAccount int
+		// Open bounds dispatched requests.
+		Open int
+		// FirstToken is the deadline for the first token; a request whose
+		// estimated wait is longer is refused at once.
+		FirstToken Duration
+		// Request is the deadline for a whole answer or call.
+		Request Duration
+	}
+)
+
+// DefaultEntry returns the settings that a file may leave out.
+func DefaultEntry() Entry {
+	return Entry{
+		Listen:         ":8080",
+		OperatorListen: ":8081",
+		LinkListen:     ":8082",
+		Limits: EntryLimits{
+			BodyBytes:       4 << 20,
+			HeaderBytes:     64 << 10,
+			QueueLength:     4096,
+			QueuePerAccount: 1024,
+			Open:            8192,
+			FirstToken:      of(10 * time.Second),
+			Request:         of(5 * time.Minute),
+		},
+		BalancerLag: of(5 * time.Second),
+		StopTimeout: of(5 * time.Minute),
+		Links:       defaultLinks(),
+		Log:         defaultLog(),
+	}
+}
+
+// ParseEntry returns the settings in text, or all Problems of it.
+func ParseEntry(text []byte) (Entry, error) {
+	e := DefaultEntry()
+	problems, ok := decode(text, &e)
+	c := checker{problems: problems}
+	if !ok {
+		return e, c.result()
+	}
+	c.name("Instance", e.Instance)
+	c.name("DataCentre", e.DataCentre)
+	c.name("Region", e.Region)
+	c.listen("Listen", e.Listen)
+	c.listen("OperatorListen", e.OperatorListen)
+	c.listen("LinkListen", e.LinkListen)
+	c.address("Advertise", e.Advertise)
+	c.url("Platform", e.Platform)
+	c.addresses("Peers", e.Peers, 0)
+	c.hashes("OperatorKeyHashes", e.OperatorKeyHashes)
+	c.duration("BalancerLag", e.BalancerLag, 0, 10*time.Minute)
+	c.duration("StopTimeout", e.StopTimeout, 0, time.Hour)
+	c.limits(e.Limits)
+	c.links(e.Links)
+	c.log(e.Log)
+	return e, c.result()
+}
+
+func (c *checker) limits(l EntryLimits) {
+	// A body travels in one message, which is bounded at 16 MiB.
+	c.number("Limits.BodyBytes", l.BodyBytes, 1, 15<<20)
+	c.number("Limits.HeaderBytes", l.HeaderBytes, 1<<10, 1<<20)
+	c.number("Limits.QueueLength", int64(l.QueueLength), 1, 1<<20)
+	c.number("Limits.QueuePerAccount", int64(l.QueuePerAccount), 1, 1<<20)
+	c.number("Limits.Open", int64(l.Open), 1, 1<<20)
+	c.duration("Limits.FirstToken", l.FirstToken, time.Millisecond, time.Hour)
+	c.duration("Limits.Request", l.Request, time.Millisecond, 24*time.Hour)
+}
--- /dev/null
+++ b/internal/link/bench_test.go
@@ -0,0 +1,67 @@
+package link
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"shallotcourse/internal/fakes/relay"
+	"shallotcourse/internal/wire"
+)
+
+type counter struct {
+	recorder
+	n atomic.Int64
+}
+
+func (c *counter) Receive(Peer, wire.Message) { c.n.Add(1) }
+
+// BenchmarkSend measures the processor and wall time of one message over
+// loopback, both ends together, with a sender that keeps the link busy.
+func BenchmarkSend(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		m    wire.Message
+	}{
+		{"Token", wire.Token{Request: "0123456789abcdef", Attempt: 1, Position: 1000, Value: 32000}},
+		{"Step8KB", wire.Step{Request: "0123456789abcdef", Attempt: 1, Position: 1000, Count: 1, Data: make([]byte, 8<<10)}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			count := &counter{}
+			from, to := newEnd(b, Config{}), newEnd(b, Config{Handler: count})
+			from.Want(to.address)
+			p := peerOf(b, from, to.address, nil)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				for int64(i)-count.n.Load() > 1000 {
+					time.Sleep(10 * time.Microsecond)
+				}
+				if err := p.Send(c.m); err != nil {
+					b.Fatal(err)
+				}
+			}
+			until(b, "all messages", func() bool { return count.n.Load() >= int64(b.N) })
+			b.StopTimer()
+			s := from.Stats()
+			b.ReportMetric(float64(s.MessagesOut)/float64(s.FramesOut), "messages/frame")
+		})
+	}
+}
+
+// BenchmarkIdle measures the payload of an idle link on the network, both
+// directions together, without the headers of TCP and IP.
+func BenchmarkIdle(b *testing.B) {
+	from, to := newEnd(b, Config{}), newEnd(b, Config{})
+	r, err := relay.Start("127.0.0.1:0", to.address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.Close()
+	from.Want(r.Address())
+	peerOf(b, from, r.Address(), nil)
+	time.Sleep(time.Second)
+	before := r.Stats().Bytes
+	time.Sleep(3 * time.Second)
+	b.ReportMetric(float64(r.Stats().Bytes-before)/3, "bytes/s")
+}
--- /dev/null
+++ b/internal/link/conn.go
@@ -0,0 +1,196 @@
+package link
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/websocket"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/wire"
+)
+
+type (
+	// conn is one established link. It implements Peer.
+	conn struct {
+		group *Group
+		ws    *websocket.Conn
+		hello wire.Hello
+		out   *outbox
+		done  chan struct{}
+		// gone is closed when the connection itself is closed.
+		gone chan struct{}
+		// dialed is the address that was dialled; empty if it was accepted.
+		dialed string
+
+		once sync.Once
+		// reason is written before done is closed and never after.
+		reason error
+
+		// received is the time of the last received bytes, as an offset from
+		// the start of the group.
+		received atomic.Int64
+		// writing is the time at which the current write began, or 0.
+		writing atomic.Int64
+	}
+)
+
+var _ Peer = (*conn)(nil)
+
+// Hello implements Peer.
+func (c *conn) Hello() wire.Hello { return c.hello }
+
+// Done implements Peer.
+func (c *conn) Done() <-chan struct{} { return c.done }
+
+// Dialed returns the address that was dialled for a peer, which may differ from
+// the address in its Hello; empty for an accepted link.
+func Dialed(p Peer) string {
+	if c, ok := p.(*conn); ok {
+		return c.dialed
+	}
+	return ""
+}
+
+// Send implements Peer.
+func (c *conn) Send(m wire.Message) error {
+	b, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	return c.sendEncoded(b)
+}
+
+// Close implements Peer. It does not wait for the peer, because a silent link
+// would never answer.
+func (c *conn) Close(reason error) {
+	c.once.Do(func() {
+		c.reason = reason
+		c.out.close()
+		close(c.done)
+		c.group.remove(c)
+		go func() {
+			c.group.end(c.ws, reason)
+			close(c.gone)
+		}()
+	})
+}
+
+func (c *conn) sendEncoded(b []byte) error {
+	err := c.out.put(b)
+	if err == errFull {
+		go c.Close(errFull)
+	}
+	return err
+}
+
+// read runs the handler for one link until it ends.
+func (c *conn) read() {
+	handler := c.group.config.Handler
+	handler.LinkUp(c)
+	for {
+		err := c.readFrame(handler)
+		if err != nil {
+			c.Close(readFailure(err))
+			break
+		}
+	}
+	level.Info(c.group.config.Logger).Log("event", "link down", "peer", c.hello.Instance, "reason", c.reason)
+	handler.LinkDown(c, c.reason)
+}
+
+func (c *conn) readFrame(handler Handler) error {
+	_, r, err := c.ws.NextReader()
+	if err != nil {
+		return err
+	}
+	c.touch()
+	b, err := io.ReadAll(touchReader{r, c})
+	if err != nil {
+		return err
+	}
+	c.group.stats.framesIn.Add(1)
+	c.group.stats.bytesIn.Add(uint64(len(b)))
+	for len(b) > 0 {
+		m, rest, err := wire.DecodeFirst(b)
+		if err != nil {
+			return err
+		}
+		if _, again := m.(wire.Hello); again {
+			return fault.New(fault.Malformed, "a second Hello arrived")
+		}
+		c.group.stats.messagesIn.Add(1)
+		b = rest
+		select {
+		case <-c.done:
+			return c.reason
+		default:
+			handler.Receive(c, m)
+		}
+	}
+	return nil
+}
+
+// write sends queued messages until the link ends.
+func (c *conn) write() {
+	var spare [][]byte
+	var frame []byte
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-c.out.wake:
+		}
+		messages := c.out.take(spare)
+		for rest := messages; len(rest) > 0; {
+			frame, rest = join(frame[:0], rest)
+			if err := c.writeFrame(frame); err != nil {
+				c.Close(errDown.WithCause(err))
+				return
+			}
+		}
+		c.group.stats.messagesOut.Add(uint64(len(messages)))
+		spare = messages
+		if cap(frame) > 4*batchBytes {
+			frame = nil
+		}
+	}
+}
+
+func (c *conn) writeFrame(frame []byte) error {
+	c.writing.Store(int64(c.group.elapsed()))
+	err := c.ws.WriteMessage(websocket.BinaryMessage, frame)
+	c.writing.Store(0)
+	c.group.stats.framesOut.Add(1)
+	c.group.stats.bytesOut.Add(uint64(len(frame)))
+	return err
+}
+
+// join appends messages to the frame up to its bound, at least one, and
+// returns the messages that are left.
+func join(frame []byte, messages [][]byte) ([]byte, [][]byte) {
+	n := 0
+	for n < len(messages) && (n == 0 || len(frame)+len(messages[n]) <= batchBytes) {
+		frame = append(frame, messages[n]...)
+		n++
+	}
+	return frame, messages[n:]
+}
+
+func (c *conn) touch() { c.received.Store(int64(c.group.elapsed())) }
+
+// touchReader counts each part of a large frame as a sign of life, since a
+// heartbeat can only follow the frame.
+type touchReader struct {
+	io.Reader
+	c *conn
+}
+
+// Read implements io.Reader.
+func (r touchReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.c.touch()
+	return n, err
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,10 +22,40 @@
 	}
 
 	// Handler receives what happens on links. The calls for one Peer come
-	// one after another, in order, and LinkDown is the last.
+	// one after another, in order, and LinkDown is the last. A process may
+	// have several links to one instance: one in each direction, and a new
+	// link may come up before LinkDown of a silent one, so a handler tells
+	// links apart by Peer and not by instance. Heartbeats are received too,
+	// because they carry the peer's revision.
 	Handler interface {
 		LinkUp(p Peer)
 		Receive(p Peer, m wire.Message)
 		LinkDown(p Peer, reason error)
 	}
+
+	// Handlers passes each call to several handlers in turn.
+	Handlers []Handler
 )
+
+var _ Handler = Handlers(nil)
+
+// LinkUp implements Handler.
+func (hs Handlers) LinkUp(p Peer) {
+	for _, h := range hs {
+		h.LinkUp(p)
+	}
+}
+
+// Receive implements Handler.
+func (hs Handlers) Receive(p Peer, m wire.Message) {
+	for _, h := range hs {
+		h.Receive(p, m)
+	}
+}
+
+// LinkDown implements Handler.
+func (hs Handlers) LinkDown(p Peer, reason error) {
+	for _, h := range hs {
+		h.LinkDown(p, reason)
+	}
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -44,15 +44,29 @@
 
 // Decode returns the message in b, or a Malformed failure.
 func Decode(b []byte) (Message, error) {
+	m, rest, err := DecodeFirst(b)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		return nil, fault.New(fault.Malformed, "bytes follow the message")
+	}
+	return m, nil
+}
+
+// DecodeFirst returns the first message of a CBOR sequence (RFC 8742) and the
+// bytes after it, or a Malformed failure.
+func DecodeFirst(b []byte) (Message, []byte, error) {
 	var v any
-	if err := decoder.Unmarshal(b, &v); err != nil {
-		return nil, fault.New(fault.Malformed, "message does not decode").WithCause(err)
+	rest, err := decoder.UnmarshalFirst(b, &v)
+	if err != nil {
+		return nil, nil, fault.New(fault.Malformed, "message does not decode").WithCause(err)
 	}
 	m, ok := v.(Message)
 	if !ok {
-		return nil, fault.New(fault.Malformed, "message has an unknown type")
+		return nil, nil, fault.New(fault.Malformed, "message has an unknown type")
 	}
-	return m, nil
+	return m, rest, nil
 }
 
 func modes() (cbor.EncMode, cbor.DecMode) {
