--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"maps"
 	"net"
 	"net/url"
 	"regexp"
@@ -60,9 +61,10 @@
 	c.that(ok, field, value, "http://host:port or https://host:port")
 }
 
-func (c *checker) hashes(field string, values []string) {
-	for i, v := range values {
-		c.that(hashForm.MatchString(v), field+"["+strconv.Itoa(i)+"]", v, "64 lower case hexadecimal digits (SHA-256)")
+func (c *checker) hashes(field string, values map[string]string) {
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		c.name(field+"."+name, name)
+		c.that(hashForm.MatchString(values[name]), field+"."+name, values[name], "64 lower case hexadecimal digits (SHA-256)")
 	}
 }
 
--- a/internal/conf/entry.go
+++ b/internal/conf/entry.go
@@ -20,8 +20,9 @@
 		Platform string
 		// Peers are the advertised addresses of other entries.
 		Peers []string
-		// OperatorKeyHashes are hex SHA-256 digests of operator keys.
-		OperatorKeyHashes []string
+		// OperatorKeyHashes holds the hex SHA-256 digest of each operator's
+		// key under the operator's name, which audit rows carry.
+		OperatorKeyHashes map[string]string
 		Limits            EntryLimits
 		// BalancerLag is how long the balancer may still send callers after
 		// /readyz has failed.
@@ -36,17 +37,27 @@
 	EntryLimits struct {
 		BodyBytes   int64
 		HeaderBytes int64
-		// QueueLength bounds waiting requests, QueuePerAccount those of one
-		// client account.
-		QueueLength     int
-		QueuePerAccount int
-		// Open bounds dispatched requests.
-		Open int
+		// QueueLength bounds the requests that wait for dispatch.
+		QueueLength int
+		// Concurrency bounds dispatched requests at the start; it adapts to
+		// the measured queue delay from there.
+		Concurrency int
 		// FirstToken is the deadline for the first token; a request whose
 		// estimated wait is longer is refused at once.
 		FirstToken Duration
-		// Request is the deadline for a whole answer or call.
+		// Request is the deadline for a whole answer of a model.
 		Request Duration
+		// Call is the deadline for a call whose service sets no timeout.
+		Call Duration
+		// CallRetries bounds the retries of one repeatable call.
+		CallRetries int
+		// Relink is the time in which a lost link may come back before the
+		// stages behind it are replaced.
+		Relink Duration
+		// Write bounds one write to a caller that does not read.
+		Write Duration
+		// TargetsPerGroup bounds the links to interchangeable targets.
+		TargetsPerGroup int
 	}
 )
 
@@ -57,15 +68,19 @@
 		OperatorListen: ":8081",
 		LinkListen:     ":8082",
 		Limits: EntryLimits{
-			BodyBytes:       4 << 20,
+			BodyBytes:       8 << 20,
 			HeaderBytes:     64 << 10,
-			QueueLength:     4096,
-			QueuePerAccount: 1024,
-			Open:            8192,
-			FirstToken:      of(10 * time.Second),
+			QueueLength:     2000,
+			Concurrency:     1000,
+			FirstToken:      of(950 * time.Millisecond),
 			Request:         of(5 * time.Minute),
+			Call:            of(10 * time.Second),
+			CallRetries:     2,
+			Relink:          of(250 * time.Millisecond),
+			Write:           of(10 * time.Second),
+			TargetsPerGroup: 16,
 		},
-		BalancerLag: of(5 * time.Second),
+		BalancerLag: of(3 * time.Second),
 		StopTimeout: of(5 * time.Minute),
 		Links:       defaultLinks(),
 		Log:         defaultLog(),
@@ -103,8 +118,12 @@
 	c.number("Limits.BodyBytes", l.BodyBytes, 1, 15<<20)
 	c.number("Limits.HeaderBytes", l.HeaderBytes, 1<<10, 1<<20)
 	c.number("Limits.QueueLength", int64(l.QueueLength), 1, 1<<20)
-	c.number("Limits.QueuePerAccount", int64(l.QueuePerAccount), 1, 1<<20)
-	c.number("Limits.Open", int64(l.Open), 1, 1<<20)
+	c.number("Limits.Concurrency", int64(l.Concurrency), 1, 1<<20)
 	c.duration("Limits.FirstToken", l.FirstToken, time.Millisecond, time.Hour)
 	c.duration("Limits.Request", l.Request, time.Millisecond, 24*time.Hour)
+	c.duration("Limits.Call", l.Call, time.Millisecond, 24*time.Hour)
+	c.number("Limits.CallRetries", int64(l.CallRetries), 1, 10)
+	c.duration("Limits.Relink", l.Relink, time.Millisecond, 10*time.Second)
+	c.duration("Limits.Write", l.Write, 10*time.Millisecond, 10*time.Minute)
+	c.number("Limits.TargetsPerGroup", int64(l.TargetsPerGroup), 1, 1024)
 }
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -25,13 +25,13 @@
 	g := a.group
 	ws, err := upgrader.Upgrade(w, r, nil)
 	if err != nil {
-		level.Info(g.config.Logger).Log("event", "upgrade refused", "remote", r.RemoteAddr, "error", err)
+		level.Info(g.config.Logger).Log("msg", "upgrade refused", "remote", r.RemoteAddr, "err", err)
 		return
 	}
 	cancel := g.config.Timer.After(g.config.DialTimeout, func() { _ = ws.Close() })
 	defer cancel()
 	if _, err := g.establish(ws, "", func(*conn) {}); err != nil {
-		level.Info(g.config.Logger).Log("event", "link refused", "remote", r.RemoteAddr, "error", err)
+		level.Info(g.config.Logger).Log("msg", "link refused", "remote", r.RemoteAddr, "err", err)
 		g.end(ws, err)
 	}
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -97,7 +97,7 @@
 			break
 		}
 	}
-	level.Info(c.group.config.Logger).Log("event", "link down", "peer", c.hello.Instance, "reason", c.reason)
+	level.Info(c.group.config.Logger).Log("msg", "link down", "peer", c.hello.Instance, "reason", c.reason)
 	handler.LinkDown(c, c.reason)
 }
 
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -119,7 +119,7 @@
 				continue
 			}
 		} else if ctx.Err() == nil {
-			level.Info(config.Logger).Log("event", "dial failed", "address", w.address, "error", err)
+			level.Info(config.Logger).Log("msg", "dial failed", "address", w.address, "err", err)
 		}
 		d.pause(ctx, waits.NextBackOff())
 	}
--- a/internal/link/group.go
+++ b/internal/link/group.go
@@ -96,7 +96,7 @@
 func (g *Group) Broadcast(m wire.Message, filter func(wire.Hello) bool) {
 	b, err := wire.Encode(m)
 	if err != nil {
-		level.Error(g.config.Logger).Log("event", "message not sent", "error", err)
+		level.Error(g.config.Logger).Log("msg", "message not sent", "err", err)
 		return
 	}
 	for _, p := range g.Peers() {
@@ -167,7 +167,7 @@
 		return nil, errStopped
 	}
 	publish(c)
-	level.Info(g.config.Logger).Log("event", "link up", "peer", hello.Instance, "incarnation", hello.Incarnation)
+	level.Info(g.config.Logger).Log("msg", "link up", "peer", hello.Instance, "incarnation", hello.Incarnation)
 	go c.read()
 	go c.write()
 	return c, nil
@@ -247,7 +247,7 @@
 func (g *Group) tick(w watch) {
 	b, err := wire.Encode(wire.Heartbeat{Revision: g.config.Hello().Revision})
 	if err != nil {
-		level.Error(g.config.Logger).Log("event", "heartbeat not sent", "error", err)
+		level.Error(g.config.Logger).Log("msg", "heartbeat not sent", "err", err)
 		return
 	}
 	for _, p := range g.Peers() {
