--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -8,7 +8,9 @@
 	"github.com/spf13/cobra"
 
 	"shallotcourse/internal/fakes/fengn"
+	"shallotcourse/internal/fakes/fplat"
 	"shallotcourse/internal/fakes/fserv"
+	"shallotcourse/internal/fakes/relay"
 )
 
 func main() {
@@ -17,7 +19,7 @@
 		Short:        "Serve stand-ins for the systems around shallotcourse",
 		SilenceUsage: true,
 	}
-	root.AddCommand(fengn.Command(), fserv.Command())
+	root.AddCommand(fplat.Command(), fengn.Command(), fserv.Command(), relay.Command())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/test/faults/proc_test.go
@@ -0,0 +1,199 @@
+//go:build faults
+
+// Package faults runs the real processes on loopback and makes them fail.
+package faults
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// startTimeout bounds the time until a process answers its health check.
+	startTimeout = 20 * time.Second
+	// stopTimeout bounds a graceful stop before the test fails.
+	stopTimeout = 30 * time.Second
+)
+
+type (
+	// proc is one process that the test started; it is stopped by its id.
+	proc struct {
+		t    *testing.T
+		name string
+		path string
+		args []string
+		cmd  *exec.Cmd
+		log  *logBuffer
+		done chan struct{}
+		// exit is valid once done is closed.
+		exit error
+	}
+
+	// logBuffer collects the output of a process for a failed test.
+	logBuffer struct {
+		mu sync.Mutex
+		b  bytes.Buffer
+	}
+)
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) tail(lines int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := strings.Split(strings.TrimRight(l.b.String(), "\n"), "\n")
+	if len(all) > lines {
+		all = all[len(all)-lines:]
+	}
+	return strings.Join(all, "\n")
+}
+
+// start runs a program of bin/ and registers its end with the test.
+func start(t *testing.T, name, program string, args ...string) *proc {
+	t.Helper()
+	path, err := filepath.Abs(filepath.Join("..", "..", "bin", program))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proc{t: t, name: name, path: path, args: args, log: &logBuffer{}}
+	p.run()
+	t.Cleanup(p.cleanup)
+	return p
+}
+
+func (p *proc) run() {
+	p.t.Helper()
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Stdout = p.log
+	p.cmd.Stderr = p.log
+	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatalf("%s does not start: %v", p.name, err)
+	}
+	done := make(chan struct{})
+	p.done = done
+	cmd := p.cmd
+	go func() {
+		p.exit = cmd.Wait()
+		close(done)
+	}()
+}
+
+func (p *proc) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Logf("%s: signal %v: %v", p.name, s, err)
+	}
+}
+
+// kill ends the process at once, as a power cut would.
+func (p *proc) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *proc) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *proc) thaw()   { p.signal(syscall.SIGCONT) }
+
+// terminate asks for a graceful stop and waits for it.
+func (p *proc) terminate() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	p.waitExit()
+}
+
+func (p *proc) waitExit() {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(stopTimeout):
+		p.t.Errorf("%s did not stop within %v", p.name, stopTimeout)
+		p.kill()
+	}
+}
+
+// restart starts the program again with the same arguments.
+func (p *proc) restart() {
+	p.t.Helper()
+	<-p.done
+	p.run()
+}
+
+func (p *proc) cleanup() {
+	select {
+	case <-p.done:
+	default:
+		p.thaw()
+		p.kill()
+	}
+	if p.t.Failed() {
+		p.t.Logf("---- %s, last lines ----\n%s", p.name, p.log.tail(25))
+	}
+}
+
+// ports returns n loopback addresses that were free a moment ago.
+func ports(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	var held []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, l)
+		out = append(out, l.Addr().String())
+	}
+	for _, l := range held {
+		_ = l.Close()
+	}
+	return out
+}
+
+// eventually polls until f returns nil.
+func eventually(t *testing.T, within time.Duration, what string, f func() error) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s not within %v: %v", what, within, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// waitOK waits until a URL answers 200.
+func waitOK(t *testing.T, url string) {
+	t.Helper()
+	client := &http.Client{Timeout: time.Second}
+	eventually(t, startTimeout, url, func() error {
+		resp, err := client.Get(url)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	})
+}
