--- /dev/null
+++ b/test/faults/caller_test.go
@@ -0,0 +1,201 @@
+//go:build faults
+
+package faults
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"shallotcourse/internal/fakes/fengn"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/token"
+)
+
+type (
+	request struct {
+		prompt string
+		tokens int
+		seed   uint64
+	}
+
+	// answer is what a caller saw of a completion.
+	answer struct {
+		request request
+		status  int
+		outcome string
+		retry   string
+		text    strings.Builder
+		// ended says that the terminal event arrived.
+		ended bool
+		// failed is the error event or error body.
+		failed string
+		err    error
+		times  []time.Time
+		begin  time.Time
+		end    time.Time
+	}
+
+	reply struct {
+		status  int
+		outcome string
+		body    string
+		err     error
+	}
+)
+
+// reference is the right text of an answer, computed without the router.
+func (r request) reference(endless bool) string {
+	prompt := token.Encode(r.prompt)
+	values := fengn.Reference(versionName, "", modelLayers, prompt, r.tokens, r.seed)
+	if endless {
+		values = fengn.ReferenceEndless(versionName, "", modelLayers, prompt, r.tokens, r.seed)
+	}
+	return token.Decode(values)
+}
+
+// complete sends one streaming completion and reads it to its end.
+func (c *cluster) complete(entry int, r request) *answer {
+	a := &answer{request: r, begin: time.Now()}
+	defer func() { a.end = time.Now() }()
+	body, err := json.Marshal(struct {
+		Model     string `json:"model"`
+		Prompt    string `json:"prompt"`
+		MaxTokens int    `json:"max_tokens"`
+		Seed      uint64 `json:"seed"`
+		Stream    bool   `json:"stream"`
+	}{modelName, r.prompt, r.tokens, r.seed, true})
+	if err != nil {
+		a.err = err
+		return a
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.entries[entry].listen+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		a.err = err
+		return a
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer resp.Body.Close()
+	a.status, a.outcome, a.retry = resp.StatusCode, resp.Header.Get(fault.Header), resp.Header.Get("Retry-After")
+	if resp.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(resp.Body)
+		a.failed = string(b)
+		return a
+	}
+	a.read(resp.Body)
+	return a
+}
+
+func (a *answer) read(r io.Reader) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.ended = true
+			continue
+		}
+		var event struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+			Error json.RawMessage `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			a.err = err
+			return
+		}
+		if len(event.Error) > 0 && string(event.Error) != "null" {
+			a.failed = string(event.Error)
+		}
+		for _, choice := range event.Choices {
+			if choice.Text != "" {
+				a.text.WriteString(choice.Text)
+				a.times = append(a.times, time.Now())
+			}
+		}
+	}
+	a.err = lines.Err()
+}
+
+// whole reports whether the answer is complete and equals the reference.
+func (a *answer) whole(endless bool) bool {
+	return a.err == nil && a.ended && a.failed == "" && a.text.String() == a.request.reference(endless)
+}
+
+// wrong reports whether what arrived is not a prefix of the reference, or is
+// incomplete without being said to be.
+func (a *answer) wrong(endless bool) bool {
+	want := a.request.reference(endless)
+	if !strings.HasPrefix(want, a.text.String()) {
+		return true
+	}
+	return a.ended && a.failed == "" && a.text.String() != want
+}
+
+// problem describes an answer that did not end properly.
+func (a *answer) problem() error {
+	if a.err == nil && a.ended && a.failed == "" {
+		return nil
+	}
+	return fmt.Errorf("status %d, outcome %q, ended %v, failed %q, %d tokens, error %v", a.status, a.outcome, a.ended, a.failed, len(a.times), a.err)
+}
+
+// longestGap is the longest time between two tokens.
+func (a *answer) longestGap() time.Duration {
+	var longest time.Duration
+	for i := 1; i < len(a.times); i++ {
+		longest = max(longest, a.times[i].Sub(a.times[i-1]))
+	}
+	return longest
+}
+
+// call sends one call to the plain service.
+func (c *cluster) call(entry int, method, path, key, callKey string) reply {
+	req, err := http.NewRequest(method, "http://"+c.entries[entry].listen+"/services/"+serviceName+path, strings.NewReader("{}"))
+	if err != nil {
+		return reply{err: err}
+	}
+	if method == http.MethodGet {
+		req.Body = nil
+		req.ContentLength = 0
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	if callKey != "" {
+		req.Header.Set("Call-Key", callKey)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, outcome: resp.Header.Get(fault.Header), body: string(b), err: err}
+}
+
+// quantile returns the value below which the share q of the samples lies.
+func quantile(samples []time.Duration, q float64) time.Duration {
+	if len(samples) == 0 {
+		return 0
+	}
+	s := slices.Clone(samples)
+	slices.Sort(s)
+	return s[min(len(s)-1, int(q*float64(len(s))))]
+}
--- /dev/null
+++ b/test/faults/config_test.go
@@ -0,0 +1,241 @@
+//go:build faults
+
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"shallotcourse/pkg/clnt"
+	"shallotcourse/pkg/resrc"
+)
+
+// inForceBound is the time from the table's answer to the last instance.
+const inForceBound = 7 * time.Second
+
+type (
+	// accepted is a change that an operator was told is accepted.
+	accepted struct {
+		change resrc.Change
+		at     time.Time
+	}
+
+	// revisionWatch samples the revision in force at every process.
+	revisionWatch struct {
+		c  *cluster
+		mu sync.Mutex
+		// first holds when a process first showed a revision or a higher one.
+		samples map[string][]sample
+	}
+
+	sample struct {
+		at          time.Time
+		revision    uint64
+		incarnation string
+	}
+)
+
+// Guards against a lost, reverted or late change while operators race, the
+// table is slow, down or loses answers, and instances are replaced.
+func TestRacingOperators(t *testing.T) {
+	const seed = 5
+	t.Logf("seed %d", seed)
+	c := newCluster(t, plan{entries: 3, stages: 2, replicas: 1})
+	w := &revisionWatch{c: c, samples: map[string][]sample{}}
+	stopWatch := w.run()
+	random := rand.New(rand.NewPCG(seed, 2))
+	stop := make(chan struct{})
+	var disturbed sync.WaitGroup
+	disturbed.Go(func() { c.disturbTable(random, stop) })
+	var mu sync.Mutex
+	var won []accepted
+	var conflicts, unknown int
+	var wg sync.WaitGroup
+	for op := range 4 {
+		wg.Go(func() {
+			for n := range 12 {
+				change, err := c.race(op, n)
+				mu.Lock()
+				switch {
+				case err == nil:
+					won = append(won, accepted{change, time.Now()})
+				case isConflict(err):
+					conflicts++
+				default:
+					unknown++
+				}
+				mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	close(stop)
+	disturbed.Wait()
+	c.faults(c.platformURL, map[string]any{})
+	time.Sleep(inForceBound)
+	stopWatch()
+	t.Logf("writes: accepted %d, conflicts %d, unavailable or unknown %d", len(won), conflicts, unknown)
+	c.checkAudit(won)
+	w.check(won)
+}
+
+// race writes one of two accounts with the revision that the operator read.
+func (c *cluster) race(op, n int) (resrc.Change, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	client := clnt.New([]string{"http://" + c.entries[(op+n)%len(c.entries)].operator}, operatorKey)
+	name := fmt.Sprintf("member-%d", n%2)
+	var revision uint64
+	if r, err := client.Get(ctx, resrc.KindClientAccount, name); err == nil {
+		revision = r.Revision
+	}
+	return client.Put(ctx, resrc.Resource{
+		Kind: resrc.KindClientAccount, Name: name, Revision: revision,
+		Spec: resrc.ClientAccount{Weight: 1, RequestsPerSecond: float64(op + 1), Burst: n + 1, Concurrency: 1},
+	}, fmt.Sprintf("change-%d-%d", op, n))
+}
+
+// disturbTable makes the table slow, lose answers and go down, and replaces an
+// entry while it is down.
+func (c *cluster) disturbTable(random *rand.Rand, stop <-chan struct{}) {
+	for round := 0; ; round++ {
+		switch round % 4 {
+		case 0:
+			c.faults(c.platformURL, map[string]any{"LoseAnswers": 3})
+		case 1:
+			c.faults(c.platformURL, map[string]any{"Delay": "300ms"})
+		case 2:
+			c.faults(c.platformURL, map[string]any{"Outage": true})
+			e := c.entries[1+random.IntN(len(c.entries)-1)]
+			e.kill()
+			e.restart()
+		case 3:
+			c.faults(c.platformURL, map[string]any{"LoseProbability": 0.3, "Seed": 3})
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(500+random.IntN(500)) * time.Millisecond):
+		}
+	}
+}
+
+func (w *revisionWatch) run() (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	nodes := append(append([]*node{}, w.c.entries...), w.c.agents...)
+	for _, n := range nodes {
+		wg.Go(func() {
+			client := &http.Client{Timeout: 500 * time.Millisecond}
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				w.observe(client, n)
+			}
+		})
+	}
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func (w *revisionWatch) observe(client *http.Client, n *node) {
+	resp, err := client.Get("http://" + n.operator + "/readyz")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var state struct {
+		Revision    uint64
+		Incarnation string
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&state) != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.samples[n.name] = append(w.samples[n.name], sample{time.Now(), state.Revision, state.Incarnation})
+}
+
+// check fails for a ready process whose revision went back, even over a
+// restart, or that did not have an accepted change within the bound.
+func (w *revisionWatch) check(won []accepted) {
+	w.c.t.Helper()
+	var times []time.Duration
+	for name, samples := range w.samples {
+		var highest uint64
+		for _, s := range samples {
+			if s.revision < highest {
+				w.c.t.Errorf("%s went back from revision %d to %d", name, highest, s.revision)
+			}
+			highest = max(highest, s.revision)
+		}
+		for _, a := range won {
+			if d, ok := firstAtLeast(samples, a); ok {
+				times = append(times, d)
+			}
+		}
+	}
+	w.c.t.Logf("time to in force: p50 %v, p95 %v, max %v (%d samples)", quantile(times, 0.5), quantile(times, 0.95), quantile(times, 1), len(times))
+	if worst := quantile(times, 1); worst > inForceBound {
+		w.c.t.Errorf("in force after %v; allowed: %v", worst, inForceBound)
+	}
+}
+
+// firstAtLeast returns how long a process went on with an older revision
+// after the change was accepted.
+func firstAtLeast(samples []sample, a accepted) (time.Duration, bool) {
+	last := time.Duration(0)
+	seen := false
+	for _, s := range samples {
+		if s.at.Before(a.at) {
+			continue
+		}
+		seen = true
+		if s.revision < a.change.Revision {
+			last = s.at.Sub(a.at)
+		}
+	}
+	return last, seen
+}
+
+// checkAudit compares the audit trail with what operators were told.
+func (c *cluster) checkAudit(won []accepted) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	changes, err := c.client(0).Audit(ctx, 0, 1000)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	byRevision := map[uint64]resrc.Change{}
+	byID := map[string]int{}
+	for i, ch := range changes {
+		if ch.Revision != uint64(i)+1 {
+			c.t.Errorf("audit row %d has revision %d", i, ch.Revision)
+		}
+		byRevision[ch.Revision] = ch
+		byID[ch.ID]++
+	}
+	for id, n := range byID {
+		if n > 1 {
+			c.t.Errorf("change %s was accepted %d times", id, n)
+		}
+	}
+	for _, a := range won {
+		if byRevision[a.change.Revision].ID != a.change.ID {
+			c.t.Errorf("accepted change %s at revision %d is not in the audit trail", a.change.ID, a.change.Revision)
+		}
+	}
+}
--- /dev/null
+++ b/test/faults/leave_test.go
@@ -0,0 +1,206 @@
+//go:build faults
+
+package faults
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"shallotcourse/internal/fakes/fengn"
+	"shallotcourse/pkg/resrc"
+)
+
+// leaveBound is the time after which a leaving target gets no new work.
+const leaveBound = 3 * time.Second
+
+// load keeps callers busy until stop is called, and returns their answers.
+func (c *cluster) load(callers, tokens int) (stop func() []*answer) {
+	var mu sync.Mutex
+	var all []*answer
+	var wg sync.WaitGroup
+	var ended atomic.Bool
+	for w := range callers {
+		wg.Go(func() {
+			for n := 0; !ended.Load(); n++ {
+				a := c.complete((w+n)%len(c.entries), request{prompt: fmt.Sprintf("guide %d %d", w, n), tokens: tokens, seed: uint64(w*1000 + n)})
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []*answer {
+		ended.Store(true)
+		wg.Wait()
+		return all
+	}
+}
+
+func (c *cluster) checkWhole(all []*answer) {
+	c.t.Helper()
+	failed := 0
+	for _, a := range all {
+		if a.whole(c.plan.endless) {
+			continue
+		}
+		if failed++; failed <= 5 {
+			c.t.Errorf("not whole: %v", a.problem())
+		}
+	}
+	c.t.Logf("answers %d, not whole %d", len(all), failed)
+}
+
+// Guards against new work on a target that leaves, by an operator's drain
+// while the instance list still shows it live.
+func TestLeavingTarget(t *testing.T) {
+	c := newCluster(t, plan{entries: 2, stages: 2, replicas: 2, endless: true, cost: "2ms/20us"})
+	c.faults(c.platformURL, map[string]any{"ListLag": "30s"})
+	stop := c.load(12, 30)
+	time.Sleep(time.Second)
+	leaving := c.agentsOf(0)[0]
+	spec := c.targetSpec(leaving)
+	spec.Draining = true
+	begin := time.Now()
+	c.put(resrc.Resource{Kind: resrc.KindTarget, Name: leaving.target, Revision: c.revision(leaving.target), Spec: spec})
+	last := begin
+	before := c.opened(leaving)
+	for time.Since(begin) < 2*leaveBound {
+		if n := c.opened(leaving); n > before {
+			before, last = n, time.Now()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.checkWhole(stop())
+	t.Logf("last new work %v after the drain was declared", last.Sub(begin))
+	if last.Sub(begin) > leaveBound {
+		t.Errorf("last new work after %v; allowed: %v", last.Sub(begin), leaveBound)
+	}
+}
+
+// revision returns the current revision of a target resource.
+func (c *cluster) revision(target string) uint64 {
+	c.t.Helper()
+	r, err := c.client(0).Get(c.t.Context(), resrc.KindTarget, target)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return r.Revision
+}
+
+// opened returns the number of sessions that an engine has run steps for.
+func (c *cluster) opened(n *node) int {
+	c.t.Helper()
+	var s fengn.Stats
+	c.getJSON(n.standinURL+"/stats", &s)
+	return len(s.Runs)
+}
+
+// Guards against requests that are cut by a planned stop: every entry and
+// agent is replaced in turn under load.
+func TestRollingRestart(t *testing.T) {
+	c := newCluster(t, plan{entries: 2, stages: 2, replicas: 2, services: 2, endless: true, cost: "2ms/20us"})
+	balancer := c.balance()
+	stopCalls := c.steadyCalls(balancer)
+	stop := c.steadyAnswers(balancer)
+	time.Sleep(500 * time.Millisecond)
+	for _, a := range c.agents {
+		a.terminate()
+		a.restart()
+		waitOK(t, "http://"+a.operator+"/readyz")
+		time.Sleep(300 * time.Millisecond)
+	}
+	for _, e := range c.entries {
+		e.terminate()
+		e.restart()
+		waitOK(t, "http://"+e.operator+"/readyz")
+		time.Sleep(300 * time.Millisecond)
+	}
+	c.checkWhole(stop())
+	for _, r := range stopCalls() {
+		if r.err != nil || r.status/100 != 2 {
+			t.Errorf("call was cut: %+v", r)
+		}
+	}
+}
+
+// balancer sends callers to the entries whose /readyz answers, with a lag.
+type balancer struct {
+	ready []atomic.Bool
+	next  atomic.Uint64
+}
+
+// balance polls the entries' readiness every 100 ms, as a balancer does.
+func (c *cluster) balance() *balancer {
+	b := &balancer{ready: make([]atomic.Bool, len(c.entries))}
+	for i, e := range c.entries {
+		b.ready[i].Store(true)
+		go func() {
+			for c.t.Context().Err() == nil {
+				resp, err := c.http.Get("http://" + e.operator + "/readyz")
+				b.ready[i].Store(err == nil && resp.StatusCode == 200)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
+	return b
+}
+
+func (b *balancer) pick() int {
+	for range len(b.ready) {
+		if i := int(b.next.Add(1) % uint64(len(b.ready))); b.ready[i].Load() {
+			return i
+		}
+	}
+	return 0
+}
+
+func (c *cluster) steadyAnswers(b *balancer) (stop func() []*answer) {
+	var mu sync.Mutex
+	var all []*answer
+	var wg sync.WaitGroup
+	var ended atomic.Bool
+	for w := range 12 {
+		wg.Go(func() {
+			for n := 0; !ended.Load(); n++ {
+				a := c.complete(b.pick(), request{prompt: fmt.Sprintf("guide %d %d", w, n), tokens: 60, seed: uint64(w*1000 + n)})
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() []*answer {
+		ended.Store(true)
+		wg.Wait()
+		return all
+	}
+}
+
+func (c *cluster) steadyCalls(b *balancer) (stop func() []reply) {
+	var mu sync.Mutex
+	var all []reply
+	var wg sync.WaitGroup
+	var ended atomic.Bool
+	for w := range 4 {
+		wg.Go(func() {
+			for n := 0; !ended.Load(); n++ {
+				r := c.call(b.pick(), "POST", "/bookings", "", fmt.Sprintf("rolling-%d-%d", w, n))
+				mu.Lock()
+				all = append(all, r)
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	return func() []reply {
+		ended.Store(true)
+		wg.Wait()
+		return all
+	}
+}
--- /dev/null
+++ b/test/faults/stage_test.go
@@ -0,0 +1,107 @@
+//go:build faults
+
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"shallotcourse/internal/fakes/fengn"
+)
+
+// recoveryBound is the longest acceptable gap in an answer whose stage was
+// lost: heartbeat timeout of 1 s, time to relink of 250 ms, and 750 ms to open the
+// replacement and fill it again.
+const recoveryBound = 2 * time.Second
+
+type stageFault struct {
+	name string
+	// stages are hit at the same time.
+	stages []int
+	// frozen stops the process instead of killing it.
+	frozen bool
+	// engine hits the engine instead of the agent.
+	engine bool
+}
+
+// Guards against an answer that is cut, wrong or slow when stages die in the
+// middle of it, and against layers that run again on surviving stages.
+func TestStageLost(t *testing.T) {
+	seed := uint64(7)
+	for _, f := range []stageFault{
+		{name: "FirstKilled", stages: []int{0}},
+		{name: "MiddleKilled", stages: []int{1}},
+		{name: "LastKilled", stages: []int{2}},
+		{name: "MiddleFrozen", stages: []int{1}, frozen: true},
+		{name: "EngineKilled", stages: []int{1}, engine: true},
+		{name: "TwoKilled", stages: []int{1, 2}},
+		{name: "FirstAndLastFrozen", stages: []int{0, 2}, frozen: true},
+	} {
+		t.Run(f.name, func(t *testing.T) { testStageLost(t, f, seed) })
+	}
+}
+
+func testStageLost(t *testing.T, f stageFault, seed uint64) {
+	is := is.New(t)
+	const answers = 24
+	c := newCluster(t, plan{entries: 1, stages: 3, replicas: 2, endless: true, cost: "5ms/20us"})
+	random := rand.New(rand.NewPCG(seed, 0))
+	t.Logf("seed %d", seed)
+	got := make([]*answer, answers)
+	var wg sync.WaitGroup
+	for i := range answers {
+		r := request{prompt: fmt.Sprintf("summarise roll %d of %d", i, random.Uint32()), tokens: 120, seed: random.Uint64()}
+		wg.Go(func() { got[i] = c.complete(0, r) })
+	}
+	time.Sleep(700 * time.Millisecond)
+	for _, stage := range f.stages {
+		c.hit(c.agentsOf(stage)[0], f)
+	}
+	wg.Wait()
+	var gaps []time.Duration
+	for i, a := range got {
+		if !a.whole(true) {
+			t.Errorf("answer %d is not whole: %v; wrong: %v", i, a.problem(), a.wrong(true))
+		}
+		gaps = append(gaps, a.longestGap())
+	}
+	t.Logf("answers %d, longest gap per answer: p50 %v, p95 %v, max %v", answers, quantile(gaps, 0.5), quantile(gaps, 0.95), quantile(gaps, 1))
+	is.True(quantile(gaps, 1) <= recoveryBound) // recovery within the bound
+	c.checkLayerRuns(f)
+}
+
+func (c *cluster) hit(n *node, f stageFault) {
+	p := n.proc
+	if f.engine {
+		p = n.standin
+	}
+	if f.frozen {
+		p.freeze()
+		return
+	}
+	p.kill()
+}
+
+// checkLayerRuns fails if an engine ran a position of a session twice.
+func (c *cluster) checkLayerRuns(f stageFault) {
+	c.t.Helper()
+	for _, a := range c.agents {
+		if a.stage < 0 || (f.engine && a == c.agentsOf(f.stages[0])[0]) {
+			continue
+		}
+		var s fengn.Stats
+		c.getJSON(a.standinURL+"/stats", &s)
+		for id, runs := range s.Runs {
+			for position, n := range runs {
+				if n > 1 {
+					c.t.Errorf("%s ran position %d of session %s %d times", a.target, position, id, n)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/test/faults/surge_test.go
@@ -0,0 +1,63 @@
+//go:build faults
+
+package faults
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against wrong or cut answers and false NotRun when all callers come
+// back in one second while a stage dies and the table is down.
+func TestEverythingAtOnce(t *testing.T) {
+	const callers, calls = 300, 100
+	c := newCluster(t, plan{entries: 2, stages: 3, replicas: 2, services: 2, endless: true, cost: "5ms/20us"})
+	c.faults(c.platformURL, map[string]any{"Outage": true})
+	got := make([]*answer, callers)
+	replies := make([]reply, calls)
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for i := range callers {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * time.Second / callers)
+			got[i] = c.complete(i%2, request{prompt: fmt.Sprintf("report %d", i), tokens: 60, seed: uint64(i)})
+		})
+	}
+	for i := range calls {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * time.Second / calls)
+			replies[i] = c.call(i%2, "POST", "/lots", "", fmt.Sprintf("lot-%d", i))
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	c.agentsOf(1)[0].kill()
+	time.Sleep(300 * time.Millisecond)
+	c.agentsOf(2)[0].freeze()
+	wg.Wait()
+	var whole, refused, failed int
+	var first []time.Duration
+	for i, a := range got {
+		switch {
+		case a.whole(true):
+			whole++
+			first = append(first, a.times[0].Sub(a.begin))
+		case a.outcome == "NotRun" && a.retry != "":
+			refused++
+		case a.wrong(true):
+			t.Errorf("answer %d is wrong or cut without a failure event: %v", i, a.problem())
+		default:
+			failed++
+		}
+	}
+	t.Logf("callers %d in one second, all settled after %v: whole %d, refused NotRun %d, failed with an event %d; first token p50 %v, p95 %v",
+		callers, time.Since(begin).Round(time.Millisecond), whole, refused, failed, quantile(first, 0.5), quantile(first, 0.95))
+	if failed > 0 {
+		t.Errorf("%d answers failed after they began", failed)
+	}
+	if whole == 0 {
+		t.Error("no answer was whole")
+	}
+	c.checkEffects("lot", replies)
+}
