--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -40,7 +40,7 @@
 	// readTimeout bounds the table reads of one request.
 	readTimeout = 5 * time.Second
 	// maxAuditRows bounds one page of the audit.
-	maxAuditRows = 500
+	maxAuditRows = 1000
 )
 
 var changeForm = regexp.MustCompile(`^[A-Za-z0-9._-]{8,64}$`)
@@ -60,9 +60,12 @@
 		Sync      *store.Sync
 		Operators []Operator
 		// Self is the process that serves the interface.
-		Self  wire.Hello
-		Clock timer.Service
-		Log   log.Logger
+		Self wire.Hello
+		// Stopping ends the open watches when it is closed, so that they don't
+		// hold up a graceful shutdown. It may be nil.
+		Stopping <-chan struct{}
+		Clock    timer.Service
+		Log      log.Logger
 	}
 
 	// Event is one line of a watch: a change, or a heartbeat without one.
@@ -267,7 +270,7 @@
 		return nil, err
 	}
 	if limit < 1 || limit > maxAuditRows {
-		return nil, fault.Invalid("Limit", limit, "1 to 500")
+		return nil, fault.Invalid("Limit", limit, "1 to 1000")
 	}
 	revision := h.Store.Snapshot().Revision
 	after, err := number(r, "After", revision-min(revision, limit))
--- a/internal/opapi/watch.go
+++ b/internal/opapi/watch.go
@@ -68,6 +68,8 @@
 		select {
 		case <-r.Context().Done():
 			return
+		case <-h.Stopping:
+			return
 		case <-h.Store.Section().Changed(seen):
 		case <-ticks:
 		}
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -49,6 +49,9 @@
 		writes  *Bucket
 	}
 
+	// silent marks the failure of a connection on which no answer came.
+	silent struct{ error }
+
 	request struct {
 		method, path string
 		query        url.Values
@@ -98,8 +101,23 @@
 	return &Client{Table: table{t}, Objects: objects{t}, Instances: instances{t}, Weights: weights{t}}
 }
 
-// do sends a request and returns the body of a 2xx answer.
+// do sends a request and returns the body of a 2xx answer. A read that got no
+// answer goes out once more: its connection may have fallen silent while new
+// ones work, and so may the idle ones.
 func (t *transport) do(ctx context.Context, r request) ([]byte, error) {
+	data, err := t.attempt(ctx, r)
+	var silence *silent
+	if err == nil || !eris.As(err, &silence) {
+		return data, err
+	}
+	t.http.CloseIdleConnections()
+	if r.effect || ctx.Err() != nil {
+		return nil, err
+	}
+	return t.attempt(ctx, r)
+}
+
+func (t *transport) attempt(ctx context.Context, r request) ([]byte, error) {
 	ctx, cancel := timer.WithTimeout(ctx, t.clock, t.timeout)
 	defer cancel()
 	bucket := t.reads
@@ -134,6 +152,8 @@
 	return data, nil
 }
 
+func (s *silent) Unwrap() error { return s.error }
+
 func (t *transport) url(r request) string {
 	u := t.base + r.path
 	if len(r.query) > 0 {
@@ -156,13 +176,14 @@
 
 func lost(ctx context.Context, r request, sent bool, cause error) error {
 	e := fault.Newf(fault.Unavailable, "no answer of the platform to %s %s", r.method, r.path)
-	if eris.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		e.Detail += " within the timeout"
-	}
 	if sent && r.effect {
 		e = e.WithOutcome(fault.Unknown)
 	}
-	return e.WithCause(eris.Wrap(cause, "platform request"))
+	if sent && context.Cause(ctx) == context.DeadlineExceeded {
+		e.Detail += " within the timeout"
+		cause = &silent{cause}
+	}
+	return e.WithCause(cause)
 }
 
 func refused(r request, resp *http.Response) error {
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"shallotcourse/internal/fakes/fplat"
+	"shallotcourse/internal/fakes/relay"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/plat"
 	"shallotcourse/internal/timer"
@@ -55,6 +57,30 @@
 	}
 }
 
+// Guards against reads that keep failing on pooled connections which went
+// silent, while new connections work.
+func TestReadLeavesSilentConnections(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	server := httptest.NewServer(fplat.New(timer.System{}))
+	defer server.Close()
+	r, err := relay.Start("127.0.0.1:0", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer r.Close()
+	client := plat.NewClient("http://"+r.Address(), plat.WithTimeout(200*time.Millisecond))
+	var wg sync.WaitGroup
+	for range 8 { // fills the pool
+		wg.Go(func() { _, _ = client.Instances.List(ctx) })
+	}
+	wg.Wait()
+	r.Silence()
+	_, err = client.Instances.List(ctx)
+	is.NoErr(err)
+	r.Silence()
+	put := plat.Txn{Writes: []plat.Write{{Key: "a", Value: []byte("1")}}}
+	is.Equal(fault.As(client.Table.Commit(ctx, put)).Outcome, fault.Unknown) // never sent twice by itself
+	is.NoErr(client.Table.Commit(ctx, put))
+}
+
 // Guards against a lost update through a row that is deleted and made again.
 func TestVersionsNeverReturn(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
--- a/internal/store/rows.go
+++ b/internal/store/rows.go
@@ -20,7 +20,7 @@
 	// identifier is never accepted twice.
 	identifierPrefix = "ChangeIdentifier/"
 	// pageRows is the number of rows read in one page.
-	pageRows = 500
+	pageRows = 1000
 )
 
 type (
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -37,6 +37,8 @@
 		log     log.Logger
 		section *board.Section[Snapshot]
 		health  *board.Section[TableHealth]
+		// writing holds one element while a write of this process is in flight.
+		writing chan struct{}
 
 		// mu orders all writers of section and recent.
 		mu sync.Mutex
@@ -74,6 +76,7 @@
 	s := &Store{
 		table: table, clock: timer.System{}, log: log.NewNopLogger(),
 		section: board.New(Snapshot{}), health: board.New(TableHealth{}),
+		writing: make(chan struct{}, 1),
 	}
 	for _, o := range options {
 		o(s)
--- a/internal/store/sync.go
+++ b/internal/store/sync.go
@@ -16,7 +16,8 @@
 const (
 	// pullTimeout is the time after which an unanswered Pull is repeated.
 	pullTimeout = time.Second
-	// maxPushChanges bounds the changes in one message.
+	// maxPushChanges bounds the changes in one message. A peer that lacks more
+	// gets the whole configuration, which costs it less to apply.
 	maxPushChanges = 256
 	// settleTime is how long a new process waits for its first links while
 	// the table is down. It covers a dial and a hello to a silent peer, which
@@ -198,8 +199,8 @@
 	return out
 }
 
-// push sends the changes that the peer lacks. A peer that is too far behind
-// for the log pulls after the next heartbeat.
+// push sends the changes that the peer lacks. A peer that is far behind pulls
+// after the next heartbeat.
 func (y *Sync) push(p link.Peer) {
 	y.mu.Lock()
 	state, ok := y.peers[p]
@@ -209,17 +210,17 @@
 	}
 	y.mu.Unlock()
 	changes, complete := y.store.ChangesSince(since)
-	if !ok || !complete || len(changes) == 0 {
+	if !ok || !complete || len(changes) == 0 || len(changes) > maxPushChanges {
 		return
 	}
-	y.send(p, wire.Changes{Changes: changes[:min(len(changes), maxPushChanges)]})
+	y.send(p, wire.Changes{Changes: changes})
 }
 
 // answer replies to a Pull with changes, or with the whole configuration when
 // the log does not reach back.
 func (y *Sync) answer(p link.Peer, since uint64) {
-	if changes, ok := y.store.ChangesSince(since); ok {
-		y.send(p, wire.Changes{Changes: changes[:min(len(changes), maxPushChanges)]})
+	if changes, ok := y.store.ChangesSince(since); ok && len(changes) <= maxPushChanges {
+		y.send(p, wire.Changes{Changes: changes})
 		return
 	}
 	m, err := encodeSnapshot(y.store.Snapshot())
--- a/internal/store/write.go
+++ b/internal/store/write.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/plat"
@@ -87,12 +88,35 @@
 		}
 		w.body = b
 	}
+	release, err := s.takeTurn(ctx)
+	if err != nil {
+		return resrc.Change{}, err
+	}
+	defer release()
+	// The identifier is read first in case this write was accepted earlier;
+	// that it is absent is also a condition of the transaction.
+	c, found, err := s.findChange(ctx, w)
+	if err != nil || found {
+		return c, err
+	}
+	return s.contend(ctx, w)
+}
+
+// takeTurn waits until no other write of this process is in flight. Writes
+// of one process would otherwise only make each other's head move.
+func (s *Store) takeTurn(ctx context.Context) (release func(), err error) {
+	select {
+	case s.writing <- struct{}{}:
+		return func() { <-s.writing }, nil
+	case <-ctx.Done():
+		return nil, fault.New(fault.Deadline, "earlier writes took too long").WithCause(context.Cause(ctx))
+	}
+}
+
+// contend submits the write against writes of other processes.
+func (s *Store) contend(ctx context.Context, w Write) (resrc.Change, error) {
 	pause := firstPause
 	for range headRetries {
-		c, found, err := s.findChange(ctx, w)
-		if err != nil || found {
-			return c, err
-		}
 		a, err := s.prepare(ctx, w)
 		if err != nil {
 			return s.refuse(ctx, w, err)
@@ -120,14 +144,24 @@
 
 // prepare reads the current state and builds the transaction.
 func (s *Store) prepare(ctx context.Context, w Write) (attempt, error) {
-	head, err := s.currentHead(ctx)
-	if err != nil {
-		return attempt{}, err
-	}
-	key := resourceKey(w.Kind, w.Name)
-	var stored wire.StoredResource
-	version, err := s.readRow(ctx, key, &stored)
-	if err != nil {
+	var (
+		head    headRow
+		stored  wire.StoredResource
+		version uint64
+		key     = resourceKey(w.Kind, w.Name)
+	)
+	// The transaction's conditions on both rows make the order of these reads
+	// irrelevant.
+	reads, readCtx := errgroup.WithContext(ctx)
+	reads.Go(func() (err error) {
+		head, err = s.currentHead(readCtx)
+		return err
+	})
+	reads.Go(func() (err error) {
+		version, err = s.readRow(readCtx, key, &stored)
+		return err
+	})
+	if err := reads.Wait(); err != nil {
 		return attempt{}, err
 	}
 	if version == 0 && w.Spec == nil {
