--- /dev/null
+++ b/internal/cmds/agent.go
@@ -0,0 +1,188 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+	"github.com/spf13/cobra"
+
+	"shallotcourse/internal/agent"
+	"shallotcourse/internal/conf"
+	"shallotcourse/internal/engine"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/fleet"
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/order"
+	"shallotcourse/internal/wire"
+)
+
+const (
+	// agentHeaderBytes bounds the headers that an agent's listeners accept.
+	agentHeaderBytes = 16 << 10
+	// staleLeaving is how long a row that was Leaving from the start is taken
+	// for that of a predecessor with the same name, because the list lags.
+	staleLeaving = 30 * time.Second
+)
+
+// agentDaemon is a running agent process.
+type agentDaemon struct {
+	*daemon
+	*replica
+	settings conf.Agent
+	links    *link.Group
+	agent    *agent.Agent
+	// leaving is set when the agent starts to leave.
+	leaving atomic.Bool
+}
+
+func agentCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "agent FILE",
+		Short: "Run an agent with the settings in a TOML file",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := readSettings(args[0])
+			if err != nil {
+				return err
+			}
+			settings, err := conf.ParseAgent(text)
+			if err != nil {
+				return err
+			}
+			return runAgent(c.Context(), settings, c.ErrOrStderr())
+		},
+	}
+}
+
+// runAgent runs an agent until a signal arrives or the platform's list says
+// that its instance leaves, and its work in flight has ended.
+func runAgent(ctx context.Context, settings conf.Agent, logs io.Writer) error {
+	a := newAgentDaemon(settings, logs)
+	defer a.shutdown()
+	defer a.links.Stop()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { a.replica.run(work) })
+	wg.Go(func() { a.followList(work) })
+	for _, address := range settings.Peers {
+		a.links.Want(address)
+	}
+	if err := a.listen(); err != nil {
+		return err
+	}
+	signaled, cancel := signals(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- a.agent.Run(signaled) }()
+	failure := a.wait(signaled)
+	a.leaving.Store(true)
+	_ = level.Info(a.logger).Log("msg", "stopping")
+	cancel()
+	if err := <-ended; err != nil && failure == nil {
+		return err
+	}
+	return failure
+}
+
+func newAgentDaemon(settings conf.Agent, logs io.Writer) *agentDaemon {
+	d := newDaemon(settings.Instance, settings.Log, logs)
+	a := &agentDaemon{daemon: d, replica: newReplica(d, settings.Platform), settings: settings}
+	handlers := &lateHandlers{}
+	a.links = d.links(linkSettings{times: settings.Links, hello: a.hello, handler: handlers})
+	c := agentConfig(settings)
+	c.Incarnation, c.Timer, c.Logger, c.Dialer = d.incarnation, d.clock, d.logger, a.links
+	c.Config, c.Table, c.Weights = a.store.Section(), a.platform.Table, a.platform.Weights
+	a.agent = agent.New(c)
+	handlers.set(a.replica, link.Latest(dialedAgents{a.agent}))
+	return a
+}
+
+func (a *agentDaemon) hello() wire.Hello {
+	return wire.Hello{
+		Version: wire.Version, Role: wire.RoleAgent, Instance: a.settings.Instance, Incarnation: a.incarnation,
+		DataCentre: a.settings.DataCentre, Address: a.settings.Advertise, Target: a.settings.Target,
+		Revision: a.store.Snapshot().Revision,
+	}
+}
+
+func (a *agentDaemon) listen() error {
+	operators := mux.NewRouter()
+	a.operations(operators, a.ready)
+	if err := a.serve("operations", a.settings.OpsListen, agentHeaderBytes, operators); err != nil {
+		return err
+	}
+	return a.serve("links", a.settings.LinkListen, agentHeaderBytes, linkRouter(a.links))
+}
+
+func (a *agentDaemon) ready() error {
+	if a.leaving.Load() {
+		return fault.New(fault.Leaving, "the agent is leaving")
+	}
+	return a.replica.ready()
+}
+
+// followList makes the agent leave when the platform's list says so.
+func (a *agentDaemon) followList(ctx context.Context) {
+	begun, seenLive := a.clock.Now(), false
+	for ctx.Err() == nil {
+		view, version := a.fleet.View().Get()
+		own, ok := view.Get(a.settings.Instance)
+		seenLive = seenLive || ok && own.State == fleet.Live
+		stale := !seenLive && a.clock.Now().Sub(begun) < staleLeaving
+		if ok && own.State == fleet.Leaving && !stale {
+			_ = level.Info(a.logger).Log("msg", "the instance list says that this instance leaves")
+			a.leaving.Store(true)
+			a.agent.Leave()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.fleet.View().Changed(version):
+		}
+	}
+}
+
+// dialedAgents shows an agent only those links to other agents that it dialled
+// itself, because it sends steps on no others.
+type dialedAgents struct{ *agent.Agent }
+
+// LinkUp implements link.Handler.
+func (d dialedAgents) LinkUp(p link.Peer) {
+	if p.Hello().Role == wire.RoleEntry || link.Dialed(p) != "" {
+		d.Agent.LinkUp(p)
+	}
+}
+
+// LinkDown implements link.Handler.
+func (d dialedAgents) LinkDown(p link.Peer, reason error) {
+	if p.Hello().Role == wire.RoleEntry || link.Dialed(p) != "" {
+		d.Agent.LinkDown(p, reason)
+	}
+}
+
+func agentConfig(s conf.Agent) agent.Config {
+	c := agent.Config{
+		Target: s.Target,
+		Times: agent.Times{
+			Orphan: s.OrphanTimeout.Duration, Step: s.StepTimeout.Duration, Drain: s.StopTimeout.Duration,
+			Call: s.CallTimeout.Duration,
+		},
+		Limits: agent.Limits{
+			Rules:    order.Rules{Lease: s.Lease.Duration, LongestOrder: s.OrderTimeout.Duration, Gap: time.Second},
+			Sessions: agent.Bounds{Initial: min(64, s.Sessions), Min: min(4, s.Sessions), Max: s.Sessions},
+		},
+	}
+	if s.Engine != "" {
+		c.Engine = engine.NewClient(s.Engine)
+	} else {
+		c.Service = engine.NewService(s.Service)
+	}
+	return c
+}
--- a/internal/conf/agent.go
+++ b/internal/conf/agent.go
@@ -1,6 +1,12 @@
 package conf
 
-import "time"
+import (
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"shallotcourse/internal/wire"
+)
 
 type (
 	// Agent holds the settings of an agent.
@@ -102,3 +108,14 @@
 	c.log(a.Log)
 	return a, c.result()
 }
+
+// RoleOf tells which process a file of settings is for: only an agent has a
+// Target.
+func RoleOf(text []byte) wire.Role {
+	var head struct{ Target any }
+	_ = toml.Unmarshal(text, &head)
+	if head.Target != nil {
+		return wire.RoleAgent
+	}
+	return wire.RoleEntry
+}
