--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,7 +19,7 @@
 		Short:        "Serve stand-ins for the systems around shallotcourse",
 		SilenceUsage: true,
 	}
-	root.AddCommand(fplat.Command(), fengn.Command(), fserv.Command(), relay.Command())
+	root.AddCommand(fplat.Command(), fengn.Command(), fserv.Command(), relay.Command(), fengn.ReferenceCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/internal/conf/agent.go
+++ b/internal/conf/agent.go
@@ -32,8 +32,9 @@
 		Peers []string
 		// Lease is how long a claim of the target lasts without renewal.
 		Lease Duration
-		// OrderTimeout bounds one order to the engine; a new owner waits for
-		// it after the old lease has expired.
+		// OrderTimeout bounds one order to the engine. A new owner waits for
+		// it after the old lease has expired, unless the engine checks fencing
+		// tokens.
 		OrderTimeout Duration
 		// StepTimeout bounds one step at the engine.
 		StepTimeout Duration
@@ -43,12 +44,10 @@
 		OrphanTimeout Duration
 		// StopTimeout bounds the wait for in-flight work.
 		StopTimeout Duration
-		// Sessions bounds open sessions, whatever the engine reports.
+		// Sessions bounds the adaptive limit of open sessions and calls.
 		Sessions int
-		// CallBytes bounds the body of one answer of a plain service.
-		CallBytes int64
-		Links     Links
-		Log       Log
+		Links    Links
+		Log      Log
 	}
 )
 
@@ -58,13 +57,12 @@
 		LinkListen:    ":8082",
 		OpsListen:     ":8083",
 		Lease:         of(10 * time.Second),
-		OrderTimeout:  of(5 * time.Second),
+		OrderTimeout:  of(2 * time.Minute),
 		StepTimeout:   of(2 * time.Second),
 		CallTimeout:   of(30 * time.Second),
 		OrphanTimeout: of(5 * time.Second),
 		StopTimeout:   of(5 * time.Minute),
-		Sessions:      256,
-		CallBytes:     8 << 20,
+		Sessions:      1024,
 		Links:         defaultLinks(),
 		Log:           defaultLog(),
 	}
@@ -95,15 +93,12 @@
 	c.url("Platform", a.Platform)
 	c.addresses("Peers", a.Peers, 1)
 	c.duration("Lease", a.Lease, 100*time.Millisecond, 10*time.Minute)
-	c.duration("OrderTimeout", a.OrderTimeout, 10*time.Millisecond, 10*time.Minute)
-	// An order is sent only if the lease outlives it.
-	c.that(a.OrderTimeout.Duration < a.Lease.Duration, "OrderTimeout", a.OrderTimeout, "less than Lease")
+	c.duration("OrderTimeout", a.OrderTimeout, 10*time.Millisecond, time.Hour)
 	c.duration("StepTimeout", a.StepTimeout, 10*time.Millisecond, 10*time.Minute)
 	c.duration("CallTimeout", a.CallTimeout, 10*time.Millisecond, time.Hour)
 	c.duration("OrphanTimeout", a.OrphanTimeout, 100*time.Millisecond, 10*time.Minute)
 	c.duration("StopTimeout", a.StopTimeout, 0, time.Hour)
 	c.number("Sessions", int64(a.Sessions), 1, 1<<16)
-	c.number("CallBytes", a.CallBytes, 1, 15<<20)
 	c.links(a.Links)
 	c.log(a.Log)
 	return a, c.result()
--- /dev/null
+++ b/internal/fakes/fengn/reference.go
@@ -0,0 +1,36 @@
+package fengn
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"shallotcourse/internal/token"
+)
+
+// ReferenceCommand returns the subcommand that prints the text of the right
+// answer to a prompt, computed without the router.
+func ReferenceCommand() *cobra.Command {
+	var (
+		version, adapter, prompt string
+		layers, maxTokens        int
+		seed                     uint64
+	)
+	c := &cobra.Command{
+		Use:   "reference",
+		Short: "Print the right answer to a prompt, computed without the router",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			values := Reference(version, adapter, layers, token.Encode(prompt), maxTokens, seed)
+			_, _ = io.WriteString(cmd.OutOrStdout(), token.Decode(values)+"\n")
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&version, "version", "", "name of the model version")
+	f.StringVar(&adapter, "adapter", "", "name of the adapter")
+	f.StringVar(&prompt, "prompt", "", "text of the prompt")
+	f.IntVar(&layers, "layers", 1, "layers of the model version")
+	f.IntVar(&maxTokens, "max-tokens", 256, "bound of the answer")
+	f.Uint64Var(&seed, "seed", 0, "seed of the request")
+	return c
+}
--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,194 @@
+#!/usr/bin/env bash
+# Starts the stand-ins, two entries, a pipeline of three agents for one model
+# and one agent with a plain service on loopback; answers one request of each
+# kind, checks the model's answer, and stops everything. With --keep the
+# processes run until the script is interrupted.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+keep=${1:-}
+base=${SHALLOTCOURSE_PORT:-17400}
+dir=run
+operator_key=operator-example-key
+caller_key=caller-example-key
+model=shallot
+version=shallot-1
+layers=12
+prompt="The kiln is booked for"
+seed=7
+max_tokens=24
+started=()
+
+at() { echo "127.0.0.1:$((base + $1))"; }
+digest() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+fail() { echo "run: $*" >&2; exit 1; }
+
+for tool in curl sha256sum sed; do
+  command -v "$tool" >/dev/null || fail "missing: $tool"
+done
+
+# start NAME COMMAND...: runs a process in the background with a log of its own.
+start() {
+  local name=$1
+  shift
+  "$@" >"$dir/$name.log" 2>&1 &
+  started+=("$!:$name")
+}
+
+# Stops the processes by id in the reverse order of their start, so that the
+# daemons stop before what they depend on, and reports those that fail.
+stop() {
+  local status=$? id name i
+  trap - EXIT INT TERM
+  for ((i = ${#started[@]} - 1; i >= 0; i--)); do
+    id=${started[i]%%:*} name=${started[i]#*:}
+    kill -TERM "$id" 2>/dev/null || { echo "run: $name had ended early; see $dir/$name.log" >&2; status=1; }
+    if ! wait "$id"; then
+      echo "run: $name did not stop cleanly; see $dir/$name.log" >&2
+      status=1
+    fi
+  done
+  exit "$status"
+}
+trap stop EXIT
+trap 'exit 130' INT TERM
+
+# await NAME URL: waits until a health check succeeds.
+await() {
+  local i
+  for ((i = 0; i < 200; i++)); do
+    if curl -fsS -o "$dir/await" --max-time 1 "$2" 2>"$dir/await"; then return; fi
+    sleep 0.1
+  done
+  fail "$1 is not ready: $(cat "$dir/await"); see $dir/$1.log"
+}
+
+entry_settings() { # NAME OFFSET PEER-OFFSET DATA-CENTRE
+  cat <<END
+Instance = "$1"
+DataCentre = "$4"
+Region = "is-south"
+Listen = "$(at "$2")"
+OperatorListen = "$(at $(($2 + 1)))"
+LinkListen = "$(at $(($2 + 2)))"
+Advertise = "$(at $(($2 + 2)))"
+Platform = "http://$(at 0)"
+Peers = ["$(at $(($3 + 2)))"]
+BalancerLag = "100ms"
+
+[Limits]
+FirstToken = "10s"
+
+[OperatorKeyHashes]
+example = "$(digest "$operator_key")"
+END
+}
+
+agent_settings() { # NAME OFFSET TARGET DATA-CENTRE KIND URL
+  cat <<END
+Instance = "$1"
+Target = "$3"
+DataCentre = "$4"
+Region = "is-south"
+LinkListen = "$(at "$2")"
+OpsListen = "$(at $(($2 + 1)))"
+Advertise = "$(at "$2")"
+$5 = "$6"
+Platform = "http://$(at 0)"
+Peers = ["$(at 12)", "$(at 22)"]
+END
+}
+
+target() { # NAME AGENT-OFFSET DATA-CENTRE REST
+  echo '{"Kind": "Target", "Name": "'"$1"'", "Spec": {"DataCentre": "'"$3"'", "Region": "is-south", "Agent": "'"$(at "$2")"'", '"$4"'}}'
+}
+
+stage() { # FROM TO
+  echo '"Version": "'$version'", "Layers": {"From": '"$1"', "To": '"$2"'}, "Accelerator": "fast", "ChecksFencing": true'
+}
+
+resources() {
+  cat <<END
+{"Kind": "Model", "Name": "$model", "Spec": {"Version": "$version", "MaxTokens": 4096}}
+{"Kind": "ModelVersion", "Name": "$version", "Spec": {"Model": "$model", "Layers": $layers, "Weights": "$version.weights", "WeightBytes": 1000000}}
+{"Kind": "Service", "Name": "ledger-app", "Spec": {"Timeout": "5s", "Rules": [{"Method": "GET", "PathPrefix": "/", "Repeatable": true}]}}
+$(target shallot-pool-1 40 reykjavik-a "$(stage 0 4)")
+$(target shallot-pool-2 50 hafnar-b "$(stage 4 8)")
+$(target shallot-pool-3 60 keflavik-c "$(stage 8 12)")
+$(target ledger-app-1 70 reykjavik-a '"Service": "ledger-app"')
+{"Kind": "ClientAccount", "Name": "example", "Spec": {"KeyHashes": ["$(digest "$caller_key")"], "Weight": 1, "RequestsPerSecond": 100, "Burst": 100, "Concurrency": 50}}
+END
+}
+
+mkdir -p "$dir"
+entry_settings entry-1 10 20 reykjavik-a >"$dir/entry-1.toml"
+entry_settings entry-2 20 10 hafnar-b >"$dir/entry-2.toml"
+agent_settings agent-1 40 shallot-pool-1 reykjavik-a Engine "http://$(at 1)" >"$dir/agent-1.toml"
+agent_settings agent-2 50 shallot-pool-2 hafnar-b Engine "http://$(at 2)" >"$dir/agent-2.toml"
+agent_settings agent-3 60 shallot-pool-3 keflavik-c Engine "http://$(at 3)" >"$dir/agent-3.toml"
+agent_settings agent-4 70 ledger-app-1 reykjavik-a Service "http://$(at 4)" >"$dir/agent-4.toml"
+resources >"$dir/resources.json"
+for file in "$dir"/*.toml; do bin/shallotcourse config check "$file"; done
+
+start platform bin/standin platform --listen "$(at 0)"
+for i in 1 2 3; do start "engine-$i" bin/standin engine --listen "$(at "$i")"; done
+start service bin/standin service --listen "$(at 4)"
+await platform "http://$(at 0)/healthz"
+for i in 1 2; do start "entry-$i" bin/shallotcourse entry "$dir/entry-$i.toml"; done
+for i in 1 2 3 4; do start "agent-$i" bin/shallotcourse agent "$dir/agent-$i.toml"; done
+for i in 1 2; do await "entry-$i" "http://$(at $((10 * i + 1)))/readyz"; done
+for i in 1 2 3 4; do await "agent-$i" "http://$(at $((30 + 10 * i + 1)))/readyz"; done
+
+export SHALLOTCOURSE_ENTRIES="http://$(at 11),http://$(at 21)" SHALLOTCOURSE_OPERATOR_KEY=$operator_key
+echo "== declaring the resources"
+bin/shallotcourse apply -f "$dir/resources.json"
+
+# ask FILE: streams one answer of the model into the file.
+ask() {
+  curl -sS -N --max-time 30 "http://$(at 10)/v1/completions" -H "Authorization: Bearer $caller_key" \
+    -d '{"model": "'$model'", "prompt": "'"$prompt"'", "max_tokens": '$max_tokens', "seed": '$seed', "stream": true}' >"$1"
+}
+
+# The agents load their layers first, so the first tries may be refused.
+echo "== streaming an answer of the model $model through three targets"
+for ((i = 0; i < 100; i++)); do
+  ask "$dir/answer"
+  if grep -q '^data: \[DONE\]' "$dir/answer"; then break; fi
+  sleep 0.1
+done
+cat "$dir/answer"
+answer=$(sed -n 's/^data: .*"text":"\([^"]*\)".*/\1/p' "$dir/answer" | tr -d '\n')
+want=$(bin/standin reference --version $version --layers $layers --prompt "$prompt" --max-tokens $max_tokens --seed $seed)
+echo "answer:    $answer"
+echo "reference: $want"
+[ -n "$answer" ] && [ "$answer" = "$want" ] || fail "the answer differs from the reference"
+
+echo "== making a non-idempotent call, twice under one key; it takes effect once"
+book() {
+  curl -sS --max-time 10 -X POST "http://$(at "$1")/services/ledger-app/bookings" -H "Authorization: Bearer $caller_key" \
+    -H "Idempotency-Key: booking-1" -d '{"Kiln": 3, "Day": "2026-03-01"}'
+}
+first=$(book 10) second=$(book 20)
+echo "first:  $first"
+echo "second: $second"
+[ -n "$first" ] && [ "$first" = "$second" ] || fail "the two answers differ"
+effects=$(curl -sS --max-time 10 "http://$(at 4)/effects")
+echo "effects at the service: $effects"
+[[ $effects =~ ^\{\"[^\"]*\":1\}$ ]] || fail "the call did not take effect exactly once"
+
+cat <<END
+== status
+$(bin/shallotcourse status)
+
+== to try more, run "scripts/run.sh --keep" and in another terminal:
+curl -N http://$(at 10)/v1/completions -H 'Authorization: Bearer $caller_key' -d '{"model": "$model", "prompt": "Hello", "stream": true}'
+curl http://$(at 20)/services/ledger-app/stock -H 'Authorization: Bearer $caller_key'
+export SHALLOTCOURSE_ENTRIES=$SHALLOTCOURSE_ENTRIES SHALLOTCOURSE_OPERATOR_KEY=$operator_key
+bin/shallotcourse status; bin/shallotcourse get target; bin/shallotcourse drain shallot-pool-2; bin/shallotcourse watch
+curl http://$(at 11)/metrics
+END
+
+if [ "$keep" = --keep ]; then
+  echo "== running until interrupted"
+  while sleep 1; do :; done
+fi
