--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -41,12 +41,13 @@
 }
 
 func agentCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "agent FILE",
+	var file string
+	c := &cobra.Command{
+		Use:   "agent --config FILE",
 		Short: "Run an agent with the settings in a TOML file",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			text, err := readSettings(args[0])
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			text, err := readSettings(file)
 			if err != nil {
 				return err
 			}
@@ -57,6 +58,9 @@
 			return runAgent(c.Context(), settings, c.ErrOrStderr())
 		},
 	}
+	c.Flags().StringVar(&file, "config", "", "file of settings")
+	_ = c.MarkFlagRequired("config")
+	return c
 }
 
 // runAgent runs an agent until a signal arrives or the platform's list says
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -134,8 +134,8 @@
 for i in 1 2 3; do start "engine-$i" bin/standin engine --listen "$(at "$i")"; done
 start service bin/standin service --listen "$(at 4)"
 await platform "http://$(at 0)/healthz"
-for i in 1 2; do start "entry-$i" bin/shallotcourse entry "$dir/entry-$i.toml"; done
-for i in 1 2 3 4; do start "agent-$i" bin/shallotcourse agent "$dir/agent-$i.toml"; done
+for i in 1 2; do start "entry-$i" bin/shallotcourse entry --config "$dir/entry-$i.toml"; done
+for i in 1 2 3 4; do start "agent-$i" bin/shallotcourse agent --config "$dir/agent-$i.toml"; done
 for i in 1 2; do await "entry-$i" "http://$(at $((10 * i + 1)))/readyz"; done
 for i in 1 2 3 4; do await "agent-$i" "http://$(at $((30 + 10 * i + 1)))/readyz"; done
 
