--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -139,10 +139,10 @@
 		d.metrics.NewGauge(name, func() float64 { return float64(f(g.Stats())) })
 	}
 	gauge("shallotcourse_links", func(s link.Stats) uint64 { return uint64(s.Links) })
-	gauge(`shallotcourse_link_messages_total{direction="in"}`, func(s link.Stats) uint64 { return s.MessagesIn })
-	gauge(`shallotcourse_link_messages_total{direction="out"}`, func(s link.Stats) uint64 { return s.MessagesOut })
-	gauge(`shallotcourse_link_bytes_total{direction="in"}`, func(s link.Stats) uint64 { return s.BytesIn })
-	gauge(`shallotcourse_link_bytes_total{direction="out"}`, func(s link.Stats) uint64 { return s.BytesOut })
+	gauge(`shallotcourse_link_messages_total{Direction="In"}`, func(s link.Stats) uint64 { return s.MessagesIn })
+	gauge(`shallotcourse_link_messages_total{Direction="Out"}`, func(s link.Stats) uint64 { return s.MessagesOut })
+	gauge(`shallotcourse_link_bytes_total{Direction="In"}`, func(s link.Stats) uint64 { return s.BytesIn })
+	gauge(`shallotcourse_link_bytes_total{Direction="Out"}`, func(s link.Stats) uint64 { return s.BytesOut })
 	return g
 }
 
--- a/internal/conf/entry.go
+++ b/internal/conf/entry.go
@@ -105,7 +105,7 @@
 	c.url("Platform", e.Platform)
 	c.addresses("Peers", e.Peers, 0)
 	c.hashes("OperatorKeyHashes", e.OperatorKeyHashes)
-	c.duration("BalancerLag", e.BalancerLag, 0, 10*time.Minute)
+	c.duration("BalancerLag", e.BalancerLag, time.Millisecond, 10*time.Minute)
 	c.duration("StopTimeout", e.StopTimeout, 0, time.Hour)
 	c.limits(e.Limits)
 	c.links(e.Links)
