--- a/internal/fakes/fplat/platform.go
+++ b/internal/fakes/fplat/platform.go
@@ -41,6 +41,8 @@
 		mu sync.Mutex
 		// rows holds the live rows of the table.
 		rows map[string]plat.Row
+		// keys holds the keys of rows in order.
+		keys []string
 		// lastVersion is shared by all keys, so that a row that is deleted
 		// and made again never has an earlier version again.
 		lastVersion uint64
--- a/internal/fakes/fplat/state.go
+++ b/internal/fakes/fplat/state.go
@@ -35,13 +35,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rows := []plat.Row{}
-	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
-			rows = append(rows, row)
+	first, found := slices.BinarySearch(p.keys, max(prefix, after))
+	if found && p.keys[first] == after {
+		first++
+	}
+	for _, key := range p.keys[first:] {
+		if !strings.HasPrefix(key, prefix) || len(rows) == limit {
+			break
 		}
+		rows = append(rows, p.rows[key])
 	}
-	slices.SortFunc(rows, func(a, b plat.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows[:min(limit, len(rows))], nil
+	return rows, nil
 }
 
 func (p *Platform) commit(r *http.Request) (any, error) {
@@ -67,15 +71,26 @@
 	}
 	p.lastVersion++
 	for _, w := range t.Writes {
-		if w.Delete {
-			delete(p.rows, w.Key)
-			continue
-		}
-		p.rows[w.Key] = plat.Row{Key: w.Key, Version: p.lastVersion, Value: w.Value}
+		p.write(w)
 	}
 	return struct{ Version uint64 }{p.lastVersion}, nil
 }
 
+func (p *Platform) write(w plat.Write) {
+	at, found := slices.BinarySearch(p.keys, w.Key)
+	switch {
+	case w.Delete:
+		delete(p.rows, w.Key)
+		if found {
+			p.keys = slices.Delete(p.keys, at, at+1)
+		}
+		return
+	case !found:
+		p.keys = slices.Insert(p.keys, at, w.Key)
+	}
+	p.rows[w.Key] = plat.Row{Key: w.Key, Version: p.lastVersion, Value: w.Value}
+}
+
 func (p *Platform) getObject(r *http.Request) (any, error) {
 	name := r.URL.Query().Get("Name")
 	p.mu.Lock()
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -37,6 +37,8 @@
 	// heartbeatInterval is the time between lines of an idle watch, by which
 	// the client tells an idle stream from a silent connection.
 	heartbeatInterval = 5 * time.Second
+	// writeTimeout bounds the writes of one round of a watch.
+	writeTimeout = 10 * time.Second
 	// readTimeout bounds the table reads of one request.
 	readTimeout = 5 * time.Second
 	// maxAuditRows bounds one page of the audit.
--- a/internal/opapi/watch.go
+++ b/internal/opapi/watch.go
@@ -52,6 +52,9 @@
 		if first {
 			w.Header().Set("Content-Type", "application/jsonl")
 		}
+		// A client that does not read must not hold the stream for good. Not
+		// every response writer has deadlines.
+		_ = control.SetWriteDeadline(h.Clock.Now().Add(writeTimeout))
 		events := eventsOf(changes, since)
 		since = events[len(events)-1].Revision
 		for _, e := range events {
--- a/internal/store/snap.go
+++ b/internal/store/snap.go
@@ -15,44 +15,38 @@
 	Snapshot struct {
 		// Revision is the revision of the last change contained; 0 when empty.
 		Revision uint64
-		// kinds is never changed after the snapshot is published; snapshots
-		// share the kinds that a change did not touch.
-		kinds map[resrc.Kind]kindIndex
-	}
-
-	// kindIndex holds the resources of one kind, each both by name and in
-	// order of their names.
-	kindIndex struct {
-		byName map[string]resrc.Resource
-		sorted []resrc.Resource
+		// kinds holds the resources of each kind in order of their names. It
+		// is never changed after the snapshot is published; snapshots share
+		// the kinds that a change did not touch.
+		kinds map[resrc.Kind][]resrc.Resource
 	}
 )
 
 // NewSnapshot returns a snapshot of the given resources at a revision.
 func NewSnapshot(revision uint64, resources []resrc.Resource) Snapshot {
-	byKind := map[resrc.Kind]map[string]resrc.Resource{}
+	s := Snapshot{Revision: revision, kinds: map[resrc.Kind][]resrc.Resource{}}
 	for _, r := range resources {
-		if byKind[r.Kind] == nil {
-			byKind[r.Kind] = map[string]resrc.Resource{}
-		}
-		byKind[r.Kind][r.Name] = r
+		s.kinds[r.Kind] = append(s.kinds[r.Kind], r)
 	}
-	s := Snapshot{Revision: revision, kinds: map[resrc.Kind]kindIndex{}}
-	for kind, byName := range byKind {
-		s.kinds[kind] = indexOf(byName)
+	for _, list := range s.kinds {
+		slices.SortFunc(list, func(a, b resrc.Resource) int { return strings.Compare(a.Name, b.Name) })
 	}
 	return s
 }
 
 // Get returns a resource by kind and name.
 func (s Snapshot) Get(kind resrc.Kind, name string) (resrc.Resource, bool) {
-	r, ok := s.kinds[kind].byName[name]
-	return r, ok
+	list := s.kinds[kind]
+	at, ok := find(list, name)
+	if !ok {
+		return resrc.Resource{}, false
+	}
+	return list[at], true
 }
 
 // List returns the resources of a kind in order of their names. The slice is
 // shared by all callers, which must not change it.
-func (s Snapshot) List(kind resrc.Kind) []resrc.Resource { return s.kinds[kind].sorted }
+func (s Snapshot) List(kind resrc.Kind) []resrc.Resource { return slices.Clip(s.kinds[kind]) }
 
 // Spec returns the spec of a resource with its own type.
 func Spec[T resrc.Spec](s Snapshot, name string) (T, bool) {
@@ -71,31 +65,34 @@
 	if c.Revision != s.Revision+1 {
 		return s, false
 	}
-	byName := maps.Clone(s.kinds[c.Kind].byName)
+	list := slices.Clone(s.kinds[c.Kind])
+	at, found := find(list, c.Name)
 	switch c.Operation {
 	case resrc.OperationDelete:
-		delete(byName, c.Name)
+		if found {
+			list = slices.Delete(list, at, at+1)
+		}
 	case resrc.OperationPut:
 		spec, err := resrc.DecodeSpec(c.Kind, c.Body)
 		if err != nil {
 			return s, false
 		}
-		if byName == nil {
-			byName = map[string]resrc.Resource{}
+		r := resrc.Resource{Kind: c.Kind, Name: c.Name, Revision: c.Revision, Spec: spec}
+		if !found {
+			list = slices.Insert(list, at, r)
 		}
-		byName[c.Name] = resrc.Resource{Kind: c.Kind, Name: c.Name, Revision: c.Revision, Spec: spec}
+		list[at] = r
 	default:
 		return s, false
 	}
 	kinds := maps.Clone(s.kinds)
 	if kinds == nil {
-		kinds = map[resrc.Kind]kindIndex{}
+		kinds = map[resrc.Kind][]resrc.Resource{}
 	}
-	kinds[c.Kind] = indexOf(byName)
+	kinds[c.Kind] = list
 	return Snapshot{Revision: c.Revision, kinds: kinds}, true
 }
 
-func indexOf(byName map[string]resrc.Resource) kindIndex {
-	sorted := slices.SortedFunc(maps.Values(byName), func(a, b resrc.Resource) int { return strings.Compare(a.Name, b.Name) })
-	return kindIndex{byName: byName, sorted: slices.Clip(sorted)}
+func find(list []resrc.Resource, name string) (int, bool) {
+	return slices.BinarySearchFunc(list, name, func(r resrc.Resource, name string) int { return strings.Compare(r.Name, name) })
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,8 @@
 	// pollJitter is the share by which each interval varies either way, so
 	// that processes started together don't poll together.
 	pollJitter = 0.2
-	// maxLogChanges bounds the delta log. At 560 changes a day it reaches
-	// back for more than a day.
+	// maxLogChanges is the number of changes that the delta log keeps at
+	// least. At 560 changes a day it reaches back for more than a day.
 	maxLogChanges = 1024
 )
 
@@ -113,8 +114,9 @@
 		snapshot = next
 		s.recent = append(s.recent, c)
 	}
-	if over := len(s.recent) - maxLogChanges; over > 0 {
-		s.recent = append([]resrc.Change(nil), s.recent[over:]...)
+	// The log is cut at twice its size, so that few changes pay for the copy.
+	if len(s.recent) > 2*maxLogChanges {
+		s.recent = slices.Clone(s.recent[len(s.recent)-maxLogChanges:])
 	}
 	if snapshot.Revision > before {
 		s.section.Set(snapshot)
@@ -151,7 +153,7 @@
 		return nil, false
 	}
 	from := len(s.recent) - int(missing)
-	return append([]resrc.Change(nil), s.recent[from:]...), true
+	return slices.Clone(s.recent[from:]), true
 }
 
 // Run polls the head of the table until the context ends.
--- a/pkg/resrc/check.go
+++ b/pkg/resrc/check.go
@@ -1,6 +1,7 @@
 package resrc
 
 import (
+	"fmt"
 	"net"
 	"regexp"
 	"strings"
@@ -120,9 +121,9 @@
 
 // Check implements Spec.
 func (a ClientAccount) Check() error {
-	for _, h := range a.KeyHashes {
+	for i, h := range a.KeyHashes {
 		if !hashForm.MatchString(h) {
-			return fault.Invalid("Spec.KeyHashes", h, "64 lower case hexadecimal digits")
+			return fault.Invalid(fmt.Sprintf("Spec.KeyHashes[%d]", i), h, "64 lower case hexadecimal digits")
 		}
 	}
 	switch {
@@ -140,12 +141,13 @@
 
 // Check implements Spec.
 func (s Service) Check() error {
-	for _, r := range s.Rules {
+	for i, r := range s.Rules {
+		field := fmt.Sprintf("Spec.Rules[%d]", i)
 		if r.Method == "" || r.Method != strings.ToUpper(r.Method) {
-			return fault.Invalid("Spec.Rules.Method", r.Method, "an HTTP method in upper case, or *")
+			return fault.Invalid(field+".Method", r.Method, "an HTTP method in upper case, or *")
 		}
 		if !strings.HasPrefix(r.PathPrefix, "/") {
-			return fault.Invalid("Spec.Rules.PathPrefix", r.PathPrefix, "a path that starts with /")
+			return fault.Invalid(field+".PathPrefix", r.PathPrefix, "a path that starts with /")
 		}
 	}
 	if s.Timeout < 0 {
--- a/pkg/resrc/codec.go
+++ b/pkg/resrc/codec.go
@@ -3,6 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"reflect"
+	"strconv"
+	"strings"
 	"time"
 
 	"shallotcourse/internal/fault"
@@ -15,6 +19,8 @@
 	Spec     json.RawMessage `json:",omitempty"`
 }
 
+var durationType = reflect.TypeFor[Duration]()
+
 // MarshalJSON implements json.Marshaler.
 func (r Resource) MarshalJSON() ([]byte, error) {
 	body, err := json.Marshal(r.Spec)
@@ -27,7 +33,7 @@
 // UnmarshalJSON implements json.Unmarshaler. Unknown fields are refused.
 func (r *Resource) UnmarshalJSON(b []byte) error {
 	var f form
-	if err := strict(b, &f); err != nil {
+	if err := strict(b, &f, ""); err != nil {
 		return err
 	}
 	spec, err := DecodeSpec(f.Kind, f.Spec)
@@ -74,15 +80,16 @@
 	return json.Marshal(time.Duration(d).String())
 }
 
-// UnmarshalJSON implements json.Unmarshaler.
+// UnmarshalJSON implements json.Unmarshaler. The failure is of a type to which
+// the decoder adds the field path.
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
-		return fault.Invalid("Duration", string(b), `a string such as "1.5s"`)
+		return &json.UnmarshalTypeError{Value: string(b), Type: durationType}
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return fault.Invalid("Duration", s, `a string such as "1.5s"`)
+		return &json.UnmarshalTypeError{Value: strconv.Quote(s), Type: durationType}
 	}
 	*d = Duration(v)
 	return nil
@@ -93,17 +100,43 @@
 	if len(body) == 0 {
 		return nil, fault.Invalid("Spec", "", "an object")
 	}
-	if err := strict(body, &v); err != nil {
+	if err := strict(body, &v, "Spec."); err != nil {
 		return nil, err
 	}
 	return v, nil
 }
 
-func strict(b []byte, v any) error {
+// strict decodes JSON without unknown fields. Its failures name the field
+// under the given path prefix where the decoder tells it.
+func strict(b []byte, v any, prefix string) error {
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		return fault.Newf(fault.BadInput, "JSON does not decode: %v", err).WithCause(err)
+	err := d.Decode(v)
+	if err == nil {
+		return nil
 	}
-	return nil
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) {
+		e := fault.Newf(fault.BadInput, "%s is %s; allowed: %s", prefix+typed.Field, typed.Value, allowed(typed.Type))
+		e.Field = prefix + typed.Field
+		return e
+	}
+	e := fault.Newf(fault.BadInput, "JSON does not decode: %v", err).WithCause(err)
+	// The decoder has no type for this failure.
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		e.Field = prefix + strings.Trim(name, `"`)
+	}
+	return e
+}
+
+func allowed(t reflect.Type) string {
+	switch {
+	case t == durationType:
+		return `a string such as "1.5s"`
+	case t.Kind() == reflect.Struct || t.Kind() == reflect.Map:
+		return "an object"
+	case t.Kind() == reflect.Slice:
+		return "an array"
+	}
+	return "a JSON value for " + t.Kind().String()
 }
