--- a/internal/agent/neighbour.go
+++ b/internal/agent/neighbour.go
@@ -82,11 +82,13 @@
 
 // entryUp rebinds the session to the new link of its entry.
 func (s *session) entryUp(incarnation string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.entry == incarnation {
+	s.apply(nil, func(x *steps.Session) []steps.Decision {
+		if s.entry != incarnation {
+			return nil
+		}
 		s.stopOrphan()
-	}
+		return x.EntryUp()
+	})
 }
 
 // entryDown frees the session unless its entry comes back in time.
--- /dev/null
+++ b/internal/order/script_test.go
@@ -0,0 +1,103 @@
+package order
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"shallotcourse/internal/script"
+	"shallotcourse/pkg/resrc"
+)
+
+// Guards against a change of the decisions in the cases of testdata/lease.
+func TestLeaseScripts(t *testing.T) {
+	script.Run(t, "testdata/lease.txtar", func(t *testing.T) func(script.Line) []string {
+		x := NewLease("me", Rules{Lease: 10 * time.Second, LongestOrder: time.Minute, Gap: time.Second})
+		now := time.Unix(0, 0)
+		var commit Commit
+		return func(l script.Line) []string {
+			for range l.Int("ticks") {
+				// The process runs; without ticks it is paused.
+				now = now.Add(500 * time.Millisecond)
+				x.Tick(now)
+			}
+			now = now.Add(l.Duration("after"))
+			switch l.Name {
+			case "next":
+				switch s := x.Next(now).(type) {
+				case Commit:
+					commit = s
+					return []string{describe(s)}
+				case Wait:
+					return []string{fmt.Sprintf("Wait %s", s.For)}
+				default:
+					return []string{strings.TrimPrefix(fmt.Sprintf("%T", s), "order.")}
+				}
+			case "observed":
+				x.Observed(uint64(l.Int("version")), Owner{
+					Holder: l.Text("holder"), Epoch: uint64(l.Int("epoch")), Lease: 10 * time.Second, Released: l.Bool("released"),
+				}, now)
+				return nil
+			case "written":
+				x.Written(commit, now.Add(-l.Duration("took")), l.Bool("ok"), l.Bool("known"))
+				return nil
+			case "checks-fencing":
+				x.SetChecksFencing(true)
+				return nil
+			case "may":
+				epoch, ok := x.May(now)
+				return []string{fmt.Sprintf("%t epoch=%d", ok, epoch)}
+			case "tick":
+				x.Tick(now)
+				return nil
+			case "release":
+				c, ok := x.Release()
+				if !ok {
+					return []string{"nothing to release"}
+				}
+				commit = c
+				return []string{describe(c)}
+			}
+			t.Fatalf("unknown input %s", l.Name)
+			return nil
+		}
+	})
+}
+
+func describe(c Commit) string {
+	return fmt.Sprintf("Commit version=%d holder=%s epoch=%d released=%t", c.Version, c.Owner.Holder, c.Owner.Epoch, c.Owner.Released)
+}
+
+// Guards against orders that break open sessions, and against a target that
+// is reported as ready before it is.
+func TestPlanScripts(t *testing.T) {
+	script.Run(t, "testdata/plan.txtar", func(t *testing.T) func(script.Line) []string {
+		return func(l script.Line) []string {
+			d := Desired{Version: l.Text("want"), Layers: layers(l.Ints("want-layers")), Role: l.Text("want-role")}
+			for _, name := range list(l.Text("want-adapters")) {
+				d.Adapters = append(d.Adapters, Adapter{Name: name})
+			}
+			p := Make(d, Observed{
+				Version: l.Text("have"), Layers: layers(l.Ints("have-layers")), Role: l.Text("have-role"),
+				Adapters: list(l.Text("have-adapters")), Loading: l.Bool("loading"),
+			}, l.Int("open"))
+			out := []string{fmt.Sprintf("ready=%t", p.Ready)}
+			for _, o := range p.Orders {
+				out = append(out, strings.TrimSpace(fmt.Sprintf("%s %s%s", o.Kind, o.Adapter, o.Role)))
+			}
+			return out
+		}
+	})
+}
+
+func layers(n []int) resrc.LayerRange {
+	if len(n) != 2 {
+		return resrc.LayerRange{}
+	}
+	return resrc.LayerRange{From: n[0], To: n[1]}
+}
+
+func list(s string) []string {
+	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' })
+}
--- a/internal/steps/flow.go
+++ b/internal/steps/flow.go
@@ -27,7 +27,8 @@
 }
 
 // Token takes the next input of the first stage from the last one. A repeated
-// token is not answered: the answer would go around the loop for ever.
+// token is not answered: the answer would travel around the loop a second time
+// for every later token of the request.
 func (s *Session) Token(m wire.Token) []Decision {
 	if m.Attempt != s.open.Attempt {
 		return s.stale(m.Attempt)
@@ -156,6 +157,8 @@
 			out = s.sendOutputs(max(from, s.sendFrom), s.ran)
 		}
 	}
+	// A chunk may be larger than the log, so it is sent before it is trimmed.
+	s.log.trim()
 	return append(out, s.advance()...)
 }
 
--- a/internal/steps/log.go
+++ b/internal/steps/log.go
@@ -6,7 +6,8 @@
 	outputs struct {
 		from    int
 		entries []output
-		// bytes is the size of all entries; at most limit after each append.
+		// bytes is the size of all entries; at most limit after trim,
+		// unless a single entry is larger.
 		bytes int
 		limit int
 	}
@@ -51,6 +52,10 @@
 		o.entries = append(o.entries, e)
 		o.bytes += size(e)
 	}
+}
+
+// trim drops the oldest entries over the limit, but never the newest one.
+func (o *outputs) trim() {
 	drop := 0
 	for o.bytes > o.limit && drop < len(o.entries)-1 {
 		o.bytes -= size(o.entries[drop])
--- a/internal/steps/session.go
+++ b/internal/steps/session.go
@@ -30,6 +30,9 @@
 	// cutting is set while the engine truncates.
 	cutting bool
 
+	// failure is the last one reported in this attempt; nil if none.
+	failure Decision
+
 	log outputs
 	// sendFrom is the first position whose output the next stage lacks.
 	sendFrom int
@@ -79,15 +82,12 @@
 	case o.Attempt < s.open.Attempt:
 		return []Decision{SendRefused{wire.Refused{Request: o.Request, Attempt: o.Attempt, Index: o.Index, Reason: wire.RefusedStale}}}
 	case o.Attempt == s.open.Attempt && s.generation > 0:
-		if s.phase == phaseOpening || s.phase == phaseFailed {
-			return nil
-		}
-		return []Decision{s.opened()}
+		return s.EntryUp()
 	}
 	keep := s.generation > 0 && s.phase != phaseFailed && !o.Fresh && s.sameModel(o)
 	opening := s.phase == phaseOpening
 	s.open = o
-	s.held = nil
+	s.held, s.failure = nil, nil
 	s.floor, s.acked = 0, 0
 	if keep && opening {
 		return nil
@@ -137,16 +137,31 @@
 	}
 	if s.phase == phaseOpening {
 		s.phase = phaseFailed
-		return []Decision{SendRefused{wire.Refused{
+		s.failure = SendRefused{wire.Refused{
 			Request: s.open.Request, Attempt: s.open.Attempt, Index: s.open.Index, Reason: wire.RefusedEngine,
-		}}}
+		}}
+		return []Decision{s.failure}
 	}
 	s.phase = phaseFailed
 	return []Decision{s.failed(s.open.Index, detail)}
 }
 
+// EntryUp repeats the answer to Open, or the failure, that may have been lost
+// with the old link of the entry. The entry asks for lost tokens itself.
+func (s *Session) EntryUp() []Decision {
+	switch {
+	case s.failure != nil:
+		return []Decision{s.failure}
+	case s.phase == phaseOpened:
+		return []Decision{s.opened()}
+	}
+	return nil
+}
+
+// failed keeps the failure, so that it can be repeated.
 func (s *Session) failed(index int, detail string) Decision {
-	return SendFailed{wire.StageFailed{Request: s.open.Request, Attempt: s.open.Attempt, Index: index, Detail: detail}}
+	s.failure = SendFailed{wire.StageFailed{Request: s.open.Request, Attempt: s.open.Attempt, Index: index, Detail: detail}}
+	return s.failure
 }
 
 // Start lets the stage run in the current attempt, and resends the outputs
