--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -155,7 +155,11 @@
 
 // lost returns the failure of a request without an answer.
 func lost(ctx context.Context, err error) error {
+	var own *fault.Error
 	switch {
+	case errors.As(err, &own):
+		// The guard stopped the request before it was written.
+		return own
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return fault.New(fault.Unavailable, "connection refused").WithCause(err)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
--- /dev/null
+++ b/internal/fakes/fengn/fengn_test.go
@@ -0,0 +1,233 @@
+package fengn
+
+import (
+	"encoding/binary"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"shallotcourse/internal/engine"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/token"
+	"shallotcourse/pkg/resrc"
+)
+
+func serve(t *testing.T, cfg Config) (*Engine, *engine.Client) {
+	if cfg.Held.Version == "" {
+		cfg.Held = engine.State{Version: "v", Layers: resrc.LayerRange{From: 0, To: 4}}
+	}
+	e := New(cfg)
+	s := httptest.NewServer(e.Handler())
+	t.Cleanup(s.Close)
+	return e, engine.NewClient(s.URL)
+}
+
+func request(id string, prompt []uint32) engine.SessionRequest {
+	return engine.SessionRequest{
+		Session: id, Version: "v", Layers: resrc.LayerRange{From: 0, To: 4}, Prompt: prompt, Seed: 3, Sample: true,
+	}
+}
+
+func tokens(position int, values ...uint32) engine.StepRequest {
+	r := engine.StepRequest{Position: position, Count: len(values)}
+	for _, v := range values {
+		r.Data = binary.LittleEndian.AppendUint32(r.Data, v)
+	}
+	return r
+}
+
+func sequence(n int) []uint32 {
+	out := make([]uint32, n)
+	for i := range out {
+		out[i] = uint32(i + 1)
+	}
+	return out
+}
+
+// Guards the test oracle: the engine agrees with the reference, ends some
+// answers early, and a layer that is left out or repeated shows.
+func TestEngineMatchesReference(t *testing.T) {
+	is := is.New(t)
+	_, c := serve(t, Config{})
+	prompt := sequence(5)
+	_, err := c.Open(t.Context(), request("s", prompt))
+	is.NoErr(err)
+	r, err := c.Step(t.Context(), "s", tokens(0, prompt...))
+	is.NoErr(err)
+	var answer []uint32
+	for len(answer) < 40 {
+		is.Equal(len(r.Tokens), 1)
+		answer = append(answer, r.Tokens[0].Value)
+		if r.Tokens[0].End {
+			break
+		}
+		r, err = c.Step(t.Context(), "s", tokens(r.Tokens[0].Position, r.Tokens[0].Value))
+		is.NoErr(err)
+	}
+	is.Equal(answer, Reference("v", "", 4, prompt, 40, 3))
+	is.True(!slices.Equal(answer, Reference("v", "", 3, prompt, 40, 3)))
+	is.True(!slices.Equal(answer, Reference("v", "a", 4, prompt, 40, 3)))
+	ended := 0
+	for seed := range uint64(100) {
+		a := Reference("v", "", 4, prompt, 40, seed)
+		if a[len(a)-1] == token.End {
+			ended++
+		}
+		is.Equal(len(ReferenceEndless("v", "", 4, prompt, 40, seed)), 40)
+	}
+	is.True(ended > 10 && ended < 90)
+}
+
+// Guards P1 at the engine: a repeated step returns what was kept, a step
+// beyond the next position is refused, and each position runs once.
+func TestResumeRunsNothingAgain(t *testing.T) {
+	is := is.New(t)
+	e, c := serve(t, Config{})
+	_, err := c.Open(t.Context(), request("s", sequence(4)))
+	is.NoErr(err)
+	first, err := c.Step(t.Context(), "s", tokens(0, sequence(4)...))
+	is.NoErr(err)
+	again, err := c.Step(t.Context(), "s", tokens(0, sequence(4)...))
+	is.NoErr(err)
+	is.Equal(again, first)
+	_, err = c.Step(t.Context(), "s", tokens(5, 1))
+	is.True(fault.Is(err, fault.Conflict))
+	is.Equal(e.Stats().Runs["s"], []int{1, 1, 1, 1})
+	_, err = c.Truncate(t.Context(), "s", 2)
+	is.NoErr(err)
+	cut, err := c.Step(t.Context(), "s", tokens(2, 3, 4))
+	is.NoErr(err)
+	is.Equal(cut.Data, first.Data[2*outputBytes:])
+	is.NoErr(c.Cancel(t.Context(), "s"))
+	_, err = c.Step(t.Context(), "s", tokens(4, 1))
+	is.True(fault.Is(err, fault.NotFound))
+}
+
+// Guards continuous batching: steps that arrive during an iteration share the
+// next one, and the ones of higher priority go first when it is full.
+func TestStepsAreBatched(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual(time.Unix(0, 0))
+	cost := Cost{Base: 10 * time.Millisecond, PerToken: time.Millisecond}
+	e := New(Config{Timer: clock, Cost: cost, BatchTokens: 4, Held: engine.State{Version: "v", Layers: resrc.LayerRange{From: 0, To: 4}}})
+	ids := []string{"a", "b", "c", "d", "e", "f"}
+	steps := map[string]*step{}
+	for i, id := range ids {
+		r := request(id, nil)
+		r.Priority = i
+		_, err := e.open(r)
+		is.NoErr(err)
+		steps[id], err = e.submit(id, 0, []uint64{1})
+		is.NoErr(err)
+	}
+	finished := func() (out []string) {
+		for _, id := range ids {
+			if len(steps[id].reply) > 0 {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+	clock.Advance(10 * time.Millisecond)
+	is.Equal(finished(), nil)
+	clock.Advance(time.Millisecond)
+	is.Equal(finished(), []string{"a"})
+	clock.Advance(14 * time.Millisecond)
+	is.Equal(finished(), []string{"a", "c", "d", "e", "f"})
+	clock.Advance(11 * time.Millisecond)
+	is.Equal(finished(), ids)
+	is.Equal(e.Stats().Positions, 6)
+}
+
+// Guards the prefix cache: a hit continues with the same output, within the
+// bound, and its events lag and have gaps.
+func TestPrefixCache(t *testing.T) {
+	is := is.New(t)
+	e, c := serve(t, Config{BlockTokens: 4, CacheBlocks: 3, EventGap: 3})
+	prompt := sequence(12)
+	_, err := c.Open(t.Context(), request("a", prompt))
+	is.NoErr(err)
+	full, err := c.Step(t.Context(), "a", tokens(0, prompt...))
+	is.NoErr(err)
+	state, err := c.Open(t.Context(), request("b", prompt))
+	is.NoErr(err)
+	is.Equal(state.Next, 8) // the last position is run, so that a token is sampled
+	rest, err := c.Step(t.Context(), "b", tokens(8, prompt[8:]...))
+	is.NoErr(err)
+	is.Equal(rest.Tokens, full.Tokens)
+	other := append([]uint32{9}, prompt...)
+	_, err = c.Open(t.Context(), request("c", other))
+	is.NoErr(err)
+	_, err = c.Step(t.Context(), "c", tokens(0, other...))
+	is.NoErr(err)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.Equal(e.cache.order.Len(), 3)
+	events := e.cache.since(0, time.Now())
+	is.Equal(len(events), 6) // six blocks added, three evicted, each third lost
+	is.Equal(e.cache.since(0, time.Now().Add(-time.Hour)), []engine.CacheEvent{})
+}
+
+// Guards the move of a session between engines.
+func TestExportAndImport(t *testing.T) {
+	is := is.New(t)
+	_, from := serve(t, Config{})
+	_, to := serve(t, Config{})
+	_, err := from.Open(t.Context(), request("s", sequence(3)))
+	is.NoErr(err)
+	_, err = from.Step(t.Context(), "s", tokens(0, 1, 2))
+	is.NoErr(err)
+	kv, err := from.Export(t.Context(), "s")
+	is.NoErr(err)
+	state, err := to.Import(t.Context(), kv)
+	is.NoErr(err)
+	is.Equal(state.Next, 2)
+	want, err := from.Step(t.Context(), "s", tokens(2, 3))
+	is.NoErr(err)
+	got, err := to.Step(t.Context(), "s", tokens(2, 3))
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
+// Guards P8 in the stand-in: an old fencing token is rejected by the engines
+// that check it, and has an effect on those that do not.
+func TestFencing(t *testing.T) {
+	for _, ignore := range []bool{false, true} {
+		is := is.New(t)
+		e, c := serve(t, Config{IgnoreFence: ignore, LoadTime: 10 * time.Millisecond})
+		pass := func() error { return nil }
+		is.NoErr(c.Do(t.Context(), engine.Order{Kind: engine.OrderRole, Role: "Decode", Fence: 5}, pass))
+		err := c.Do(t.Context(), engine.Order{Kind: engine.OrderLoad, Version: "old", Fence: 4}, pass)
+		is.Equal(err == nil, ignore)
+		is.Equal(e.State().Version == "old", ignore)
+		is.Equal(e.Stats().Rejected == 0, ignore)
+	}
+}
+
+// Guards the fault switches that other tests rely on.
+func TestFaults(t *testing.T) {
+	is := is.New(t)
+	e, c := serve(t, Config{})
+	_, err := c.Open(t.Context(), request("s", nil))
+	is.NoErr(err)
+	e.SetFaults(Faults{RefuseSteps: true})
+	_, err = c.Step(t.Context(), "s", tokens(0, 1))
+	is.True(fault.Is(err, fault.Unavailable))
+	e.SetFaults(Faults{Hang: true})
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Step(t.Context(), "s", tokens(0, 1))
+		done <- err
+	}()
+	select {
+	case <-done:
+		t.Fatal("a hanging engine answered")
+	case <-time.After(50 * time.Millisecond):
+	}
+	e.SetFaults(Faults{})
+	is.NoErr(<-done)
+}
