--- a/internal/cmds/replica.go
+++ b/internal/cmds/replica.go
@@ -44,7 +44,12 @@
 		}
 		return 0
 	})
-	d.metrics.NewGauge("shallotcourse_list_age_seconds", func() float64 { return r.fleet.View().Value().ListAge.Seconds() })
+	d.metrics.NewGauge("shallotcourse_list_age_seconds", func() float64 {
+		if age := r.fleet.View().Value().ListAge; age >= 0 {
+			return age.Seconds()
+		}
+		return -1
+	})
 	return r
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -154,6 +154,8 @@
 	defer r.Close()
 	a.Want(r.Address())
 	old := peerOf(t, a, r.Address(), nil)
+	// The dialling side is up first; the other side must have its Hello too.
+	until(t, "the link at the other side", func() bool { ups, _, _ := b.seen.counts(); return ups == 1 })
 	r.Silence()
 	fresh := peerOf(t, a, r.Address(), old)
 	is.NoErr(fresh.Send(wire.Pull{Since: 7}))
