--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -29,16 +29,27 @@
 	staleLeaving = 30 * time.Second
 )
 
-// agentDaemon is a running agent process.
-type agentDaemon struct {
-	*daemon
-	*replica
-	settings conf.Agent
-	links    *link.Group
-	agent    *agent.Agent
-	// leaving is set when the agent starts to leave.
-	leaving atomic.Bool
-}
+type (
+	// agentDaemon is a running agent process.
+	agentDaemon struct {
+		*daemon
+		*replica
+		settings conf.Agent
+		links    *link.Group
+		agent    *agent.Agent
+		// leaving is set when the agent starts to leave.
+		leaving atomic.Bool
+	}
+
+	// listWatch tells this incarnation's row of the list from that of a
+	// predecessor with the same name.
+	listWatch struct {
+		instance string
+		begun    time.Time
+		// live is set by a list in which the row is not Leaving.
+		live bool
+	}
+)
 
 func agentCommand() *cobra.Command {
 	var file string
@@ -104,6 +115,7 @@
 	c.Incarnation, c.Timer, c.Logger, c.Dialer = d.incarnation, d.clock, d.logger, a.links
 	c.Config, c.Table, c.Weights = a.store.Section(), a.platform.Table, a.platform.Weights
 	a.agent = agent.New(c)
+	a.agent.Export(d.metrics)
 	handlers.set(a.replica, link.Latest(dialedAgents{a.agent}))
 	return a
 }
@@ -134,13 +146,10 @@
 
 // followList makes the agent leave when the platform's list says so.
 func (a *agentDaemon) followList(ctx context.Context) {
-	begun, seenLive := a.clock.Now(), false
+	w := listWatch{instance: a.settings.Instance, begun: a.clock.Now()}
 	for ctx.Err() == nil {
 		view, version := a.fleet.View().Get()
-		own, ok := view.Get(a.settings.Instance)
-		seenLive = seenLive || ok && own.State == fleet.Live
-		stale := !seenLive && a.clock.Now().Sub(begun) < staleLeaving
-		if ok && own.State == fleet.Leaving && !stale {
+		if w.leaves(view, a.clock.Now()) {
 			_ = level.Info(a.logger).Log("msg", "the instance list says that this instance leaves")
 			a.leaving.Store(true)
 			a.agent.Leave()
@@ -153,6 +162,17 @@
 	}
 }
 
+// leaves reports whether the list says that this instance leaves. The fleet
+// publishes a view after each poll, so a row that stays is looked at again.
+func (w *listWatch) leaves(view fleet.View, now time.Time) bool {
+	own, ok := view.Get(w.instance)
+	if !ok || own.State != fleet.Leaving {
+		w.live = w.live || view.ListAge >= 0
+		return false
+	}
+	return w.live || now.Sub(w.begun) >= staleLeaving
+}
+
 // dialedAgents shows an agent only those links to other agents that it dialled
 // itself, because it sends steps on no others.
 type dialedAgents struct{ *agent.Agent }
