--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -48,7 +48,7 @@
 		return result{outcome: wire.Outcome{
 			State: wire.OutcomeDone, Status: step.Claim.Status, Header: step.Claim.Header, Body: step.Claim.Body,
 		}}
-	case once.Dispatch:
+	case once.Proceed:
 		r := e.dispatch(ctx, q, target, p, mine.Nonce)
 		if r.failure == nil {
 			e.admit.succeeded()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -37,16 +37,17 @@
 	}
 	e.peers.mu.Lock()
 	before := e.peers.last[h.Target]
+	_, up := e.peers.agents[h.Target]
 	e.peers.agents[h.Target], e.peers.last[h.Target] = p, h.Incarnation
 	e.peers.mu.Unlock()
-	switch before {
-	case "":
-	case h.Incarnation:
-		e.open.broadcast(steps.Relinked{Target: h.Target})
-	default:
+	switch {
+	case before != "" && before != h.Incarnation:
 		e.open.broadcast(steps.LinkLost{Target: h.Target})
+		e.calls.linkChanged(h.Target)
+	case !up:
+		e.open.broadcast(steps.Relinked{Target: h.Target})
+		e.calls.linkChanged(h.Target)
 	}
-	e.calls.linkChanged(h.Target)
 }
 
 // LinkDown implements link.Handler. The link may come back to the same
@@ -62,12 +63,18 @@
 		return
 	}
 	e.peers.mu.Lock()
-	current := e.peers.agents[h.Target] == p
-	if current {
+	now, up := e.peers.agents[h.Target]
+	if now == p {
 		delete(e.peers.agents, h.Target)
 	}
 	e.peers.mu.Unlock()
-	if !current {
+	switch {
+	case up && now != p && now.Hello().Incarnation == h.Incarnation:
+		// Messages may have been lost with the older of two links.
+		e.open.broadcast(steps.Relinked{Target: h.Target})
+		e.calls.linkChanged(h.Target)
+		return
+	case now != p:
 		return
 	}
 	_ = e.cfg.Log.Log("msg", "link down", "target", h.Target, "reason", reason)
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -1,5 +1,3 @@
-// Package once decides how a non-idempotent call takes effect at most once:
-// claims of idempotency keys, nonces, fencing and takeover. It is pure.
 package once
 
 import (
--- a/internal/once/claim_settle.go
+++ b/internal/once/claim_settle.go
@@ -81,8 +81,8 @@
 	// Wait waits for a moment.
 	Wait struct{}
 
-	// Dispatch sends the call; this attempt owns the key.
-	Dispatch struct{ Claim Claim }
+	// Proceed lets the call be sent; this attempt owns the key.
+	Proceed struct{ Claim Claim }
 
 	// Return gives the stored result to the caller.
 	Return struct{ Claim Claim }
@@ -134,7 +134,7 @@
 		if c.State != ClaimOpen {
 			return s, final(c)
 		}
-		return s, Dispatch{s.mine}
+		return s, Proceed{s.mine}
 	}
 	s.seen, s.version, s.foreign = c, ev.Version, true
 	if c.Digest != s.mine.Digest {
@@ -174,7 +174,7 @@
 
 func (s Settle) settled() (Settle, ClaimStep) {
 	if s.wanted.Nonce == s.mine.Nonce {
-		return s, Dispatch{s.mine}
+		return s, Proceed{s.mine}
 	}
 	return s, final(s.wanted)
 }
@@ -220,6 +220,6 @@
 func (WriteRow) claimStep() {}
 func (AskAgent) claimStep() {}
 func (Wait) claimStep()     {}
-func (Dispatch) claimStep() {}
+func (Proceed) claimStep()  {}
 func (Return) claimStep()   {}
 func (Fail) claimStep()     {}
--- a/internal/steps/coord.go
+++ b/internal/steps/coord.go
@@ -1,6 +1,3 @@
-// Package steps holds the state machines of a request that runs through a
-// chain of stages: the cursor of a stage, and the recovery plan of the
-// coordinator. It is pure: events go in and actions come out.
 package steps
 
 import (
@@ -169,9 +166,10 @@
 		}
 		return c.lost(map[string]bool{c.chain[m.Index].Target: true})
 	case wire.Stale:
-		// The stage has freed its session, for example after this process
-		// was frozen for longer than the orphan timeout.
-		if m.Attempt != c.attempt || c.index(ev.Target) < 0 {
+		// The stage has freed its session, for example because this process
+		// was frozen for longer than the orphan timeout. All that is needed
+		// to fill a new one is here.
+		if m.Attempt != 0 || m.Rejected != c.attempt || c.index(ev.Target) < 0 {
 			return c, nil
 		}
 		return c.reopen(nil)
--- a/internal/steps/coord_test.go
+++ b/internal/steps/coord_test.go
@@ -97,7 +97,7 @@
 	case "failed":
 		return Received{Message: wire.StageFailed{Attempt: num(f[1]), Index: num(f[2])}}
 	case "stale":
-		return Received{Target: f[1], Message: wire.Stale{Attempt: num(f[2])}}
+		return Received{Target: f[1], Message: wire.Stale{Rejected: num(f[2])}}
 	case "lost":
 		return LinkLost{Target: f[1]}
 	case "relinked":
