--- a/internal/opapi/watch.go
+++ b/internal/opapi/watch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/timer"
@@ -39,6 +40,8 @@
 	ticks, stop := h.Clock.Every(heartbeatInterval)
 	defer stop()
 	encoder, control := json.NewEncoder(w), http.NewResponseController(w)
+	// The next request on this connection must not inherit the deadline.
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	for first := true; ; first = false {
 		// The version is read before the changes, so that none is missed.
 		_, seen := h.Store.Section().Get()
--- a/pkg/clnt/clnt.go
+++ b/pkg/clnt/clnt.go
@@ -25,9 +25,12 @@
 )
 
 const (
-	// attemptTimeout bounds one request to one entry. It is above the 10 s
-	// that an entry takes at most to settle a write.
-	attemptTimeout = 12 * time.Second
+	// writeTimeout bounds one write at one entry. It is above the 10 s that an
+	// entry takes at most to settle a write.
+	writeTimeout = 12 * time.Second
+	// readTimeout bounds one read at one entry. It is above the 5 s that an
+	// entry waits for the table.
+	readTimeout = 6 * time.Second
 	// dialTimeout bounds the connection to one entry.
 	dialTimeout = time.Second
 	// maxAnswerBytes bounds one answer.
@@ -213,7 +216,11 @@
 
 // attempt sends the request to one entry.
 func (c *Client) attempt(ctx context.Context, entry string, r request) ([]byte, error) {
-	ctx, cancel := timer.WithTimeout(ctx, c.clock, attemptTimeout)
+	timeout := readTimeout
+	if r.change != "" {
+		timeout = writeTimeout
+	}
+	ctx, cancel := timer.WithTimeout(ctx, c.clock, timeout)
 	defer cancel()
 	resp, err := c.send(ctx, entry, r)
 	if err != nil {
