--- a/internal/agent/memnet_test.go
+++ b/internal/agent/memnet_test.go
@@ -13,6 +13,7 @@
 	memNet struct {
 		mu       sync.Mutex
 		handlers map[string]*end
+		ends     []*end
 		// down holds addresses that cannot be dialled.
 		down map[string]bool
 	}
@@ -50,6 +51,7 @@
 	e := &end{net: n, hello: h, dialled: map[string]*memPeer{}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.ends = append(n.ends, e)
 	if h.Address != "" {
 		n.handlers[h.Address] = e
 	}
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -47,7 +47,10 @@
 	w := newWorld(t)
 	w.table.lose = 1
 	e := fengn.New(fengn.Config{LoadTime: 20 * time.Millisecond})
-	p := w.start(e, allLayers, withRules)
+	// The lease outlasts the pause after the lost answer.
+	p := w.start(e, allLayers, func(c *Config) {
+		c.Limits.Rules = order.Rules{Lease: 10 * time.Second, LongestOrder: time.Second, Gap: 10 * time.Second}
+	})
 	w.waitReady(p)
 	is.Equal(len(e.Stats().Orders), 1)
 	is.Equal(e.Stats().Orders[0].Fence, uint64(1))
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -160,10 +161,7 @@
 func (n *memNet) cut(e *end) {
 	n.mu.Lock()
 	n.down[e.hello.Address] = true
-	others := make([]*end, 0, len(n.handlers))
-	for _, o := range n.handlers {
-		others = append(others, o)
-	}
+	others := slices.Clone(n.ends)
 	n.mu.Unlock()
 	for _, o := range others {
 		o.closeLinks(func(p *memPeer) bool { return o == e || p.remote == e })
