--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -2,22 +2,280 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
-	"shallotcourse/internal/link"
-	"shallotcourse/internal/wire"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/limit"
+	"shallotcourse/internal/store"
+	"shallotcourse/pkg/resrc"
 )
 
-type admission struct{ entry *Entry }
+const (
+	// adaptInterval is the time between looks at the gates.
+	adaptInterval = 100 * time.Millisecond
+	// minConcurrency keeps a trickle going, by which the delay is measured.
+	minConcurrency = 16
+)
+
+type (
+	// admission applies account limits and the two gates. Its lock is taken a
+	// few times per request, never per token.
+	admission struct {
+		entry *Entry
+		mu    sync.Mutex
+		// models and services have gates of their own, since they do not
+		// share targets.
+		models, services *gate
+		accounts         map[string]*account
+		lenders          map[string]*limit.Lender
+		budget           limit.Budget
+	}
+
+	gate struct {
+		*limit.Gate
+		// waiters holds a channel for each ticket; it gets nil when the
+		// ticket may go.
+		waiters map[uint64]chan error
+	}
+
+	// account is the part of an account's limits that this entry applies.
+	account struct {
+		bucket limit.Bucket
+		rates  limit.Rates
+		open   int
+		spread limit.Spread
+		// arrived counts requests since the last quota period.
+		arrived int
+		// granted is the lent rate, valid up to lentUntil.
+		granted   float64
+		lentUntil time.Time
+		used      time.Time
+	}
+
+	// pass is the admission of one request.
+	pass struct {
+		admission *admission
+		gate      *gate
+		account   *account
+		since     time.Time
+	}
+)
 
-func newAdmission(e *Entry) *admission { return &admission{entry: e} }
+func newAdmission(e *Entry) *admission {
+	b, now := e.bounds, e.cfg.Timer.Now()
+	models := limit.Bounds{
+		Queue: b.Queue, Start: b.Concurrency, Min: min(minConcurrency, b.Concurrency), Max: 4 * b.Concurrency, Target: b.FirstToken,
+	}
+	services := limit.Bounds{Queue: b.Queue, Start: b.Concurrency, Min: b.Concurrency, Max: b.Concurrency}
+	return &admission{
+		entry: e, models: newGate(models), services: newGate(services), accounts: map[string]*account{},
+		lenders: map[string]*limit.Lender{}, budget: limit.NewBudget(now),
+	}
+}
+
+func newGate(b limit.Bounds) *gate {
+	return &gate{Gate: limit.NewGate(b), waiters: map[uint64]chan error{}}
+}
+
+// enter admits a request of an account to a gate, or refuses it as NotRun.
+func (a *admission) enter(ctx context.Context, name string, g *gate, deadline time.Duration) (*pass, error) {
+	spec, ok := store.Spec[resrc.ClientAccount](a.entry.cfg.Snapshot.Value(), name)
+	if !ok {
+		return nil, fault.New(fault.Unauthorized, "API key is missing or wrong")
+	}
+	now := a.entry.cfg.Timer.Now()
+	a.mu.Lock()
+	c, err := a.charge(name, spec, now)
+	if err != nil {
+		a.mu.Unlock()
+		return nil, err
+	}
+	p := &pass{admission: a, gate: g, account: c, since: now}
+	d := g.Enter(name, spec.Weight, deadline, now)
+	if d.Evicted != 0 {
+		g.wake(d.Evicted, a.overloaded(g, now))
+	}
+	if d.Refused {
+		err := a.overloaded(g, now)
+		c.open--
+		c.bucket = c.bucket.Give()
+		a.mu.Unlock()
+		return nil, err
+	}
+	if d.Go {
+		a.mu.Unlock()
+		return p, nil
+	}
+	ch := make(chan error, 1)
+	g.waiters[d.ID] = ch
+	a.mu.Unlock()
+	return a.wait(ctx, p, d.ID, ch, deadline)
+}
+
+// charge takes the request from the account's limits.
+func (a *admission) charge(name string, spec resrc.ClientAccount, now time.Time) (*account, error) {
+	c := a.account(name, spec, now)
+	c.arrived++
+	c.used = now
+	if c.open >= c.rates.Concurrency {
+		f := fault.New(fault.LimitReached, "account has too many open requests")
+		return nil, f.WithRetryAfter(c.hint(now, a.models.DrainPerSecond()))
+	}
+	bucket, wait := c.bucket.Take(now)
+	c.bucket = bucket
+	if wait > 0 {
+		f := fault.New(fault.LimitReached, "account is over its rate")
+		return nil, f.WithRetryAfter(c.hint(now.Add(wait), c.rates.PerSecond))
+	}
+	c.open++
+	return c, nil
+}
+
+// account returns the state of an account under its current limits.
+func (a *admission) account(name string, spec resrc.ClientAccount, now time.Time) *account {
+	all := ratesOf(spec)
+	c, ok := a.accounts[name]
+	want := all.Share(a.entry.entryCount())
+	if ok && now.Before(c.lentUntil) {
+		want = all.Lent(c.granted)
+	}
+	if !ok {
+		c = &account{bucket: limit.NewBucket(want.PerSecond, want.Burst, now), rates: want}
+		a.accounts[name] = c
+	}
+	if c.rates != want {
+		c.rates, c.bucket = want, c.bucket.With(want.PerSecond, want.Burst, now)
+	}
+	return c
+}
+
+func ratesOf(spec resrc.ClientAccount) limit.Rates {
+	return limit.Rates{PerSecond: spec.RequestsPerSecond, Burst: float64(spec.Burst), Concurrency: spec.Concurrency}
+}
+
+// hint returns a retry hint that is spread over the account's own rate.
+func (c *account) hint(now time.Time, perSecond float64) time.Duration {
+	var after time.Duration
+	c.spread, after = c.spread.Next(now, 0, perSecond, rand.Float64())
+	return after
+}
+
+// wait waits for a ticket to be served.
+func (a *admission) wait(ctx context.Context, p *pass, id uint64, ch chan error, deadline time.Duration) (*pass, error) {
+	late, cancel := a.entry.alarm(deadline)
+	defer cancel()
+	var err error
+	select {
+	case err = <-ch:
+	case <-late:
+		err = a.giveUp(p.gate, id, ch, fault.New(fault.Overloaded, "request waited too long"))
+	case <-ctx.Done():
+		err = a.giveUp(p.gate, id, ch, fault.New(fault.Canceled, "caller gave the request up"))
+	}
+	now := a.entry.cfg.Timer.Now()
+	a.entry.meter.queueTime.Update(now.Sub(p.since).Seconds())
+	if err != nil {
+		a.mu.Lock()
+		p.account.open--
+		a.mu.Unlock()
+		return nil, a.entry.hint(fault.As(err))
+	}
+	p.since = now
+	return p, nil
+}
+
+// giveUp takes a ticket out of its queue. A ticket that was served at the
+// same moment is used.
+func (a *admission) giveUp(g *gate, id uint64, ch chan error, f *fault.Error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !g.Cancel(id) {
+		return <-ch
+	}
+	delete(g.waiters, id)
+	return f
+}
+
+// overloaded returns the refusal of a full gate.
+func (a *admission) overloaded(g *gate, now time.Time) *fault.Error {
+	f := fault.New(fault.Overloaded, "estimated wait is longer than the deadline")
+	return f.WithRetryAfter(g.RetryAfter(now, rand.Float64()))
+}
+
+func (g *gate) wake(id uint64, err error) {
+	if ch, ok := g.waiters[id]; ok {
+		delete(g.waiters, id)
+		ch <- err
+	}
+}
+
+func (g *gate) wakeAll(ids []uint64) {
+	for _, id := range ids {
+		g.wake(id, nil)
+	}
+}
+
+// release ends the request.
+func (p *pass) release() {
+	now := p.admission.entry.cfg.Timer.Now()
+	p.admission.mu.Lock()
+	defer p.admission.mu.Unlock()
+	p.account.open--
+	p.gate.wakeAll(p.gate.Leave(now.Sub(p.since)))
+}
+
+// firstToken notes when the first token came.
+func (p *pass) firstToken(now time.Time) {
+	p.admission.mu.Lock()
+	defer p.admission.mu.Unlock()
+	p.gate.FirstToken(now.Sub(p.since))
+}
+
+// targetRefused notes that the targets were too busy.
+func (p *pass) targetRefused() {
+	p.admission.mu.Lock()
+	defer p.admission.mu.Unlock()
+	p.gate.TargetRefused()
+}
+
+// retryAfter returns a hint for a model request or call without effect.
+func (a *admission) retryAfter() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.models.RetryAfter(a.entry.cfg.Timer.Now(), rand.Float64())
+}
+
+func (a *admission) mayRetry() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	budget, ok := a.budget.Retry(a.entry.cfg.Timer.Now())
+	a.budget = budget
+	return ok
+}
+
+func (a *admission) succeeded() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget = a.budget.Succeeded(a.entry.cfg.Timer.Now())
+}
 
-func (a *admission) enter(context.Context, string, time.Duration) (func(), error) {
-	return func() {}, nil
+func (a *admission) run(ctx context.Context) {
+	adapt, stop := a.entry.cfg.Timer.Every(adaptInterval)
+	defer stop()
+	quota, cancel := a.entry.cfg.Timer.Every(limit.QuotaPeriod / 2)
+	defer cancel()
+	for {
+		select {
+		case now := <-adapt:
+			a.mu.Lock()
+			a.models.wakeAll(a.models.Adapt(now))
+			a.mu.Unlock()
+		case now := <-quota:
+			a.renew(now)
+		case <-ctx.Done():
+			return
+		}
+	}
 }
-func (a *admission) retryAfter() time.Duration                 { return time.Second }
-func (a *admission) mayRetry() bool                            { return true }
-func (a *admission) succeeded()                                {}
-func (a *admission) run(ctx context.Context)                   { <-ctx.Done() }
-func (a *admission) quotaRequest(link.Peer, wire.QuotaRequest) {}
-func (a *admission) quotaGrant(wire.QuotaGrant)                {}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -75,11 +75,11 @@
 	timeout := time.Duration(spec.Timeout)
 	set(&timeout, e.bounds.Call)
 	end := e.cfg.Timer.Now().Add(timeout)
-	release, err := e.admit.enter(r.Context(), account, timeout)
+	admitted, err := e.admit.enter(r.Context(), account, e.admit.services, timeout)
 	if err != nil {
 		return err
 	}
-	defer release()
+	defer admitted.release()
 	q := request{account: account, service: name, end: end, call: wire.Call{
 		ID: newID(), Method: r.Method, Path: target, Header: forwarded(r.Header), Body: content,
 		Repeatable: spec.Repeatable(r.Method, target),
@@ -107,7 +107,7 @@
 		if !ok {
 			return last
 		}
-		if n > 0 && !e.admit.mayRetry() {
+		if n > 0 && !e.retry(last) {
 			return last
 		}
 		tried[target] = true
@@ -130,7 +130,7 @@
 	last := result{failure: fault.Newf(fault.NoTarget, "no target of service %s is ready", q.service)}
 	for n := 0; n <= e.bounds.CallRetries; n++ {
 		target, p, ok := e.pick(q.service, tried)
-		if !ok || n > 0 && !e.admit.mayRetry() {
+		if !ok || n > 0 && !e.retry(last) {
 			return last
 		}
 		tried[target] = true
@@ -146,6 +146,16 @@
 	return last
 }
 
+// retry reports whether a call may be sent again. A retry of what did not run
+// adds no work and is not charged to the budget.
+func (e *Entry) retry(last result) bool {
+	if last.failure.Outcome != fault.NotRun && !e.admit.mayRetry() {
+		return false
+	}
+	e.meter.retries.Inc()
+	return true
+}
+
 // pick draws a target of a service: the one with less work of two drawn at
 // random, so that entries do not all follow the same lagging report.
 func (e *Entry) pick(service string, tried map[string]bool) (string, peerOf, bool) {
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -27,16 +27,16 @@
 	if err != nil {
 		return err
 	}
-	release, err := e.admit.enter(r.Context(), account, e.bounds.FirstToken)
+	admitted, err := e.admit.enter(r.Context(), account, e.admit.models, e.bounds.FirstToken)
 	if err != nil {
 		return err
 	}
-	defer release()
+	defer admitted.release()
 	end := begun.Add(e.bounds.Request)
 	f := form{id: p.Request, model: m.Model, chat: chat, created: begun.Unix()}
 	if !m.Stream {
 		out := &whole{decoder: decoder{tokenizer: e.cfg.Tokenizer}}
-		result, coord := e.run(r.Context(), p, layers, begun, end, out)
+		result, coord := e.run(r.Context(), job{p, layers, begun, end, admitted}, out)
 		if result.Failure != nil {
 			return e.hint(outcome(result.Failure, false))
 		}
@@ -47,7 +47,7 @@
 		form: f, decoder: decoder{tokenizer: e.cfg.Tokenizer}, w: w,
 		control: http.NewResponseController(w), timer: e.cfg.Timer, timeout: e.bounds.WriteTimeout,
 	}
-	result, coord := e.run(r.Context(), p, layers, begun, end, out)
+	result, coord := e.run(r.Context(), job{p, layers, begun, end, admitted}, out)
 	return e.finishStream(out, result, coord, m, p)
 }
 
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -33,14 +33,21 @@
 		flush() error
 	}
 
-	// session runs the coordinator of one request in its own goroutine.
-	session struct {
-		entry *Entry
-		plan  steps.Plan
+	// job is an admitted model request.
+	job struct {
+		plan steps.Plan
 		// layers is the number of layers of the version.
 		layers int
+		begun  time.Time
 		// end is when the deadline passes.
-		end   time.Time
+		end      time.Time
+		admitted *pass
+	}
+
+	// session runs the coordinator of one request in its own goroutine.
+	session struct {
+		job
+		entry *Entry
 		box   *mailbox
 		sink  sink
 		coord steps.Coord
@@ -50,7 +57,6 @@
 		counted []string
 		// disarm cancels the last timer.
 		disarm func()
-		begun  time.Time
 		last   time.Time
 		// gaps collects the time between tokens, and is merged once at the
 		// end to keep the shared histogram's lock off the token path.
@@ -63,11 +69,12 @@
 
 // run carries a planned request to its end. The failure is nil for a complete
 // answer.
-func (e *Entry) run(ctx context.Context, p steps.Plan, layers int, begun, end time.Time, out sink) (steps.End, steps.Coord) {
+func (e *Entry) run(ctx context.Context, j job, out sink) (steps.End, steps.Coord) {
+	p := &j.plan
 	p.MaxRefusals, p.MaxAttempts = maxRefusals, maxAttempts
 	p.OpenTimeout, p.StallTimeout, p.RetryDelay = openTimeout, stallTimeout, retryDelay
 	s := &session{
-		entry: e, plan: p, layers: layers, end: end, sink: out, begun: begun,
+		entry: e, job: j, sink: out,
 		box: newMailbox(p.MaxTokens + mailboxSlack), disarm: func() {},
 	}
 	e.open.add(p.Request, s.box)
@@ -150,6 +157,9 @@
 	s.entry.random.with(func(r *rand.Rand) {
 		chain, _ = route.Replace(s.entry.view.Value(), q, a.Chain, a.Dead, r)
 	})
+	if s.coord.Attempt() > 0 {
+		s.entry.meter.retries.Inc()
+	}
 	s.count(chain)
 	s.queue = append(s.queue, steps.Chosen{Chain: chain})
 }
@@ -181,6 +191,7 @@
 	now := s.entry.cfg.Timer.Now()
 	if s.last.IsZero() {
 		s.entry.meter.firstToken.Update(now.Sub(s.begun).Seconds())
+		s.admitted.firstToken(now)
 	} else {
 		s.gaps.Update(now.Sub(s.last).Seconds())
 	}
@@ -197,6 +208,9 @@
 }
 
 func (s *session) close() {
+	if f := s.result.Failure; f != nil && f.Code == fault.Overloaded {
+		s.admitted.targetRefused()
+	}
 	s.disarm()
 	s.count(nil)
 	s.entry.meter.gaps.Merge(&s.gaps)
