--- /dev/null
+++ b/internal/cmds/entry.go
@@ -0,0 +1,216 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+	"github.com/spf13/cobra"
+
+	"shallotcourse/internal/conf"
+	"shallotcourse/internal/entry"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/fleet"
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/opapi"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/token"
+	"shallotcourse/internal/wire"
+)
+
+type (
+	// entryDaemon is a running entry process.
+	entryDaemon struct {
+		*daemon
+		*replica
+		settings conf.Entry
+		links    *link.Group
+		entry    *entry.Entry
+	}
+
+	// tokenizer implements entry.Tokenizer with the built-in vocabulary.
+	tokenizer struct{}
+)
+
+func entryCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "entry --config FILE",
+		Short: "Run an entry with the settings in a TOML file",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			text, err := readSettings(file)
+			if err != nil {
+				return err
+			}
+			settings, err := conf.ParseEntry(text)
+			if err != nil {
+				return err
+			}
+			return runEntry(c.Context(), settings, c.ErrOrStderr())
+		},
+	}
+	c.Flags().StringVar(&file, "config", "", "file of settings")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
+
+// runEntry runs an entry until a signal arrives and its open requests have
+// ended.
+func runEntry(ctx context.Context, settings conf.Entry, logs io.Writer) error {
+	e := newEntryDaemon(settings, logs)
+	defer e.shutdown()
+	defer e.links.Stop()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	for _, run := range []func(context.Context){e.replica.run, e.entry.Run, e.followPeers} {
+		wg.Go(func() { run(work) })
+	}
+	for _, address := range settings.Peers {
+		e.links.Want(address)
+	}
+	if err := e.listen(); err != nil {
+		return err
+	}
+	signaled, cancel := signals(ctx)
+	defer cancel()
+	if err := e.wait(signaled); err != nil {
+		return err
+	}
+	e.drain()
+	return nil
+}
+
+func newEntryDaemon(settings conf.Entry, logs io.Writer) *entryDaemon {
+	d := newDaemon(settings.Instance, settings.Log, logs)
+	e := &entryDaemon{daemon: d, replica: newReplica(d, settings.Platform), settings: settings}
+	handlers := &lateHandlers{}
+	e.links = d.links(linkSettings{times: settings.Links, hello: e.hello, handler: handlers})
+	e.entry = entry.New(entry.Config{
+		Instance: settings.Instance, Incarnation: d.incarnation, DataCentre: settings.DataCentre, Region: settings.Region,
+		Timer: d.clock, Log: d.logger, Snapshot: e.store.Section(), Links: e.links, Table: e.platform.Table,
+		Tokenizer: tokenizer{}, Metrics: d.metrics, Bounds: entryBounds(settings),
+	})
+	handlers.set(e.replica, link.Latest(e.entry))
+	return e
+}
+
+func (e *entryDaemon) hello() wire.Hello {
+	return wire.Hello{
+		Version: wire.Version, Role: wire.RoleEntry, Instance: e.settings.Instance, Incarnation: e.incarnation,
+		DataCentre: e.settings.DataCentre, Address: e.settings.Advertise, Revision: e.store.Snapshot().Revision,
+	}
+}
+
+func (e *entryDaemon) listen() error {
+	callers := mux.NewRouter()
+	callers.HandleFunc("/readyz", readyHandler(e.ready)).Methods(http.MethodGet)
+	callers.PathPrefix("/").Handler(e.closing(e.entry.Handler()))
+	operators := mux.NewRouter()
+	e.operations(operators, e.ready)
+	operators.PathPrefix("/v1/").Handler(opapi.New(opapi.Options{
+		Store: e.store, Sync: e.sync, Operators: operatorsOf(e.settings.OperatorKeyHashes), Self: e.hello(),
+		Clock: e.clock, Log: e.logger,
+	}))
+	headerBytes := e.settings.Limits.HeaderBytes
+	if err := e.serve("links", e.settings.LinkListen, headerBytes, linkRouter(e.links)); err != nil {
+		return err
+	}
+	if err := e.serve("operators", e.settings.OperatorListen, headerBytes, operators); err != nil {
+		return err
+	}
+	return e.serve("callers", e.settings.Listen, headerBytes, callers)
+}
+
+// closing asks callers to close their connections once the entry stops, so
+// that few are left that a request could be written to at the end. Idle ones
+// are not closed here, because a request may be on its way.
+func (e *entryDaemon) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.entry.Ready() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *entryDaemon) ready() error {
+	if !e.entry.Ready() {
+		return fault.New(fault.Leaving, "the entry is stopping")
+	}
+	return e.replica.ready()
+}
+
+// drain lets the balancer notice the stop and the open requests end.
+func (e *entryDaemon) drain() {
+	_ = level.Info(e.logger).Log("msg", "stopping", "open", e.entry.Open())
+	e.links.Broadcast(wire.Leaving{}, nil)
+	bound := e.settings.BalancerLag.Duration + e.settings.StopTimeout.Duration
+	ctx, cancel := timer.WithTimeout(context.Background(), e.clock, bound)
+	defer cancel()
+	e.entry.Drain(ctx)
+	if n := e.entry.Open(); n > 0 {
+		_ = level.Warn(e.logger).Log("msg", "stopping with open requests", "open", n)
+	}
+}
+
+// followPeers keeps links to the other entries of the instance list.
+func (e *entryDaemon) followPeers(ctx context.Context) {
+	wanted := map[string]bool{}
+	for ctx.Err() == nil {
+		view, version := e.fleet.View().Get()
+		listed := map[string]bool{}
+		for _, i := range view.With(wire.RoleEntry, fleet.Live, fleet.Leaving, fleet.Suspect) {
+			if i.Name != e.settings.Instance && i.Address != "" && !slices.Contains(e.settings.Peers, i.Address) {
+				listed[i.Address] = true
+			}
+		}
+		for address := range listed {
+			if !wanted[address] {
+				e.links.Want(address)
+			}
+		}
+		for address := range wanted {
+			if !listed[address] {
+				e.links.Unwant(address)
+			}
+		}
+		wanted = listed
+		select {
+		case <-ctx.Done():
+		case <-e.fleet.View().Changed(version):
+		}
+	}
+}
+
+func operatorsOf(hashes map[string]string) []opapi.Operator {
+	var out []opapi.Operator
+	for _, name := range slices.Sorted(maps.Keys(hashes)) {
+		out = append(out, opapi.Operator{Name: name, KeyHash: hashes[name]})
+	}
+	return out
+}
+
+func entryBounds(s conf.Entry) entry.Bounds {
+	l := s.Limits
+	return entry.Bounds{
+		BodyBytes: l.BodyBytes, HeaderBytes: int(l.HeaderBytes), Queue: l.QueueLength, Concurrency: l.Concurrency,
+		FirstToken: l.FirstToken.Duration, Request: l.Request.Duration, Call: l.Call.Duration,
+		Relink: l.Relink.Duration, BalancerLag: s.BalancerLag.Duration, WriteTimeout: l.Write.Duration,
+		TargetsPerGroup: l.TargetsPerGroup, CallRetries: l.CallRetries,
+	}
+}
+
+// Encode implements entry.Tokenizer.
+func (tokenizer) Encode(text string) []uint32 { return token.Encode(text) }
+
+// Decode implements entry.Tokenizer.
+func (tokenizer) Decode(tokens []uint32) string { return token.Decode(tokens) }
