--- a/internal/cmds/audit.go
+++ b/internal/cmds/audit.go
@@ -13,9 +13,10 @@
 
 func auditCommand() *cobra.Command {
 	var (
-		f     operatorFlags
-		after uint64
-		limit int
+		f      operatorFlags
+		after  uint64
+		limit  int
+		change string
 	)
 	c := &cobra.Command{
 		Use:   "audit",
@@ -27,9 +28,12 @@
 				return err
 			}
 			var changes []resrc.Change
-			if cmd.Flags().Changed("after") {
+			switch {
+			case change != "":
+				changes, err = client.AuditChange(cmd.Context(), change)
+			case cmd.Flags().Changed("after"):
 				changes, err = client.Audit(cmd.Context(), after, limit)
-			} else {
+			default:
 				changes, err = client.AuditLast(cmd.Context(), limit)
 			}
 			if err != nil {
@@ -41,6 +45,7 @@
 	f.register(c)
 	c.Flags().Uint64Var(&after, "after", 0, "show the changes after this revision; default is the last ones")
 	c.Flags().IntVar(&limit, "limit", 50, "number of changes, 1 to 1000")
+	c.Flags().StringVar(&change, "change", "", "show only the change with this identifier")
 	return c
 }
 
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -264,8 +264,8 @@
 	})
 }
 
-// audit returns change rows from the table, which has all of them. Without
-// After, it returns the last ones.
+// audit returns change rows from the table, which has all of them: the one
+// under a change identifier, those after a revision, or the last ones.
 func (h *handler) audit(r *http.Request, _ string) (any, error) {
 	limit, err := number(r, "Limit", 100)
 	if err != nil {
@@ -281,6 +281,13 @@
 	}
 	ctx, cancel := timer.WithTimeout(r.Context(), h.Clock, readTimeout)
 	defer cancel()
+	if id := r.URL.Query().Get("Change"); id != "" {
+		c, found, err := h.Store.FindChange(ctx, id)
+		if err == nil && !found {
+			err = fault.Newf(fault.NotFound, "no change was accepted under identifier %q", id)
+		}
+		return []resrc.Change{c}, err
+	}
 	changes, err := h.Store.Audit(ctx, after, int(limit))
 	if err != nil {
 		return nil, err
--- a/internal/opapi/opapi_test.go
+++ b/internal/opapi/opapi_test.go
@@ -53,6 +53,7 @@
 		{"bad since", "GET", "/v1/watch?Since=x", "Bearer key", "", "", 400, "Since"},
 		{"good", "PUT", "/v1/resources/Service/app", "Bearer key", "change-1", service, 200, ""},
 		{"repeated", "PUT", "/v1/resources/Service/app", "Bearer key", "change-1", service, 200, ""},
+		{"by identifier", "GET", "/v1/audit?Change=change-1", "Bearer key", "", "", 200, ""},
 		{"exists", "PUT", "/v1/resources/Service/app", "Bearer key", "change-2", service, 409, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/opapi/refs.go
+++ b/internal/opapi/refs.go
@@ -31,6 +31,9 @@
 // checkModel lets a new model name a version that is declared after it, since
 // the version in turn names the model. An update must name an existing one.
 func checkModel(s store.Snapshot, r resrc.Resource, spec resrc.Model) error {
+	if _, ok := s.Get(resrc.KindAdapter, r.Name); ok {
+		return fault.Invalid("Name", r.Name, "a name of no Adapter, since callers name both as models")
+	}
 	version, ok := store.Spec[resrc.ModelVersion](s, spec.Version)
 	if !ok && r.Revision == 0 {
 		return nil
@@ -60,6 +63,9 @@
 }
 
 func checkAdapter(s store.Snapshot, name string, spec resrc.Adapter) error {
+	if _, ok := s.Get(resrc.KindModel, name); ok {
+		return fault.Invalid("Name", name, "a name of no Model, since callers name both as models")
+	}
 	if _, ok := s.Get(resrc.KindModelVersion, spec.Version); !ok {
 		return fault.Invalid("Spec.Version", spec.Version, "an existing ModelVersion")
 	}
--- a/internal/store/hook_test.go
+++ b/internal/store/hook_test.go
@@ -106,6 +106,7 @@
 // Guards against a change that does not come into force in another process
 // within 7 s, by the poll alone or by the push alone.
 func TestInForce(t *testing.T) {
+	t.Parallel()
 	for _, linked := range []bool{false, true} {
 		t.Run(map[bool]string{false: "poll", true: "push"}[linked], func(t *testing.T) {
 			is := is.New(t)
--- a/internal/store/linear_test.go
+++ b/internal/store/linear_test.go
@@ -84,6 +84,7 @@
 // were reported as NotRun, and refusals that show a revision never in force,
 // while answers of the table are lost.
 func TestWritesAreLinearizable(t *testing.T) {
+	t.Parallel()
 	seed := uint64(time.Now().UnixNano())
 	t.Logf("seed %d", seed)
 	for run := range uint64(3) {
--- a/internal/store/links_test.go
+++ b/internal/store/links_test.go
@@ -62,6 +62,7 @@
 // reverts, while the table goes down after the write, links fall silent, and
 // a process joins.
 func TestConfigurationSpreadsOverLinks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/store/rows.go
+++ b/internal/store/rows.go
@@ -123,6 +123,24 @@
 	return s.readChangePage(ctx, after, min(limit, pageRows))
 }
 
+// FindChange returns the change that was accepted under an identifier, from
+// the table.
+func (s *Store) FindChange(ctx context.Context, id string) (resrc.Change, bool, error) {
+	var (
+		found identifierRow
+		c     resrc.Change
+	)
+	version, err := s.readRow(ctx, identifierKey(id), &found)
+	if err != nil || version == 0 {
+		return c, false, err
+	}
+	version, err = s.readRow(ctx, changeKey(found.Revision), &c)
+	if err == nil && version == 0 {
+		err = fault.Newf(fault.Malformed, "change row %d is missing", found.Revision)
+	}
+	return c, err == nil, err
+}
+
 func fromStored(r wire.StoredResource) (resrc.Resource, error) {
 	spec, err := resrc.DecodeSpec(r.Kind, r.Body)
 	if err != nil {
--- a/internal/store/write.go
+++ b/internal/store/write.go
@@ -285,20 +285,11 @@
 // findChange returns the change that was accepted under the identifier of a
 // write and brings it into force. It fails when that was another write.
 func (s *Store) findChange(ctx context.Context, w Write) (resrc.Change, bool, error) {
-	var found identifierRow
-	version, err := s.readRow(ctx, identifierKey(w.ID), &found)
-	if err != nil || version == 0 {
+	c, found, err := s.FindChange(ctx, w.ID)
+	if err != nil || !found {
 		return resrc.Change{}, false, err
 	}
-	var c resrc.Change
-	version, err = s.readRow(ctx, changeKey(found.Revision), &c)
-	if err == nil && version == 0 {
-		err = fault.Newf(fault.Malformed, "change row %d is missing", found.Revision)
-	}
-	if err == nil {
-		err = sameWrite(c, w)
-	}
-	if err != nil {
+	if err := sameWrite(c, w); err != nil {
 		return resrc.Change{}, false, err
 	}
 	s.accepted(ctx, c)
--- a/pkg/clnt/clnt.go
+++ b/pkg/clnt/clnt.go
@@ -135,6 +135,12 @@
 	return c.audit(ctx, url.Values{"Limit": {strconv.Itoa(limit)}})
 }
 
+// AuditChange returns the change that was accepted under an identifier, or
+// fault.NotFound.
+func (c *Client) AuditChange(ctx context.Context, changeID string) ([]resrc.Change, error) {
+	return c.audit(ctx, url.Values{"Change": {changeID}})
+}
+
 func (c *Client) audit(ctx context.Context, q url.Values) ([]resrc.Change, error) {
 	var changes []resrc.Change
 	err := c.call(ctx, request{method: http.MethodGet, path: "/v1/audit", query: q}, &changes)
