--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -129,7 +129,7 @@
 	if !up {
 		if t, ok := e.view.Value().Get(c.Target); ok {
 			// The agent may be outside this entry's subset.
-			e.cfg.Links.Want(t.Spec.Agent)
+			e.linkToo(t.Spec.Agent)
 		}
 		return once.AgentSilent{}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,8 +26,10 @@
 type (
 	// Links keeps links to agents.
 	Links interface {
-		// Want keeps an address connected from now on.
+		// Want keeps an address connected until Unwant has been called as
+		// often as Want.
 		Want(address string)
+		Unwant(address string)
 	}
 
 	// Tokenizer turns text into tokens and back. Decode may return a part of
@@ -65,6 +67,9 @@
 		view *board.Section[route.View]
 		// own counts the entry's open work by target name.
 		own sync.Map
+		// linked holds the addresses that this entry wants linked.
+		linked map[string]bool
+		linkMu sync.Mutex
 		// keys maps key digests to accounts; replaced as a whole.
 		keys  atomic.Pointer[map[string]string]
 		open  *registry
@@ -182,7 +187,35 @@
 	e.keys.Store(&keys)
 	targets := snap.List(resrc.KindTarget)
 	e.view.Update(func(v route.View) (route.View, bool) { return v.WithSpecs(targets), true })
-	for _, address := range e.wanted(targets) {
+	e.link(e.wanted(targets))
+}
+
+// link keeps links to exactly the given addresses.
+func (e *Entry) link(addresses []string) {
+	e.linkMu.Lock()
+	defer e.linkMu.Unlock()
+	wanted := map[string]bool{}
+	for _, address := range addresses {
+		wanted[address] = true
+		if !e.linked[address] {
+			e.cfg.Links.Want(address)
+		}
+	}
+	for address := range e.linked {
+		if !wanted[address] {
+			e.cfg.Links.Unwant(address)
+		}
+	}
+	e.linked = wanted
+}
+
+// linkToo links an agent outside this entry's subset until the next change of
+// the configuration.
+func (e *Entry) linkToo(address string) {
+	e.linkMu.Lock()
+	defer e.linkMu.Unlock()
+	if !e.linked[address] {
+		e.linked[address] = true
 		e.cfg.Links.Want(address)
 	}
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -84,7 +84,8 @@
 	return string(b)
 }
 
-func (nowhere) Want(string) {}
+func (nowhere) Want(string)   {}
+func (nowhere) Unwant(string) {}
 
 func newWorld(t *testing.T, bounds Bounds) *world {
 	sum := sha256.Sum256([]byte("key-1"))
