--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -131,6 +131,10 @@
 		return err
 	}
 	if err := json.Unmarshal(b, v); err != nil {
+		var f *fault.Error
+		if errors.As(err, &f) {
+			return f
+		}
 		return fault.Newf(fault.BadInput, "body does not decode: %v", err).WithCause(err)
 	}
 	return nil
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/google/uuid"
@@ -25,6 +26,10 @@
 		tokens []uint32
 	}
 
+	// seed is a signed or an unsigned number of 64 bits; both name the same
+	// bits.
+	seed uint64
+
 	message struct {
 		Role    string `json:"role"`
 		Content text   `json:"content"`
@@ -39,7 +44,7 @@
 		MaxTokens           *int      `json:"max_tokens"`
 		MaxCompletionTokens *int      `json:"max_completion_tokens"`
 		N                   *int      `json:"n"`
-		Seed                *int64    `json:"seed"`
+		Seed                *seed     `json:"seed"`
 		Stream              bool      `json:"stream"`
 		StreamOptions       struct {
 			IncludeUsage bool `json:"include_usage"`
@@ -80,6 +85,20 @@
 	return json.Unmarshal(b, &p.tokens)
 }
 
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *seed) UnmarshalJSON(b []byte) error {
+	if n, err := strconv.ParseInt(string(b), 10, 64); err == nil {
+		*s = seed(n)
+		return nil
+	}
+	n, err := strconv.ParseUint(string(b), 10, 64)
+	if err != nil {
+		return fault.Invalid("seed", string(b), "a whole number of 64 bits")
+	}
+	*s = seed(n)
+	return nil
+}
+
 // plan turns a request into a plan and the number of layers of its version.
 func (e *Entry) plan(r modelRequest, account, id string) (steps.Plan, int, error) {
 	snap := e.cfg.Snapshot.Value()
