--- a/test/faults/cluster_test.go
+++ b/test/faults/cluster_test.go
@@ -222,8 +222,8 @@
 
 func (c *cluster) declare() {
 	c.t.Helper()
-	c.put(resrc.Resource{Kind: resrc.KindModelVersion, Name: versionName, Spec: resrc.ModelVersion{Model: modelName, Layers: modelLayers}})
 	c.put(resrc.Resource{Kind: resrc.KindModel, Name: modelName, Spec: resrc.Model{Version: versionName, MaxTokens: 4096}})
+	c.put(resrc.Resource{Kind: resrc.KindModelVersion, Name: versionName, Spec: resrc.ModelVersion{Model: modelName, Layers: modelLayers}})
 	c.put(resrc.Resource{Kind: resrc.KindService, Name: serviceName, Spec: resrc.Service{
 		Rules: []resrc.Rule{{Method: "GET", PathPrefix: "/", Repeatable: true}}, Timeout: resrc.Duration(5 * time.Second),
 	}})
