--- a/internal/opapi/refs.go
+++ b/internal/opapi/refs.go
@@ -15,7 +15,7 @@
 	case resrc.Model:
 		return checkModel(s, r, spec)
 	case resrc.ModelVersion:
-		return checkVersion(s, r.Name, spec)
+		return checkVersion(s, r, spec)
 	case resrc.Adapter:
 		return checkAdapter(s, r.Name, spec)
 	case resrc.Target:
@@ -28,8 +28,9 @@
 	return fault.Newf(fault.Internal, "no reference check for %T", r.Spec)
 }
 
-// checkModel lets a new model name a version that is declared after it, since
-// the version in turn names the model. An update must name an existing one.
+// checkModel lets a new model name a version that is declared after it, and
+// checkVersion a new version a model, since the two name each other. Callers
+// reach neither before both exist. An update must name an existing one.
 func checkModel(s store.Snapshot, r resrc.Resource, spec resrc.Model) error {
 	if _, ok := s.Get(resrc.KindAdapter, r.Name); ok {
 		return fault.Invalid("Name", r.Name, "a name of no Adapter, since callers name both as models")
@@ -44,18 +45,18 @@
 	return nil
 }
 
-func checkVersion(s store.Snapshot, name string, spec resrc.ModelVersion) error {
-	if _, ok := s.Get(resrc.KindModel, spec.Model); !ok {
+func checkVersion(s store.Snapshot, version resrc.Resource, spec resrc.ModelVersion) error {
+	if _, ok := s.Get(resrc.KindModel, spec.Model); !ok && version.Revision > 0 {
 		return fault.Invalid("Spec.Model", spec.Model, "an existing Model")
 	}
 	for _, r := range s.List(resrc.KindModel) {
-		if r.Spec.(resrc.Model).Version == name && r.Name != spec.Model {
+		if r.Spec.(resrc.Model).Version == version.Name && r.Name != spec.Model {
 			return fault.Invalid("Spec.Model", spec.Model, r.Name+", which serves this version")
 		}
 	}
 	for _, r := range s.List(resrc.KindTarget) {
 		target := r.Spec.(resrc.Target)
-		if target.Version == name && target.Layers.To > spec.Layers {
+		if target.Version == version.Name && target.Layers.To > spec.Layers {
 			return fault.Invalid("Spec.Layers", spec.Layers, "at least the layers of Target "+r.Name)
 		}
 	}
