--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,6 +23,7 @@
 type Agent struct {
 	cfg   Config
 	meter *meter
+	steps *batcher
 
 	mu       sync.RWMutex
 	sessions map[string]*session
@@ -52,7 +53,7 @@
 // New returns an agent; call Run to start it.
 func New(cfg Config) *Agent {
 	cfg = cfg.withDefaults()
-	return &Agent{
+	a := &Agent{
 		cfg:      cfg,
 		meter:    &meter{},
 		sessions: make(map[string]*session),
@@ -63,6 +64,8 @@
 		waiters:  make(map[string][]string),
 		lease:    order.NewLease(cfg.Incarnation, cfg.Limits.Rules),
 	}
+	a.steps = newBatcher(a)
+	return a
 }
 
 // Run serves until the context ends, and then drains: new work is refused, and
@@ -237,13 +240,3 @@
 	t, ok := store.Spec[resrc.Target](a.cfg.Config.Value(), a.cfg.Target)
 	return ok && t.Draining
 }
-
-// within returns a context that ends after d by the timer service.
-func (a *Agent) within(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := a.cfg.Timer.After(d, func() { cancel(context.DeadlineExceeded) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -12,6 +12,7 @@
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/once"
 	"shallotcourse/internal/store"
+	"shallotcourse/internal/timer"
 	"shallotcourse/internal/wire"
 	"shallotcourse/pkg/resrc"
 )
@@ -79,7 +80,7 @@
 }
 
 func (a *Agent) dispatch(m wire.Call, entry string) {
-	ctx, cancel := a.within(context.Background(), a.callTimeout(m))
+	ctx, cancel := timer.WithTimeout(context.Background(), a.cfg.Timer, a.callTimeout(m))
 	defer cancel()
 	begin := a.cfg.Timer.Now()
 	answer, err := a.cfg.Service.Do(ctx, engine.ServiceCall{
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -44,18 +44,21 @@
 	}
 )
 
-// begin counts a waiting step; the result ends it.
-func (m *meter) begin(start time.Time) func(now time.Time, count int, ok bool) {
+// begin counts a waiting step.
+func (m *meter) begin() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.waiting++
-	return func(now time.Time, count int, ok bool) {
-		m.mu.Lock()
-		m.waiting--
-		m.mu.Unlock()
-		if count == 1 {
-			m.record(now.Sub(start), ok)
-		}
+}
+
+// end counts an answered step. Only decode steps are measured, since the time
+// of a prefill depends on its length.
+func (m *meter) end(elapsed time.Duration, count int, ok bool) {
+	m.mu.Lock()
+	m.waiting--
+	m.mu.Unlock()
+	if count == 1 {
+		m.record(elapsed, ok)
 	}
 }
 
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -13,6 +13,7 @@
 	"shallotcourse/internal/order"
 	"shallotcourse/internal/plat"
 	"shallotcourse/internal/store"
+	"shallotcourse/internal/timer"
 	"shallotcourse/pkg/resrc"
 )
 
@@ -78,7 +79,7 @@
 }
 
 func (a *Agent) observe(ctx context.Context) (engine.State, error) {
-	ctx, cancel := a.within(ctx, a.cfg.Times.Engine)
+	ctx, cancel := timer.WithTimeout(ctx, a.cfg.Timer, a.cfg.Times.Engine)
 	defer cancel()
 	return a.cfg.Engine.State(ctx)
 }
@@ -110,7 +111,7 @@
 		return err
 	}
 	epoch, _ := a.may()
-	ctx, cancel := a.within(ctx, a.cfg.Limits.Rules.LongestOrder)
+	ctx, cancel := timer.WithTimeout(ctx, a.cfg.Timer, a.cfg.Limits.Rules.LongestOrder)
 	defer cancel()
 	_ = level.Info(a.cfg.Logger).Log("msg", "sending order", "target", a.cfg.Target, "kind", o.Kind, "epoch", epoch)
 	return a.cfg.Engine.Do(ctx, engine.Order{
@@ -144,7 +145,7 @@
 			return err
 		}
 		pause := max(f.RetryAfter, retryTable)
-		if !a.pause(ctx, pause+rand.N(pause)) {
+		if timer.Sleep(ctx, a.cfg.Timer, pause+rand.N(pause)) != nil {
 			return err
 		}
 	}
@@ -161,7 +162,7 @@
 		case order.Held:
 			return nil
 		case order.Wait:
-			if !a.pause(ctx, step.For) {
+			if timer.Sleep(ctx, a.cfg.Timer, step.For) != nil {
 				return fault.New(fault.Canceled, "claim was given up")
 			}
 		case order.Read:
@@ -172,7 +173,7 @@
 		if err == nil || fault.Is(err, fault.Conflict) {
 			continue
 		}
-		if !a.pause(ctx, retryTable+rand.N(retryTable)) {
+		if timer.Sleep(ctx, a.cfg.Timer, retryTable+rand.N(retryTable)) != nil {
 			return err
 		}
 	}
@@ -221,7 +222,7 @@
 	if epoch, ok := a.may(); !ok || epoch == 0 {
 		return
 	}
-	ctx, cancel := a.within(context.Background(), a.cfg.Times.Engine)
+	ctx, cancel := timer.WithTimeout(context.Background(), a.cfg.Timer, a.cfg.Times.Engine)
 	defer cancel()
 	if a.readOwner(ctx) != nil {
 		return
@@ -248,16 +249,3 @@
 		}
 	}
 }
-
-// pause returns false if the context ends first.
-func (a *Agent) pause(ctx context.Context, d time.Duration) bool {
-	done := make(chan struct{})
-	cancel := a.cfg.Timer.After(d, func() { close(done) })
-	defer cancel()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -9,6 +9,7 @@
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/steps"
+	"shallotcourse/internal/timer"
 	"shallotcourse/internal/wire"
 )
 
@@ -119,7 +120,7 @@
 		case steps.Truncate:
 			go s.truncateEngine(d)
 		case steps.Run:
-			go s.run(d)
+			s.run(d)
 		case steps.SendOpened:
 			s.toEntry(d.Opened)
 		case steps.SendRefused:
@@ -173,7 +174,7 @@
 }
 
 func (s *session) openEngine(generation int, o wire.Open, last bool) {
-	ctx, cancel := s.agent.within(s.ctx, s.agent.cfg.Times.Engine)
+	ctx, cancel := timer.WithTimeout(s.ctx, s.agent.cfg.Timer, s.agent.cfg.Times.Engine)
 	defer cancel()
 	state, err := s.agent.cfg.Engine.Open(ctx, engine.SessionRequest{
 		Session: s.engineID(generation), Version: o.Version, Adapter: o.Adapter, Layers: o.Chain[o.Index].Layers,
@@ -188,7 +189,7 @@
 }
 
 func (s *session) truncateEngine(d steps.Truncate) {
-	ctx, cancel := s.agent.within(s.ctx, s.agent.cfg.Times.Engine)
+	ctx, cancel := timer.WithTimeout(s.ctx, s.agent.cfg.Timer, s.agent.cfg.Times.Engine)
 	defer cancel()
 	_, err := s.agent.cfg.Engine.Truncate(ctx, s.engineID(d.Generation), d.Position)
 	s.apply(nil, func(x *steps.Session) []steps.Decision {
@@ -201,33 +202,29 @@
 
 // closeEngine outlives the session.
 func (s *session) closeEngine(generation int) {
-	ctx, cancel := s.agent.within(context.Background(), s.agent.cfg.Times.Engine)
+	ctx, cancel := timer.WithTimeout(context.Background(), s.agent.cfg.Timer, s.agent.cfg.Times.Engine)
 	defer cancel()
 	_ = s.agent.cfg.Engine.Cancel(ctx, s.engineID(generation))
 }
 
+// run queues a step; its result comes back by ran.
 func (s *session) run(d steps.Run) {
-	done := s.agent.meter.begin(s.agent.cfg.Timer.Now())
-	result, err := s.runOnce(d)
-	if fault.Is(err, fault.Unavailable) && s.ctx.Err() == nil {
-		// The engine keeps what it has run, so a lost answer can be fetched.
-		result, err = s.runOnce(d)
-	}
-	done(s.agent.cfg.Timer.Now(), d.Count, err == nil)
-	s.apply(nil, func(x *steps.Session) []steps.Decision {
-		if err != nil {
-			return x.EngineFailed(d.Generation, detail(err))
-		}
-		return x.Ran(d.Generation, resultOf(result))
+	s.agent.steps.add(&job{
+		step: engine.BatchStep{Session: s.engineID(d.Generation), StepRequest: engine.StepRequest{
+			Position: d.Position, Count: d.Count, Data: d.Data,
+		}},
+		live: func() bool { return s.ctx.Err() == nil },
+		ended: func(r engine.StepResult, err error) {
+			s.apply(nil, func(x *steps.Session) []steps.Decision {
+				if err != nil {
+					return x.EngineFailed(d.Generation, detail(err))
+				}
+				return x.Ran(d.Generation, resultOf(r))
+			})
+		},
 	})
 }
 
-func (s *session) runOnce(d steps.Run) (engine.StepResult, error) {
-	ctx, cancel := s.agent.within(s.ctx, s.agent.stepTimeout())
-	defer cancel()
-	return s.agent.cfg.Engine.Step(ctx, s.engineID(d.Generation), engine.StepRequest{Position: d.Position, Count: d.Count, Data: d.Data})
-}
-
 func resultOf(r engine.StepResult) steps.Result {
 	out := steps.Result{Position: r.Position, Count: r.Count, Data: r.Data}
 	for _, t := range r.Tokens {
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -29,7 +29,7 @@
 type (
 	// world is an entry and agents with their stand-ins.
 	world struct {
-		t       *testing.T
+		t       testing.TB
 		net     *memNet
 		entry   *testEntry
 		table   *memTable
@@ -66,7 +66,7 @@
 	}
 )
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{
 		t: t, net: newMemNet(), table: &memTable{rows: map[string]plat.Row{}}, targets: map[string]resrc.Target{},
 		config: board.New(store.Snapshot{}),
--- a/internal/engine/proto.go
+++ b/internal/engine/proto.go
@@ -70,6 +70,22 @@
 		Tokens   []Sampled
 	}
 
+	// BatchStep is one step of a batch.
+	BatchStep struct {
+		Session string
+		StepRequest
+	}
+
+	// BatchResult answers the step at Index of a batch. The answer to a batch
+	// is one JSON line for each step, in the order in which they end.
+	BatchResult struct {
+		Index  int
+		Result StepResult
+		// Code and Detail are set for a step that failed.
+		Code   string `json:",omitempty"`
+		Detail string `json:",omitempty"`
+	}
+
 	// TruncateRequest drops all positions from Position on.
 	TruncateRequest struct {
 		Position int
--- a/internal/fakes/fengn/command.go
+++ b/internal/fakes/fengn/command.go
@@ -54,6 +54,7 @@
 	f.DurationVar(&cfg.LoadLag, "load-lag", 0, "age of load reports")
 	f.DurationVar(&cfg.LoadTime, "load-time", 200*time.Millisecond, "fixed time of a load order")
 	f.Int64Var(&cfg.LoadBytesPerSecond, "load-rate", 0, "bytes per second at which weights are read (0: at once)")
+	f.DurationVar(&cfg.SessionIdle, "session-idle", time.Minute, "time after which an unused session is freed")
 	f.BoolVar(&cfg.IgnoreFence, "ignore-fence", false, "accept orders with an old fencing token")
 	f.BoolVar(&cfg.Endless, "endless", false, "never end an answer before its token limit")
 	return c
--- a/internal/fakes/fengn/engine.go
+++ b/internal/fakes/fengn/engine.go
@@ -41,6 +41,8 @@
 		// LoadBytesPerSecond on top (0: at once).
 		LoadTime           time.Duration
 		LoadBytesPerSecond int64
+		// SessionIdle is the time after which an unused session is freed.
+		SessionIdle time.Duration
 		// IgnoreFence accepts orders with an old fencing token.
 		IgnoreFence bool
 		// Endless keeps tokens from ending an answer.
@@ -78,6 +80,7 @@
 		state   engine.State
 		// fence is the highest fencing token seen.
 		fence   uint64
+		swept   time.Time
 		stats   Stats
 		reports []timedReport
 	}
@@ -89,8 +92,16 @@
 		position int
 		arrival  uint64
 		// done counts the positions that have been run or found kept.
-		done  int
-		reply chan error
+		done int
+		// index names the step to reply, which has room for its answer.
+		index int
+		reply chan<- ended
+	}
+
+	// ended is the end of a step.
+	ended struct {
+		step *step
+		err  error
 	}
 
 	// slice is the part of a step that runs in an iteration.
@@ -106,6 +117,7 @@
 func New(cfg Config) *Engine {
 	cfg.BatchTokens = cmp.Or(cfg.BatchTokens, 2048)
 	cfg.BlockTokens = cmp.Or(cfg.BlockTokens, 16)
+	cfg.SessionIdle = cmp.Or(cfg.SessionIdle, time.Minute)
 	cfg.CacheBlocks = cmp.Or(cfg.CacheBlocks, 4096)
 	if cfg.Timer == nil {
 		cfg.Timer = timer.System{}
@@ -127,26 +139,35 @@
 	e.begin()
 }
 
-// submit queues a step and returns the channel of its result.
-func (e *Engine) submit(id string, position int, inputs []uint64) (*step, error) {
+// end reports the end of a step.
+func (st *step) end(err error) { st.reply <- ended{st, err} }
+
+// submit queues a step, whose end is sent to reply.
+func (e *Engine) submit(b engine.BatchStep, index int, reply chan<- ended) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	inputs, err := decodeInputs(e.state.Layers.From == 0, b.Count, b.Data)
+	if err != nil {
+		return err
+	}
+	id, position := b.Session, b.Position
 	if e.faults.RefuseSteps {
-		return nil, fault.New(fault.Unavailable, "steps are refused")
+		return fault.New(fault.Unavailable, "steps are refused")
 	}
 	s, ok := e.sessions[id]
 	if !ok {
-		return nil, errClosed
+		return errClosed
 	}
 	if position < 0 || position > s.queued {
-		return nil, fault.Newf(fault.Conflict, "position %d is beyond the next position %d", position, s.queued)
+		return fault.Newf(fault.Conflict, "position %d is beyond the next position %d", position, s.queued)
 	}
 	e.arrival++
-	st := &step{session: s, inputs: inputs, position: position, arrival: e.arrival, reply: make(chan error, 1)}
+	st := &step{session: s, inputs: inputs, position: position, arrival: e.arrival, index: index, reply: reply}
 	s.queued = max(s.queued, position+len(inputs))
+	s.used = e.cfg.Timer.Now()
 	e.queue = append(e.queue, st)
 	e.begin()
-	return st, nil
+	return nil
 }
 
 // begin starts an iteration unless one is running. The caller holds the lock.
@@ -199,14 +220,14 @@
 func (e *Engine) runSlice(s slice) {
 	st := s.step
 	if st.session.closed {
-		st.reply <- errClosed
+		st.end(errClosed)
 		st.done = len(st.inputs)
 		return
 	}
 	for range s.count {
 		position := st.position + st.done
 		if position > st.session.next() {
-			st.reply <- fault.New(fault.Conflict, "an earlier step was dropped")
+			st.end(fault.New(fault.Conflict, "an earlier step was dropped"))
 			st.done = len(st.inputs)
 			return
 		}
@@ -218,7 +239,7 @@
 		st.done++
 	}
 	if st.done == len(st.inputs) {
-		st.reply <- nil
+		st.end(nil)
 	}
 }
 
--- a/internal/fakes/fengn/fengn_test.go
+++ b/internal/fakes/fengn/fengn_test.go
@@ -115,18 +115,18 @@
 	cost := Cost{Base: 10 * time.Millisecond, PerToken: time.Millisecond}
 	e := New(Config{Timer: clock, Cost: cost, BatchTokens: 4, Held: engine.State{Version: "v", Layers: resrc.LayerRange{From: 0, To: 4}}})
 	ids := []string{"a", "b", "c", "d", "e", "f"}
-	steps := map[string]*step{}
+	ends := map[string]chan ended{}
 	for i, id := range ids {
 		r := request(id, nil)
 		r.Priority = i
 		_, err := e.open(r)
 		is.NoErr(err)
-		steps[id], err = e.submit(id, 0, []uint64{1})
-		is.NoErr(err)
+		ends[id] = make(chan ended, 1)
+		is.NoErr(e.submit(engine.BatchStep{Session: id, StepRequest: tokens(0, 1)}, 0, ends[id]))
 	}
 	finished := func() (out []string) {
 		for _, id := range ids {
-			if len(steps[id].reply) > 0 {
+			if len(ends[id]) > 0 {
 				out = append(out, id)
 			}
 		}
@@ -143,6 +143,49 @@
 	is.Equal(e.Stats().Positions, 6)
 }
 
+// Guards the batch interface: each step has its own answer or failure, and a
+// step that is slow does not hold up the others.
+func TestBatchAnswersEachStep(t *testing.T) {
+	is := is.New(t)
+	_, c := serve(t, Config{Cost: Cost{PerToken: time.Millisecond}, BatchTokens: 20})
+	for _, id := range []string{"a", "b"} {
+		_, err := c.Open(t.Context(), request(id, nil))
+		is.NoErr(err)
+	}
+	var order []int
+	errs := map[int]error{}
+	is.NoErr(c.StepBatch(t.Context(), []engine.BatchStep{
+		{Session: "a", StepRequest: tokens(0, sequence(40)...)}, {Session: "none", StepRequest: tokens(0, 1)},
+		{Session: "b", StepRequest: tokens(0, 1)}, {Session: "a", StepRequest: tokens(9, 1)},
+	}, nil, func(i int, r engine.StepResult, err error) {
+		order = append(order, i)
+		errs[i] = err
+	}))
+	is.Equal(len(order), 4)
+	is.Equal(order[0], 1)
+	is.NoErr(errs[0])
+	is.NoErr(errs[2])
+	is.NoErr(errs[3]) // position 9 is kept by then
+	is.True(fault.Is(errs[1], fault.NotFound))
+}
+
+// Guards against sessions that an agent left behind when it was killed.
+func TestUnusedSessionIsFreed(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual(time.Unix(0, 0))
+	e := New(Config{Timer: clock, Held: engine.State{Version: "v", Layers: resrc.LayerRange{From: 0, To: 4}}})
+	_, err := e.open(request("old", nil))
+	is.NoErr(err)
+	clock.Advance(50 * time.Second)
+	_, err = e.open(request("new", nil))
+	is.NoErr(err)
+	clock.Advance(50 * time.Second)
+	_, err = e.open(request("other", nil))
+	is.NoErr(err)
+	is.Equal(len(e.sessions), 2)
+	is.Equal(e.sessions["old"], nil)
+}
+
 // Guards the prefix cache: a hit continues with the same output, within the
 // bound, and its events lag and have gaps.
 func TestPrefixCache(t *testing.T) {
--- a/internal/fakes/fengn/http.go
+++ b/internal/fakes/fengn/http.go
@@ -19,6 +19,7 @@
 	r.HandleFunc("/sessions", e.serveOpen).Methods(http.MethodPost)
 	r.HandleFunc("/sessions/{id}", e.serveCancel).Methods(http.MethodDelete)
 	r.HandleFunc("/sessions/{id}/steps", e.serveStep).Methods(http.MethodPost)
+	r.HandleFunc("/steps", e.serveBatch).Methods(http.MethodPost)
 	r.HandleFunc("/sessions/{id}/truncate", e.serveTruncate).Methods(http.MethodPost)
 	r.HandleFunc("/sessions/{id}/kv", e.serveExport).Methods(http.MethodGet)
 	r.HandleFunc("/kv", e.serveImport).Methods(http.MethodPost)
@@ -50,38 +51,71 @@
 	if !read(w, r, &body) {
 		return
 	}
-	id := mux.Vars(r)["id"]
-	e.mu.Lock()
-	first := e.state.Layers.From == 0
-	e.mu.Unlock()
-	inputs, err := decodeInputs(first, body.Count, body.Data)
-	if err != nil {
-		write(w, nil, err)
-		return
-	}
-	st, err := e.submit(id, body.Position, inputs)
-	if err != nil {
+	reply := make(chan ended, 1)
+	if err := e.submit(engine.BatchStep{Session: mux.Vars(r)["id"], StepRequest: body}, 0, reply); err != nil {
 		write(w, nil, err)
 		return
 	}
 	select {
-	case err = <-st.reply:
+	case end := <-reply:
+		result, err := e.result(end, body)
+		write(w, result, err)
 	case <-r.Context().Done():
-		return
 	}
-	if err != nil {
-		write(w, nil, err)
+}
+
+// serveBatch answers each step of a batch when it ends.
+func (e *Engine) serveBatch(w http.ResponseWriter, r *http.Request) {
+	var body []engine.BatchStep
+	if !read(w, r, &body) {
 		return
 	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	lines := json.NewEncoder(w)
+	reply := make(chan ended, len(body))
+	waiting := 0
+	for i, b := range body {
+		if err := e.submit(b, i, reply); err != nil {
+			_ = lines.Encode(failed(i, err))
+			continue
+		}
+		waiting++
+	}
+	for ; waiting > 0; waiting-- {
+		if len(reply) == 0 {
+			_ = http.NewResponseController(w).Flush()
+		}
+		select {
+		case end := <-reply:
+			i := end.step.index
+			result, err := e.result(end, body[i].StepRequest)
+			if err != nil {
+				_ = lines.Encode(failed(i, err))
+				continue
+			}
+			_ = lines.Encode(engine.BatchResult{Index: i, Result: result})
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func failed(index int, err error) engine.BatchResult {
+	f := fault.As(err)
+	return engine.BatchResult{Index: index, Code: string(f.Code), Detail: f.Detail}
+}
+
+// result returns the kept outputs of a step that has ended.
+func (e *Engine) result(end ended, r engine.StepRequest) (engine.StepResult, error) {
+	if end.err != nil {
+		return engine.StepResult{}, end.err
+	}
 	e.mu.Lock()
-	if st.session.next() < body.Position+body.Count {
-		e.mu.Unlock()
-		write(w, nil, fault.New(fault.Conflict, "session was truncated"))
-		return
+	defer e.mu.Unlock()
+	if end.step.session.next() < r.Position+r.Count {
+		return engine.StepResult{}, fault.New(fault.Conflict, "session was truncated")
 	}
-	result := st.session.result(body.Position, body.Count)
-	e.mu.Unlock()
-	write(w, result, nil)
+	return end.step.session.result(r.Position, r.Count), nil
 }
 
 func (e *Engine) serveTruncate(w http.ResponseWriter, r *http.Request) {
--- a/internal/fakes/fengn/session.go
+++ b/internal/fakes/fengn/session.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"shallotcourse/internal/engine"
 	"shallotcourse/internal/fault"
@@ -18,6 +19,8 @@
 	// queued is the first position that no accepted step covers.
 	queued int
 	closed bool
+	// used is the time of the last request for the session.
+	used time.Time
 	// cached counts the blocks that were offered to the prefix cache.
 	cached int
 }
@@ -88,6 +91,7 @@
 	if err := e.holds(r); err != nil {
 		return engine.SessionState{}, err
 	}
+	e.sweep()
 	s := e.newSession(r)
 	if len(r.Prompt) > 0 {
 		s.states = e.cache.lookup(s, len(r.Prompt)-1)
@@ -99,7 +103,22 @@
 }
 
 func (e *Engine) newSession(r engine.SessionRequest) *session {
-	return &session{id: r.Session, request: r, model: newModel(r.Version, r.Adapter, r.Seed, e.cfg.Endless)}
+	return &session{id: r.Session, request: r, used: e.cfg.Timer.Now(), model: newModel(r.Version, r.Adapter, r.Seed, e.cfg.Endless)}
+}
+
+// sweep frees sessions that nobody uses any more, such as those of an agent
+// that was killed. It looks at all sessions four times per idle time at most.
+func (e *Engine) sweep() {
+	now := e.cfg.Timer.Now()
+	if now.Sub(e.swept) < e.cfg.SessionIdle/4 {
+		return
+	}
+	e.swept = now
+	for _, s := range e.sessions {
+		if s.queued == s.next() && now.Sub(s.used) > e.cfg.SessionIdle {
+			e.drop(s)
+		}
+	}
 }
 
 func (e *Engine) holds(r engine.SessionRequest) error {
@@ -147,7 +166,7 @@
 		if st.session != s || slices.ContainsFunc(e.batch, func(b slice) bool { return b.step == st }) {
 			return false
 		}
-		st.reply <- errClosed
+		st.end(errClosed)
 		return true
 	})
 }
