limit: keep room for entries without a loan

Cause: the first entry that asked for quota of an account was lent the whole limit, so the second one had a concurrency of 1 and a rate of 0 until the loans were renewed. Ruled out: the account's own limits (10,000 open, 10,000/s) and the gate (the refusals were LimitReached, not Overloaded). Change: a loan counts all linked entries, and a fifth of an equal share is kept for each entry without a loan. The retry hint of the concurrency limit starts at 100 ms; it was microseconds.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -17,6 +17,9 @@
 	adaptInterval = 100 * time.Millisecond
 	// minConcurrency keeps a trickle going, by which the delay is measured.
 	minConcurrency = 16
+	// concurrencyPause is the least retry hint of an account with too many
+	// open requests: one of them has to end first.
+	concurrencyPause = 100 * time.Millisecond
 )
 
 type (
@@ -121,13 +124,13 @@
 	c.used = now
 	if c.open >= c.rates.Concurrency {
 		f := fault.New(fault.LimitReached, "account has too many open requests")
-		return nil, f.WithRetryAfter(c.hint(now, a.models.DrainPerSecond()))
+		return nil, f.WithRetryAfter(c.hint(now, concurrencyPause, min(c.rates.PerSecond, a.models.DrainPerSecond())))
 	}
 	bucket, wait := c.bucket.Take(now)
 	c.bucket = bucket
 	if wait > 0 {
 		f := fault.New(fault.LimitReached, "account is over its rate")
-		return nil, f.WithRetryAfter(c.hint(now.Add(wait), c.rates.PerSecond))
+		return nil, f.WithRetryAfter(c.hint(now, wait, c.rates.PerSecond))
 	}
 	c.open++
 	return c, nil
@@ -155,10 +158,10 @@
 	return limit.Rates{PerSecond: spec.RequestsPerSecond, Burst: float64(spec.Burst), Concurrency: spec.Concurrency}
 }
 
-// hint returns a retry hint that is spread over the account's own rate.
-func (c *account) hint(now time.Time, perSecond float64) time.Duration {
+// hint returns a retry hint after the wait, spread over the account's own rate.
+func (c *account) hint(now time.Time, wait time.Duration, perSecond float64) time.Duration {
 	var after time.Duration
-	c.spread, after = c.spread.Next(now, 0, perSecond, rand.Float64())
+	c.spread, after = c.spread.Next(now, wait, perSecond, rand.Float64())
 	return after
 }
 
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -68,7 +68,7 @@
 		l = &limit.Lender{}
 		a.lenders[name] = l
 	}
-	return l.Lend(ratesOf(spec), borrower, wanted, now)
+	return l.Lend(ratesOf(spec), borrower, wanted, a.entry.entryCount(), now)
 }
 
 func (a *admission) lent(name string, granted float64, now time.Time) {
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -5,9 +5,17 @@
 	"time"
 )
 
-// QuotaPeriod is the time for which an owner lends quota. Within it an entry
-// that was lost keeps its share unused, and a new one has only the fallback.
-const QuotaPeriod = time.Second
+const (
+	// QuotaPeriod is the time for which an owner lends quota. Within it an
+	// entry that was lost keeps its share unused, and a new one has only the
+	// fallback.
+	QuotaPeriod = time.Second
+
+	// reserve is the part of an equal share that is kept for each entry
+	// without a loan, so that its first callers are not refused while the
+	// loans of the others last.
+	reserve = 0.2
+)
 
 type (
 	// Rates are the limits of an account, or the part of them that one entry
@@ -51,10 +59,11 @@
 	}
 }
 
-// Lend returns the rate that a borrower may use for QuotaPeriod: its max-min
-// fair part by the recent demands, but never more than what is not lent to
-// others now. So the loans together stay within the limit at any time.
-func (l *Lender) Lend(limit Rates, borrower string, wanted float64, now time.Time) float64 {
+// Lend returns the rate that a borrower, one of n entries, may use for
+// QuotaPeriod: its max-min fair part by the recent demands, but never more than
+// what is not lent to others now or kept for entries without a loan. So the
+// loans together stay within the limit at any time.
+func (l *Lender) Lend(limit Rates, borrower string, wanted float64, n int, now time.Time) float64 {
 	if l.loans == nil {
 		l.loans = map[string]loan{}
 	}
@@ -68,15 +77,18 @@
 		}
 	}
 	l.loans[borrower] = loan{wanted: wanted}
-	granted := max(0, min(l.fair(limit.PerSecond, borrower), free))
+	n = max(n, len(l.loans))
+	free -= reserve * limit.PerSecond / float64(n) * float64(n-len(l.loans))
+	granted := max(0, min(l.fair(limit.PerSecond, borrower, n), free))
 	l.loans[borrower] = loan{wanted: wanted, granted: granted, until: now.Add(QuotaPeriod)}
 	return granted
 }
 
 // fair returns the max-min fair part of a borrower, and an equal part of what
 // nobody wants, so that a rise of the demand does not wait for the next loan.
-func (l *Lender) fair(rate float64, borrower string) float64 {
-	wants := make([]float64, 0, len(l.loans))
+// Entries without a loan want nothing yet.
+func (l *Lender) fair(rate float64, borrower string, n int) float64 {
+	wants := make([]float64, n-len(l.loans), n)
 	for _, o := range l.loans {
 		wants = append(wants, o.wanted)
 	}
