--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -8,6 +8,7 @@
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/limit"
+	"shallotcourse/internal/route"
 	"shallotcourse/internal/store"
 	"shallotcourse/pkg/resrc"
 )
@@ -28,12 +29,13 @@
 	admission struct {
 		entry *Entry
 		mu    sync.Mutex
-		// models and services have gates of their own, since they do not
-		// share targets.
-		models, services *gate
-		accounts         map[string]*account
-		lenders          map[string]*limit.Lender
-		budget           limit.Budget
+		// models holds a gate for each version. Services have their own, since
+		// they do not share targets with models.
+		models   map[string]*gate
+		services *gate
+		accounts map[string]*account
+		lenders  map[string]*limit.Lender
+		budget   limit.Budget
 	}
 
 	gate struct {
@@ -68,12 +70,9 @@
 
 func newAdmission(e *Entry) *admission {
 	b, now := e.bounds, e.cfg.Timer.Now()
-	models := limit.Bounds{
-		Queue: b.Queue, Start: b.Concurrency, Min: min(minConcurrency, b.Concurrency), Max: 4 * b.Concurrency, Target: b.FirstToken,
-	}
 	services := limit.Bounds{Queue: b.Queue, Start: b.Concurrency, Min: b.Concurrency, Max: b.Concurrency}
 	return &admission{
-		entry: e, models: newGate(models), services: newGate(services), accounts: map[string]*account{},
+		entry: e, models: map[string]*gate{}, services: newGate(services), accounts: map[string]*account{},
 		lenders: map[string]*limit.Lender{}, budget: limit.NewBudget(now),
 	}
 }
@@ -82,6 +81,23 @@
 	return &gate{Gate: limit.NewGate(b), waiters: map[uint64]chan error{}}
 }
 
+// model returns the gate of a version.
+func (a *admission) model(version string) *gate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g, ok := a.models[version]
+	if !ok {
+		b := a.entry.bounds
+		g = newGate(limit.Bounds{
+			Queue: b.Queue, Start: b.Concurrency, Min: min(minConcurrency, b.Concurrency), Max: 4 * b.Concurrency,
+			Target: b.FirstToken,
+		})
+		a.makeRoom(version, g)
+		a.models[version] = g
+	}
+	return g
+}
+
 // enter admits a request of an account to a gate, or refuses it as NotRun.
 func (a *admission) enter(ctx context.Context, name string, g *gate, deadline time.Duration) (*pass, error) {
 	spec, ok := store.Spec[resrc.ClientAccount](a.entry.cfg.Snapshot.Value(), name)
@@ -90,7 +106,7 @@
 	}
 	now := a.entry.cfg.Timer.Now()
 	a.mu.Lock()
-	c, err := a.charge(name, spec, now)
+	c, err := a.charge(name, spec, g, now)
 	if err != nil {
 		a.mu.Unlock()
 		return nil, err
@@ -118,13 +134,13 @@
 }
 
 // charge takes the request from the account's limits.
-func (a *admission) charge(name string, spec resrc.ClientAccount, now time.Time) (*account, error) {
+func (a *admission) charge(name string, spec resrc.ClientAccount, g *gate, now time.Time) (*account, error) {
 	c := a.account(name, spec, now)
 	c.arrived++
 	c.used = now
 	if c.open >= c.rates.Concurrency {
 		f := fault.New(fault.LimitReached, "account has too many open requests")
-		return nil, f.WithRetryAfter(c.hint(now, concurrencyPause, min(c.rates.PerSecond, a.models.DrainPerSecond())))
+		return nil, f.WithRetryAfter(c.hint(now, concurrencyPause, min(c.rates.PerSecond, g.DrainPerSecond())))
 	}
 	bucket, wait := c.bucket.Take(now)
 	c.bucket = bucket
@@ -183,7 +199,7 @@
 		a.mu.Lock()
 		p.account.open--
 		a.mu.Unlock()
-		return nil, a.entry.hint(fault.As(err))
+		return nil, a.hint(p.gate, fault.As(err))
 	}
 	p.since = now
 	return p, nil
@@ -243,11 +259,14 @@
 	p.gate.TargetRefused()
 }
 
-// retryAfter returns a hint for a model request or call without effect.
-func (a *admission) retryAfter() time.Duration {
+// hint adds a retry hint to a failure without effect.
+func (a *admission) hint(g *gate, f *fault.Error) *fault.Error {
+	if f.Outcome != fault.NotRun || f.RetryAfter > 0 {
+		return f
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.models.RetryAfter(a.entry.cfg.Timer.Now(), rand.Float64())
+	return f.WithRetryAfter(g.RetryAfter(a.entry.cfg.Timer.Now(), rand.Float64()))
 }
 
 func (a *admission) mayRetry() bool {
@@ -272,9 +291,7 @@
 	for {
 		select {
 		case now := <-adapt:
-			a.mu.Lock()
-			a.models.wakeAll(a.models.Adapt(now))
-			a.mu.Unlock()
+			a.adapt(now)
 		case now := <-quota:
 			a.renew(now)
 		case <-ctx.Done():
@@ -282,3 +299,30 @@
 		}
 	}
 }
+
+// adapt lets the gates of the models follow the measured delay and the room at
+// the targets.
+func (a *admission) adapt(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for version, g := range a.models {
+		// The room comes first, because a raised concurrency releases requests.
+		known := a.makeRoom(version, g)
+		g.wakeAll(g.Adapt(now))
+		if !known && g.InUse() == 0 && g.Waiting() == 0 {
+			delete(a.models, version)
+		}
+	}
+}
+
+// makeRoom bounds a gate by what the targets admit. It returns false when the
+// configuration does not have the version.
+func (a *admission) makeRoom(version string, g *gate) bool {
+	v, known := store.Spec[resrc.ModelVersion](a.entry.cfg.Snapshot.Value(), version)
+	if free, ok := route.Room(a.entry.view.Value(), version, v.Layers, a.entry.ownCount); ok {
+		g.wakeAll(g.SetRoom(free))
+	} else {
+		g.wakeAll(g.ClearRoom())
+	}
+	return known
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -189,7 +189,7 @@
 // reply writes the result of a call to its caller.
 func (e *Entry) reply(w http.ResponseWriter, r result) error {
 	if r.failure != nil {
-		return e.hint(r.failure)
+		return e.admit.hint(e.admit.services, r.failure)
 	}
 	h := w.Header()
 	for name, values := range r.outcome.Header {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -17,7 +17,7 @@
 	// prefixBlock is the number of prompt tokens that decide cache affinity.
 	prefixBlock = 64
 
-	maxRefusals  = 6
+	maxRefusals  = 8
 	maxAttempts  = 24
 	openTimeout  = time.Second
 	stallTimeout = 3 * time.Second
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -37,6 +37,9 @@
 		inUse  int
 		// limit is the adapted concurrency.
 		limit float64
+		// room bounds the concurrency by what the targets admit; negative
+		// for no bound.
+		room int
 		// hold and first are moving averages of the time that a request
 		// holds its place, and of the time from dispatch to its first token.
 		hold, first time.Duration
@@ -63,7 +66,7 @@
 
 // NewGate returns a gate with nothing in use.
 func NewGate(b Bounds) *Gate {
-	return &Gate{bounds: b, queue: NewQueue(b.Queue), limit: float64(b.Start)}
+	return &Gate{bounds: b, queue: NewQueue(b.Queue), limit: float64(b.Start), room: -1}
 }
 
 // Waiting returns the number of waiting requests.
@@ -72,8 +75,27 @@
 // InUse returns the number of dispatched requests.
 func (g *Gate) InUse() int { return g.inUse }
 
-// Limit returns the adapted concurrency.
-func (g *Gate) Limit() int { return int(g.limit) }
+// Limit returns the concurrency in force.
+func (g *Gate) Limit() int {
+	if g.room >= 0 && g.room < int(g.limit) {
+		return g.room
+	}
+	return int(g.limit)
+}
+
+// SetRoom takes over how many more requests the targets admit, and returns the
+// tickets that may go now. Without it, requests would be dispatched only to be
+// refused by the agents.
+func (g *Gate) SetRoom(free int) []uint64 {
+	g.room = g.inUse + free
+	return g.release()
+}
+
+// ClearRoom lifts the bound: without any target, requests fail at once.
+func (g *Gate) ClearRoom() []uint64 {
+	g.room = -1
+	return g.release()
+}
 
 // Enter decides over an arriving request, whose first token is due within the
 // deadline. A request whose estimated wait is longer is refused at once.
--- a/internal/limit/gate_test.go
+++ b/internal/limit/gate_test.go
@@ -42,6 +42,10 @@
 			return []string{"removed"}
 		}
 		return []string{"gone"}
+	case "room":
+		return released(w.gate.SetRoom(l.Int("free")))
+	case "clear":
+		return released(w.gate.ClearRoom())
 	case "retry":
 		return []string{w.gate.RetryAfter(now, 0).String()}
 	case "fill":
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -83,6 +83,13 @@
 		}
 		return 0
 	}
+	if l.Name == "room" {
+		n, ok := Room(v, q.Version, q.Layers, q.Own)
+		if !ok {
+			return []string{"none"}
+		}
+		return []string{strconv.Itoa(n)}
+	}
 	var p Policy = Cheapest{}
 	switch l.Text("policy") {
 	case "roundrobin":
--- a/internal/steps/coord.go
+++ b/internal/steps/coord.go
@@ -98,6 +98,9 @@
 	return c, []Action{Choose{}}
 }
 
+// Plan returns what the request asks for.
+func (c Coord) Plan() Plan { return c.plan }
+
 // Phase returns the state of the coordinator.
 func (c Coord) Phase() Phase { return c.phase }
 
