agent: observe the engine while waiting, close failing targets, end unused links

An agent that waits for the weight store or for an earlier lease goes on observing its engine. A target that keeps failing takes no new work for a while, since a hanging engine looks idle.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -40,6 +40,8 @@
 		return nil, wire.RefusedNotLoaded
 	case m.Adapter != "" && !slices.Contains(a.held.Adapters, m.Adapter):
 		return nil, wire.RefusedNotLoaded
+	case !a.health.open(a.cfg.Timer.Now()):
+		return nil, wire.RefusedEngine
 	case len(a.sessions)+a.calls >= a.limit.limit():
 		return nil, wire.RefusedFull
 	}
@@ -58,6 +60,8 @@
 		return wire.RefusedNotLoaded
 	case a.leaving || draining:
 		return wire.RefusedLeaving
+	case !a.health.open(a.cfg.Timer.Now()):
+		return wire.RefusedEngine
 	case len(a.sessions)+a.calls >= a.limit.limit():
 		return wire.RefusedFull
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,9 @@
 	cfg   Config
 	meter *meter
 	steps *batcher
+	dials *dials
+	// health follows the target's failures.
+	health health
 
 	mu       sync.RWMutex
 	sessions map[string]*session
@@ -65,6 +68,7 @@
 		lease:    order.NewLease(cfg.Incarnation, cfg.Limits.Rules),
 	}
 	a.steps = newBatcher(a)
+	a.dials = newDials(cfg.Dialer, cfg.Timer)
 	return a
 }
 
--- a/internal/agent/batch.go
+++ b/internal/agent/batch.go
@@ -108,6 +108,8 @@
 		b.push(j)
 		return
 	}
-	b.agent.meter.end(b.agent.cfg.Timer.Now().Sub(j.begun), j.step.Count, err == nil)
+	now := b.agent.cfg.Timer.Now()
+	b.agent.meter.end(now.Sub(j.begun), j.step.Count, err == nil)
+	b.agent.health.record(now, err)
 	j.ended(r, err)
 }
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -86,7 +86,9 @@
 	answer, err := a.cfg.Service.Do(ctx, engine.ServiceCall{
 		Method: m.Method, Path: m.Path, Header: http.Header(m.Header), Body: m.Body, Repeatable: m.Repeatable,
 	})
-	a.meter.record(a.cfg.Timer.Now().Sub(begin), err == nil)
+	now := a.cfg.Timer.Now()
+	a.meter.record(now.Sub(begin), err == nil)
+	a.health.record(now, notDeadline(err))
 	o := outcomeOf(m, answer, err)
 	waiting := []string{entry}
 	if !m.Repeatable {
@@ -117,6 +119,15 @@
 	return limit
 }
 
+// notDeadline drops a passed deadline: a slow call says little of the service,
+// because the caller chose the deadline.
+func notDeadline(err error) error {
+	if fault.Is(err, fault.Deadline) {
+		return nil
+	}
+	return err
+}
+
 func outcomeOf(m wire.Call, answer engine.ServiceAnswer, err error) wire.Outcome {
 	o := wire.Outcome{ID: m.ID, Nonce: m.Nonce, State: wire.OutcomeDone, Status: answer.Status, Header: answer.Header, Body: answer.Body}
 	if err == nil {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -23,7 +23,10 @@
 	// Dialer keeps links to other agents.
 	Dialer interface {
 		// Want asks for a link to an address, now and after each loss.
+		// It does not wait for the link.
 		Want(address string)
+		// Unwant undoes one call of Want; the last one closes the link.
+		Unwant(address string)
 		// Peer returns the link to an address if it is up.
 		Peer(address string) (link.Peer, bool)
 	}
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -155,7 +155,7 @@
 	leaving := a.leaving || draining
 	return wire.Load{
 		Target: a.cfg.Target, Open: len(a.sessions) + a.calls, Waiting: waiting, QueueDelay: delay, StepTime: step,
-		Limit: a.limit.limit(), Ready: a.ready && !leaving, Leaving: leaving, Version: a.held.Version, Layers: a.held.Layers,
+		Limit: a.limit.limit(), Ready: a.ready && !leaving && a.health.open(a.cfg.Timer.Now()), Leaving: leaving, Version: a.held.Version, Layers: a.held.Layers,
 	}
 }
 
--- a/internal/agent/memnet_test.go
+++ b/internal/agent/memnet_test.go
@@ -61,6 +61,9 @@
 // Want implements Dialer: it dials at once.
 func (e *end) Want(address string) { e.dial(address) }
 
+// Unwant implements Dialer.
+func (e *end) Unwant(string) {}
+
 // Peer implements Dialer.
 func (e *end) Peer(address string) (link.Peer, bool) {
 	e.mu.Lock()
--- a/internal/agent/neighbour.go
+++ b/internal/agent/neighbour.go
@@ -17,6 +17,19 @@
 	return chain[(x.Index()+1)%len(chain)], true
 }
 
+// dial asks for the link to the next stage of the current attempt.
+func (s *session) dial() {
+	next, ok := successor(s.machine)
+	if s.freed || !ok || next.Address == s.next {
+		return
+	}
+	s.agent.dials.acquire(next.Address)
+	if s.next != "" {
+		s.agent.dials.release(s.next)
+	}
+	s.next = next.Address
+}
+
 // toEntry sends to the entry if it is linked. What is lost is repeated after
 // a redial: the entry repeats Open, and asks for tokens by Resync.
 func (s *session) toEntry(m wire.Message) {
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"shallotcourse/internal/engine"
 	"shallotcourse/internal/fakes/fengn"
+	"shallotcourse/internal/fault"
 	"shallotcourse/internal/order"
 	"shallotcourse/internal/plat"
 	"shallotcourse/internal/wire"
@@ -109,16 +112,23 @@
 	is := is.New(t)
 	w := newWorld(t)
 	p := w.stage(0, 6, 0, withRules)
-	a := p.agent
-	is.NoErr(a.own(t.Context()))
+	// The second agent does not run: after one tick it is paused.
+	cfg := p.agent.cfg
+	cfg.Incarnation = "second"
+	a := New(cfg)
+	a.lease.Tick(time.Now())
+	r := &reconciler{agent: a}
+	owned, err := r.own(t.Context())
+	is.NoErr(err)
+	is.True(owned)
 	epoch, ok := a.may()
 	is.True(ok && epoch == 1)
-	// The holder is paused past its lease, and another agent takes over.
+	// Its lease passes, and another agent takes over.
 	time.Sleep(2 * shortRules.Lease)
 	w.setOwner("t1", order.Owner{Holder: "other", Epoch: 2, Lease: time.Hour})
 	_, ok = a.may()
 	is.True(!ok)
-	err := a.cfg.Engine.Do(t.Context(), engine.Order{Kind: engine.OrderRole, Role: "Decode", Fence: epoch}, func() error {
+	err = a.cfg.Engine.Do(t.Context(), engine.Order{Kind: engine.OrderRole, Role: "Decode", Fence: epoch}, func() error {
 		if now, ok := a.may(); !ok || now != epoch {
 			return conflict
 		}
@@ -128,6 +138,33 @@
 	is.Equal(len(p.engine.Stats().Orders), 0)
 }
 
+// busyWeights gives a turn only after some refusals.
+type busyWeights struct{ refusals atomic.Int64 }
+
+// Reserve implements plat.Weights.
+func (b *busyWeights) Reserve(context.Context, string, int64) error {
+	if b.refusals.Add(-1) >= 0 {
+		return fault.New(fault.Overloaded, "rate is used up").WithRetryAfter(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// Guards against a load outside the weight store's rate, and against an agent
+// that stops observing its engine while it waits for a turn.
+func TestLoadWaitsForItsTurn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	weights := &busyWeights{}
+	weights.refusals.Store(2)
+	e := fengn.New(fengn.Config{})
+	p := w.start(e, allLayers, func(c *Config) { c.Weights = weights })
+	w.eventually("first refusal", func() bool { return weights.refusals.Load() < 2 })
+	is.Equal(len(e.Stats().Orders), 0)
+	w.waitReady(p)
+	is.Equal(len(e.Stats().Orders), 1)
+	is.Equal(weights.refusals.Load(), int64(-1)) // one turn for one order
+}
+
 // Guards P5 for a drain by the operator, which may be taken back.
 func TestOperatorDrain(t *testing.T) {
 	is := is.New(t)
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -26,6 +26,8 @@
 	machine *steps.Session
 	// entry is the incarnation of the coordinator.
 	entry string
+	// next is the address of the next stage whose link is asked for.
+	next  string
 	freed bool
 	// cancelOrphan and cancelLost stop timers that are running.
 	cancelOrphan func()
@@ -55,10 +57,8 @@
 			s.startOrphan()
 		}
 	}
-	if m.Index < len(m.Chain) && len(m.Chain) > 1 {
-		s.agent.cfg.Dialer.Want(m.Chain[(m.Index+1)%len(m.Chain)].Address)
-	}
 	s.carryOut(p, s.machine.Open(m))
+	s.dial()
 	return true
 }
 
@@ -162,6 +162,9 @@
 
 func (s *session) free() {
 	s.freed = true
+	if s.next != "" {
+		s.agent.dials.release(s.next)
+	}
 	s.stopOrphan()
 	s.stopLost()
 	s.finish()
@@ -180,6 +183,9 @@
 		Session: s.engineID(generation), Version: o.Version, Adapter: o.Adapter, Layers: o.Chain[o.Index].Layers,
 		Prompt: o.Prompt, Seed: o.Seed, Priority: o.Priority, Sample: last,
 	})
+	if s.ctx.Err() == nil {
+		s.agent.health.record(s.agent.cfg.Timer.Now(), err)
+	}
 	s.apply(nil, func(x *steps.Session) []steps.Decision {
 		if err != nil {
 			return x.EngineFailed(generation, detail(err))
