--- a/test/faults/config_test.go
+++ b/test/faults/config_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"shallotcourse/internal/fault"
 	"shallotcourse/pkg/clnt"
 	"shallotcourse/pkg/resrc"
 )
@@ -58,6 +59,7 @@
 	disturbed.Go(func() { c.disturbTable(random, stop) })
 	var mu sync.Mutex
 	var won []accepted
+	var notRun []string
 	var conflicts, unknown int
 	var wg sync.WaitGroup
 	for op := range 4 {
@@ -73,6 +75,9 @@
 				default:
 					unknown++
 				}
+				if err != nil && fault.As(err).Outcome == fault.NotRun {
+					notRun = append(notRun, raceID(op, n))
+				}
 				mu.Unlock()
 				time.Sleep(100 * time.Millisecond)
 			}
@@ -85,7 +90,7 @@
 	time.Sleep(inForceBound)
 	stopWatch()
 	t.Logf("writes: accepted %d, conflicts %d, unavailable or unknown %d", len(won), conflicts, unknown)
-	c.checkAudit(won)
+	c.checkAudit(won, notRun)
 	w.check(won)
 }
 
@@ -102,9 +107,11 @@
 	return client.Put(ctx, resrc.Resource{
 		Kind: resrc.KindClientAccount, Name: name, Revision: revision,
 		Spec: resrc.ClientAccount{Weight: 1, RequestsPerSecond: float64(op + 1), Burst: n + 1, Concurrency: 1},
-	}, fmt.Sprintf("change-%d-%d", op, n))
+	}, raceID(op, n))
 }
 
+func raceID(op, n int) string { return fmt.Sprintf("change-%d-%d", op, n) }
+
 // disturbTable makes the table slow, lose answers and go down, and replaces an
 // entry while it is down.
 func (c *cluster) disturbTable(random *rand.Rand, stop <-chan struct{}) {
@@ -224,7 +231,7 @@
 }
 
 // checkAudit compares the audit trail with what operators were told.
-func (c *cluster) checkAudit(won []accepted) {
+func (c *cluster) checkAudit(won []accepted, notRun []string) {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -246,6 +253,11 @@
 			c.t.Errorf("change %s was accepted %d times", id, n)
 		}
 	}
+	for _, id := range notRun {
+		if byID[id] > 0 {
+			c.t.Errorf("change %s was reported as NotRun and is in the audit trail", id)
+		}
+	}
 	for _, a := range won {
 		if byRevision[a.change.Revision].ID != a.change.ID {
 			c.t.Errorf("accepted change %s at revision %d is not in the audit trail", a.change.ID, a.change.Revision)
