steps: ask again for tokens that were lost between two links

Cause: an agent and an entry hold a link in each direction. When both went silent, the entry noticed first and sent Resync over the other link, but the agent answered on the link that it still took for live. The tokens sent until the agent noticed were lost without a sign, and the answer waited for the stall timer of 3 s. Ruled out: the links between agents (their outputs are repeated on each new link), the orphan timeout (no session was freed). Change: a token above the next position makes the coordinator send Resync, and an agent sends its newest token again when the entry's link changes. Also: the tests' ports are below the ephemeral range. One start had failed because a port that was free had been taken meanwhile.

--- a/internal/agent/neighbour.go
+++ b/internal/agent/neighbour.go
@@ -93,7 +93,9 @@
 	})
 }
 
-// entryUp rebinds the session to the new link of its entry.
+// entryUp rebinds the session to the new link of its entry. The entry may have
+// noticed the loss of the old link earlier, and what it asked for then was
+// still sent on the old one.
 func (s *session) entryUp(incarnation string) {
 	s.apply(nil, func(x *steps.Session) []steps.Decision {
 		if s.entry != incarnation {
--- a/internal/steps/coord.go
+++ b/internal/steps/coord.go
@@ -186,7 +186,7 @@
 	}
 	c.flowing = true
 	if t.Position > next {
-		return c.buffer(t), nil
+		return c.gap(t)
 	}
 	var actions []Action
 	for {
@@ -205,6 +205,23 @@
 	}
 }
 
+// gap holds a token that came too early. Links keep the order, so the tokens
+// before it were lost; the first of a gap asks for them.
+func (c Coord) gap(t wire.Token) (Coord, []Action) {
+	first := len(c.ahead) == 0
+	c = c.buffer(t)
+	if !first {
+		return c, nil
+	}
+	return c, []Action{c.resync()}
+}
+
+// resync asks the last stage for the tokens from the next position on.
+func (c Coord) resync() Action {
+	m := wire.Resync{Request: c.plan.Request, Attempt: c.attempt, Next: c.nextPosition()}
+	return Send{Stage: c.chain[len(c.chain)-1], Message: m}
+}
+
 func (c Coord) buffer(t wire.Token) Coord {
 	i, found := slices.BinarySearchFunc(c.ahead, t, func(a, b wire.Token) int { return a.Position - b.Position })
 	if !found {
--- a/internal/steps/coord_chain.go
+++ b/internal/steps/coord_chain.go
@@ -212,8 +212,7 @@
 	case c.phase == PhaseRunning && !c.flowing:
 		return c.reopen(nil)
 	case c.phase == PhaseRunning && i == len(c.chain)-1:
-		m := wire.Resync{Request: c.plan.Request, Attempt: c.attempt, Next: c.nextPosition()}
-		return c, []Action{Send{Stage: c.chain[i], Message: m}}
+		return c, []Action{c.resync()}
 	}
 	return c, nil
 }
--- a/internal/steps/session.go
+++ b/internal/steps/session.go
@@ -146,14 +146,17 @@
 	return []Decision{s.failed(s.open.Index, detail)}
 }
 
-// EntryUp repeats the answer to Open, or the failure, that may have been lost
-// with the old link of the entry. The entry asks for lost tokens itself.
+// EntryUp repeats what may have been lost with the old link of the entry: the
+// answer to Open, the failure, or the newest token. From that token the entry
+// sees whether it lacks earlier ones, and asks for them.
 func (s *Session) EntryUp() []Decision {
 	switch {
 	case s.failure != nil:
 		return []Decision{s.failure}
 	case s.phase == phaseOpened:
 		return []Decision{s.opened()}
+	case s.phase == phaseStarted && s.Last():
+		return s.sendTokens(max(s.log.end()-1, s.log.from), s.log.end(), true, false)
 	}
 	return nil
 }
--- a/test/faults/proc_test.go
+++ b/test/faults/proc_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,10 +22,17 @@
 const (
 	// startTimeout bounds the time until a process answers its health check.
 	startTimeout = 20 * time.Second
+	// firstPort and endPort bound the ports of the tests.
+	firstPort = 20000
+	endPort   = 32000
 	// stopTimeout bounds a graceful stop before the test fails.
 	stopTimeout = 30 * time.Second
 )
 
+var lastPort atomic.Int32
+
+func init() { lastPort.Store(firstPort) }
+
 type (
 	// proc is one process that the test started; it is stopped by its id.
 	proc struct {
@@ -146,21 +154,23 @@
 	}
 }
 
-// ports returns n loopback addresses that were free a moment ago.
+// ports returns n free loopback addresses below the range from which the system
+// picks ports for outgoing connections, so that none is taken meanwhile.
 func ports(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	var held []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(out) < n {
+		port := lastPort.Add(1)
+		if port >= endPort {
+			t.Fatal("no free port below the ephemeral range")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		held = append(held, l)
-		out = append(out, l.Addr().String())
-	}
-	for _, l := range held {
 		_ = l.Close()
+		out = append(out, address)
 	}
 	return out
 }
