--- a/internal/cmds/operator.go
+++ b/internal/cmds/operator.go
@@ -31,10 +31,11 @@
 	output  string
 }
 
-// OperatorCommands returns the commands that talk to the operator interface.
+// OperatorCommands returns the commands that run on an operator's machine.
 func OperatorCommands() []*cobra.Command {
 	return []*cobra.Command{
 		getCommand(), applyCommand(), deleteCommand(), watchCommand(), drainCommand(), auditCommand(), statusCommand(),
+		callCommand(),
 	}
 }
 
--- a/pkg/clnt/clnt.go
+++ b/pkg/clnt/clnt.go
@@ -2,18 +2,12 @@
 package clnt
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,8 +25,6 @@
 	// readTimeout bounds one read at one entry. It is above the 5 s that an
 	// entry waits for the table.
 	readTimeout = 6 * time.Second
-	// dialTimeout bounds the connection to one entry.
-	dialTimeout = time.Second
 	// maxAnswerBytes bounds one answer.
 	maxAnswerBytes = 16 << 20
 	// rounds is the number of times that all entries are tried.
@@ -42,15 +34,9 @@
 )
 
 type (
-	// Client talks to the entries. It is safe for concurrent use.
-	Client struct {
-		entries []string
-		key     string
-		http    *http.Client
-		clock   timer.Service
-		// next is the index of the entry to try first: the last that answered.
-		next atomic.Int64
-	}
+	// Client talks to the operator interface of the entries. It is safe for
+	// concurrent use.
+	Client struct{ *pool }
 
 	// Status is what one entry knows of itself and its linked peers.
 	Status = opapi.Status
@@ -58,37 +44,11 @@
 	InstanceStatus = opapi.InstanceStatus
 	// Event is one line of a watch.
 	Event = opapi.Event
-
-	request struct {
-		method, path string
-		query        url.Values
-		body         []byte
-		// change is the change identifier; empty for a read.
-		change string
-		// pinned says that the write can no longer take effect once a conflict
-		// with its expected revision was seen.
-		pinned bool
-	}
 )
 
-// New returns a client of the entries, given as base URLs or host:port, with
-// an operator key.
-func New(entries []string, key string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	c := &Client{key: key, clock: timer.System{}, http: &http.Client{
-		Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: 30 * time.Second},
-	}}
-	for _, e := range entries {
-		if !strings.Contains(e, "://") {
-			e = "http://" + e
-		}
-		c.entries = append(c.entries, strings.TrimRight(e, "/"))
-	}
-	return c
-}
-
-// Entries returns the base URLs of the entries.
-func (c *Client) Entries() []string { return c.entries }
+// New returns a client of the entries' operator interface, given as base URLs
+// or host:port, with an operator key.
+func New(entries []string, key string) *Client { return &Client{newPool(entries, key)} }
 
 // Get returns one resource as it is in force at the entry that answers.
 func (c *Client) Get(ctx context.Context, kind resrc.Kind, name string) (resrc.Resource, error) {
@@ -113,7 +73,8 @@
 		return resrc.Change{}, fault.New(fault.BadInput, "the resource does not encode").WithCause(err)
 	}
 	return c.write(ctx, request{
-		method: http.MethodPut, path: resourcePath(r.Kind, r.Name), body: body, change: changeID, pinned: r.Revision > 0,
+		method: http.MethodPut, path: resourcePath(r.Kind, r.Name), body: body,
+		header: http.Header{"Content-Type": {"application/json"}}, change: changeID, pinned: r.Revision > 0,
 	})
 }
 
@@ -161,6 +122,11 @@
 	if r.change == "" {
 		r.change = uuid.NewString()
 	}
+	if r.header == nil {
+		r.header = http.Header{}
+	}
+	r.header.Set(opapi.ChangeHeader, r.change)
+	r.effect = true
 	var change resrc.Change
 	err := c.call(ctx, r, &change)
 	return change, err
@@ -179,8 +145,8 @@
 			break
 		}
 		for range c.entries {
-			i := c.next.Load()
-			data, err := c.attempt(ctx, c.entries[i], r)
+			entry := c.first()
+			data, err := c.attempt(ctx, entry, r)
 			if err == nil {
 				return decode(data, v)
 			}
@@ -189,7 +155,7 @@
 			if definite(last) {
 				return settled(last, r, unknown)
 			}
-			c.next.CompareAndSwap(i, (i+1)%int64(len(c.entries)))
+			c.leave(entry)
 			if ctx.Err() != nil {
 				return settled(last, r, unknown)
 			}
@@ -223,7 +189,7 @@
 // attempt sends the request to one entry.
 func (c *Client) attempt(ctx context.Context, entry string, r request) ([]byte, error) {
 	timeout := readTimeout
-	if r.change != "" {
+	if r.effect {
 		timeout = writeTimeout
 	}
 	ctx, cancel := timer.WithTimeout(ctx, c.clock, timeout)
@@ -233,6 +199,9 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return nil, fault.ReadBody(resp.StatusCode, resp.Body)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, unanswered(entry, r, true, err)
@@ -240,47 +209,6 @@
 	return data, nil
 }
 
-// send returns the answer of one entry if its status is 2xx.
-func (c *Client) send(ctx context.Context, entry string, r request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	target := entry + r.path
-	if len(r.query) > 0 {
-		target += "?" + r.query.Encode()
-	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.method, target, bytes.NewReader(r.body))
-	if err != nil {
-		return nil, fault.Invalid("Entry", entry, "host:port or a URL").WithCause(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+c.key)
-	if r.change != "" {
-		req.Header.Set(opapi.ChangeHeader, r.change)
-	}
-	if len(r.body) > 0 {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, unanswered(entry, r, connected.Load(), err)
-	}
-	if resp.StatusCode/100 == 2 {
-		return resp, nil
-	}
-	defer resp.Body.Close()
-	return nil, fault.ReadBody(resp.StatusCode, resp.Body)
-}
-
-func unanswered(entry string, r request, sent bool, cause error) error {
-	e := fault.Newf(fault.Unavailable, "no answer from entry %s", entry).WithCause(cause)
-	if errors.Is(cause, context.Canceled) {
-		e.Detail += " before the request was given up"
-	}
-	if sent && r.change != "" {
-		return e.WithOutcome(fault.Unknown)
-	}
-	return e
-}
-
 func decode(data []byte, v any) error {
 	if err := json.Unmarshal(data, v); err != nil {
 		return fault.New(fault.Malformed, "the entry's answer does not decode").WithOutcome(fault.Unknown).WithCause(err)
--- a/pkg/clnt/watch.go
+++ b/pkg/clnt/watch.go
@@ -31,8 +31,8 @@
 		return fault.Invalid("Entries", c.entries, "one address or more")
 	}
 	for failures := 0; ; {
-		i := c.next.Load()
-		at, err := c.stream(ctx, c.entries[i], since, f)
+		entry := c.first()
+		at, err := c.stream(ctx, entry, since, f)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -49,7 +49,7 @@
 		if failures >= rounds*len(c.entries) {
 			return err
 		}
-		c.next.CompareAndSwap(i, (i+1)%int64(len(c.entries)))
+		c.leave(entry)
 		if timer.Sleep(ctx, c.clock, roundPause) != nil {
 			return nil
 		}
@@ -71,6 +71,9 @@
 		return since, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return since, fault.ReadBody(resp.StatusCode, resp.Body)
+	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
