link, cmds: lose no message at a planned stop

A rolling restart cut a call: the agent closed its links while the outcome was still queued, or before a late call was refused. Stop now writes what is queued and waits for the peer's end, and a leaving agent refuses late work for one silence timeout.

--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -18,6 +18,7 @@
 	"shallotcourse/internal/fleet"
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/order"
+	"shallotcourse/internal/timer"
 	"shallotcourse/internal/wire"
 )
 
@@ -101,11 +102,20 @@
 	_ = level.Info(a.logger).Log("msg", "stopping")
 	cancel()
 	if err := <-ended; err != nil && failure == nil {
-		return err
+		failure = err
 	}
+	a.linger()
 	return failure
 }
 
+// linger keeps refusing work after the last has ended. A call that an entry
+// sent before it knew of the leave would otherwise be lost with the link, and
+// its outcome be Unknown although it was not run. A link on which such a call
+// takes longer than the silence timeout is closed anyway.
+func (a *agentDaemon) linger() {
+	_ = timer.Sleep(context.Background(), a.clock, a.settings.Links.Silence.Duration)
+}
+
 func newAgentDaemon(settings conf.Agent, logs io.Writer) *agentDaemon {
 	d := newDaemon(settings.Instance, settings.Log, logs)
 	a := &agentDaemon{daemon: d, replica: newReplica(d, settings.Platform), settings: settings}
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -32,6 +32,6 @@
 	defer cancel()
 	if _, err := g.establish(ws, "", func(*conn) {}); err != nil {
 		level.Info(g.config.Logger).Log("msg", "link refused", "remote", r.RemoteAddr, "err", err)
-		g.end(ws, err)
+		g.end(ws, err, nil)
 	}
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -20,8 +20,9 @@
 		hello wire.Hello
 		out   *outbox
 		done  chan struct{}
-		// gone is closed when the connection itself is closed.
-		gone chan struct{}
+		// unread is closed when the reader has stopped, and gone when the
+		// connection itself is closed.
+		unread, gone chan struct{}
 		// dialed is the address that was dialled; empty if it was accepted.
 		dialed string
 
@@ -72,12 +73,21 @@
 		close(c.done)
 		c.group.remove(c)
 		go func() {
-			c.group.end(c.ws, reason)
+			c.group.end(c.ws, reason, c.unread)
 			close(c.gone)
 		}()
 	})
 }
 
+func (c *conn) open() bool {
+	select {
+	case <-c.done:
+		return false
+	default:
+		return true
+	}
+}
+
 func (c *conn) sendEncoded(b []byte) error {
 	err := c.out.put(b)
 	if err == errFull {
@@ -90,13 +100,12 @@
 func (c *conn) read() {
 	handler := c.group.config.Handler
 	handler.LinkUp(c)
-	for {
-		err := c.readFrame(handler)
-		if err != nil {
-			c.Close(readFailure(err))
-			break
-		}
+	var err error
+	for err == nil {
+		err = c.readFrame(handler)
 	}
+	c.Close(readFailure(err))
+	close(c.unread)
 	level.Info(c.group.config.Logger).Log("msg", "link down", "peer", c.hello.Instance, "reason", c.reason)
 	handler.LinkDown(c, c.reason)
 }
@@ -125,7 +134,8 @@
 		b = rest
 		select {
 		case <-c.done:
-			return c.reason
+			// The rest is read until the peer closes its end too, because
+			// closing a connection with unread data would reset it.
 		default:
 			handler.Receive(c, m)
 		}
@@ -151,6 +161,7 @@
 				return
 			}
 		}
+		c.out.written()
 		c.group.stats.messagesOut.Add(uint64(len(messages)))
 		spare = messages
 		if cap(frame) > 4*batchBytes {
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -81,12 +81,7 @@
 	if w.current == nil {
 		return nil, false
 	}
-	select {
-	case <-w.current.done:
-		return nil, false
-	default:
-		return w.current, true
-	}
+	return w.current, w.current.open()
 }
 
 func (d *Dialer) unwantAll() {
@@ -114,6 +109,9 @@
 				c.Close(errUnwanted)
 			case <-c.done:
 			}
+			if d.group.stopped() {
+				return
+			}
 			if d.group.elapsed()-begun >= config.Silence {
 				waits.Reset()
 				continue
@@ -169,7 +167,7 @@
 	c, err := d.group.establish(ws, w.address, w.set)
 	if err != nil {
 		stop()
-		d.group.end(ws, err)
+		d.group.end(ws, err, nil)
 		return nil, err
 	}
 	if !stop() {
--- a/internal/link/group.go
+++ b/internal/link/group.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,8 +14,12 @@
 )
 
 const (
-	// closeWait bounds the attempt to tell the peer why a link ends.
-	closeWait = 50 * time.Millisecond
+	// closeWait bounds the attempt to tell the peer why a link ends and the
+	// wait for the peer to close its end.
+	closeWait = 250 * time.Millisecond
+	// flushWait bounds the writing of queued messages before a stop.
+	flushWait = time.Second
+	flushPoll = 5 * time.Millisecond
 
 	// maxGaps bounds the consecutive late ticks that postpone the detection of
 	// silence; a process that is always late must still detect silent peers.
@@ -120,7 +125,8 @@
 	}
 }
 
-// Stop closes all links and makes no new ones.
+// Stop makes no new links, writes what is queued on the open ones within a
+// bound, and closes them.
 func (g *Group) Stop() {
 	g.mu.Lock()
 	if g.closed {
@@ -134,13 +140,25 @@
 		conns = append(conns, c)
 	}
 	g.mu.Unlock()
-	g.unwantAll()
+	g.flush(conns)
 	for _, c := range conns {
 		c.Close(errStopped)
 	}
 	for _, c := range conns {
 		<-c.gone
 	}
+	g.unwantAll()
+}
+
+// flush waits until the queues of the connections are written.
+func (g *Group) flush(conns []*conn) {
+	ticks, cancel := g.config.Timer.Every(flushPoll)
+	defer cancel()
+	for end := g.elapsed() + flushWait; g.elapsed() < end; <-ticks {
+		if !slices.ContainsFunc(conns, func(c *conn) bool { return c.open() && !c.out.empty() }) {
+			return
+		}
+	}
 }
 
 // establish exchanges Hello on a fresh connection and starts its loops. The
@@ -160,7 +178,7 @@
 	}
 	ws.SetReadLimit(wire.MaxBytes + batchBytes)
 	c := &conn{group: g, ws: ws, hello: hello, dialed: dialed}
-	c.done, c.gone = make(chan struct{}), make(chan struct{})
+	c.done, c.unread, c.gone = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	c.out = newOutbox(g.config.QueueMessages, g.config.QueueBytes)
 	c.touch()
 	if !g.add(c) {
@@ -193,16 +211,29 @@
 	return hello, nil
 }
 
-// end tells the peer why the connection ends, if that can still reach it, and
-// closes the connection within closeWait.
-func (g *Group) end(ws *websocket.Conn, reason error) {
-	if tellPeer(reason) {
-		cancel := g.config.Timer.After(closeWait, func() { _ = ws.Close() })
-		defer cancel()
-		frame := websocket.FormatCloseMessage(closeCode, closeText(reason))
-		_ = ws.WriteControl(websocket.CloseMessage, frame, time.Time{})
+// end closes a connection. If the peer can still be reached, it is told why,
+// and its own end is awaited within closeWait, since closing first would lose
+// what it has sent or has not received yet. The channel is closed when nothing
+// more is to be read; it is nil if there is no reader.
+func (g *Group) end(ws *websocket.Conn, reason error, unread <-chan struct{}) {
+	defer func() { _ = ws.Close() }()
+	if !tellPeer(reason) {
+		return
+	}
+	late := make(chan struct{})
+	cancel := g.config.Timer.After(closeWait, func() {
+		_ = ws.Close()
+		close(late)
+	})
+	defer cancel()
+	frame := websocket.FormatCloseMessage(closeCode, closeText(reason))
+	if ws.WriteControl(websocket.CloseMessage, frame, time.Time{}) != nil || unread == nil {
+		return
+	}
+	select {
+	case <-unread:
+	case <-late:
 	}
-	_ = ws.Close()
 }
 
 // tellPeer reports whether a close frame can still reach the peer.
@@ -211,6 +242,12 @@
 		!fault.Is(reason, fault.Overloaded)
 }
 
+func (g *Group) stopped() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closed
+}
+
 func (g *Group) add(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -191,6 +191,36 @@
 	peerOf(t, a, r.Address(), nil)
 }
 
+// Guards against a planned stop that drops messages which were queued before
+// it, and against one that hangs on a silent link.
+func TestStopWritesQueuedMessages(t *testing.T) {
+	is := is.New(t)
+	const n = 2000
+	a, b := newEnd(t, Config{Hello: hello("a")}), newEnd(t, Config{Hello: hello("b")})
+	a.Want(b.address)
+	p := peerOf(t, a, b.address, nil)
+	body := make([]byte, 4<<10)
+	for range n {
+		is.NoErr(p.Send(wire.Call{Body: body}))
+	}
+	a.Stop()
+	until(t, "the end of the link", func() bool { _, _, downs := b.seen.counts(); return downs == 1 })
+	_, messages, _ := b.seen.counts()
+	is.Equal(messages, n)
+	is.True(fault.Is(b.seen.down(), fault.Leaving))
+
+	c := newEnd(t, Config{Hello: hello("c")})
+	r, err := relay.Start("127.0.0.1:0", b.address)
+	is.NoErr(err)
+	defer r.Close()
+	c.Want(r.Address())
+	peerOf(t, c, r.Address(), nil)
+	r.Silence()
+	begun := time.Now()
+	c.Stop()
+	is.True(time.Since(begun) < patience/2)
+}
+
 // Guards against a peer of another version, an incomplete Hello, a malformed
 // message or an oversized frame that reaches a handler. Each must close the
 // connection with its typed reason.
--- a/internal/link/outbox.go
+++ b/internal/link/outbox.go
@@ -16,6 +16,8 @@
 		maxMessages int
 		maxBytes    int
 		closed      bool
+		// busy is set while messages that were taken are being written.
+		busy bool
 	}
 )
 
@@ -48,12 +50,27 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	taken := o.queue
+	o.busy = len(taken) > 0
 	clear(spare)
 	o.queue = spare[:0]
 	o.bytes = 0
 	return taken
 }
 
+// written ends the writing of the taken messages.
+func (o *outbox) written() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.busy = false
+}
+
+// empty reports whether all queued messages were written.
+func (o *outbox) empty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.queue) == 0 && !o.busy
+}
+
 func (o *outbox) close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
