--- a/internal/agent/neighbour.go
+++ b/internal/agent/neighbour.go
@@ -17,6 +17,19 @@
 	return chain[(x.Index()+1)%len(chain)], true
 }
 
+// dial asks for the link to the next stage of the current attempt.
+func (s *session) dial() {
+	next, ok := successor(s.machine)
+	if s.freed || !ok || next.Address == s.next {
+		return
+	}
+	s.agent.dials.acquire(next.Address)
+	if s.next != "" {
+		s.agent.dials.release(s.next)
+	}
+	s.next = next.Address
+}
+
 // toEntry sends to the entry if it is linked. What is lost is repeated after
 // a redial: the entry repeats Open, and asks for tokens by Resync.
 func (s *session) toEntry(m wire.Message) {
@@ -80,7 +93,9 @@
 	})
 }
 
-// entryUp rebinds the session to the new link of its entry.
+// entryUp rebinds the session to the new link of its entry. The entry may have
+// noticed the loss of the old link earlier, and what it asked for then was
+// still sent on the old one.
 func (s *session) entryUp(incarnation string) {
 	s.apply(nil, func(x *steps.Session) []steps.Decision {
 		if s.entry != incarnation {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -20,8 +21,9 @@
 		hello wire.Hello
 		out   *outbox
 		done  chan struct{}
-		// gone is closed when the connection itself is closed.
-		gone chan struct{}
+		// unread is closed when the reader has stopped, and gone when the
+		// connection itself is closed.
+		unread, gone chan struct{}
 		// dialed is the address that was dialled; empty if it was accepted.
 		dialed string
 
@@ -37,7 +39,12 @@
 	}
 )
 
-var _ Peer = (*conn)(nil)
+var (
+	_ Peer = (*conn)(nil)
+
+	// frames holds buffers for received frames, which all links share.
+	frames = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+)
 
 // Hello implements Peer.
 func (c *conn) Hello() wire.Hello { return c.hello }
@@ -72,12 +79,21 @@
 		close(c.done)
 		c.group.remove(c)
 		go func() {
-			c.group.end(c.ws, reason)
+			c.group.end(c.ws, reason, c.unread)
 			close(c.gone)
 		}()
 	})
 }
 
+func (c *conn) open() bool {
+	select {
+	case <-c.done:
+		return false
+	default:
+		return true
+	}
+}
+
 func (c *conn) sendEncoded(b []byte) error {
 	err := c.out.put(b)
 	if err == errFull {
@@ -90,13 +106,12 @@
 func (c *conn) read() {
 	handler := c.group.config.Handler
 	handler.LinkUp(c)
-	for {
-		err := c.readFrame(handler)
-		if err != nil {
-			c.Close(readFailure(err))
-			break
-		}
+	var err error
+	for err == nil {
+		err = c.readFrame(handler)
 	}
+	c.Close(readFailure(err))
+	close(c.unread)
 	level.Info(c.group.config.Logger).Log("msg", "link down", "peer", c.hello.Instance, "reason", c.reason)
 	handler.LinkDown(c, c.reason)
 }
@@ -107,10 +122,13 @@
 		return err
 	}
 	c.touch()
-	b, err := io.ReadAll(touchReader{r, c})
-	if err != nil {
+	buffer := frames.Get().(*bytes.Buffer)
+	defer release(buffer)
+	if _, err := buffer.ReadFrom(touchReader{r, c}); err != nil {
 		return err
 	}
+	// Decoding copies, so that the buffer can be used again.
+	b := buffer.Bytes()
 	c.group.stats.framesIn.Add(1)
 	c.group.stats.bytesIn.Add(uint64(len(b)))
 	for len(b) > 0 {
@@ -125,7 +143,8 @@
 		b = rest
 		select {
 		case <-c.done:
-			return c.reason
+			// The rest is read until the peer closes its end too, because
+			// closing a connection with unread data would reset it.
 		default:
 			handler.Receive(c, m)
 		}
@@ -133,6 +152,13 @@
 	return nil
 }
 
+func release(b *bytes.Buffer) {
+	if b.Cap() <= 4*batchBytes {
+		b.Reset()
+		frames.Put(b)
+	}
+}
+
 // write sends queued messages until the link ends.
 func (c *conn) write() {
 	var spare [][]byte
@@ -151,6 +177,7 @@
 				return
 			}
 		}
+		c.out.written()
 		c.group.stats.messagesOut.Add(uint64(len(messages)))
 		spare = messages
 		if cap(frame) > 4*batchBytes {
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -81,12 +81,7 @@
 	if w.current == nil {
 		return nil, false
 	}
-	select {
-	case <-w.current.done:
-		return nil, false
-	default:
-		return w.current, true
-	}
+	return w.current, w.current.open()
 }
 
 func (d *Dialer) unwantAll() {
@@ -114,6 +109,9 @@
 				c.Close(errUnwanted)
 			case <-c.done:
 			}
+			if d.group.stopped() {
+				return
+			}
 			if d.group.elapsed()-begun >= config.Silence {
 				waits.Reset()
 				continue
@@ -153,7 +151,7 @@
 	// Upgrade and Hello do not watch ctx; closing the connection ends them.
 	stop := func() bool { return true }
 	dialer := websocket.Dialer{
-		ReadBufferSize: 16 << 10,
+		ReadBufferSize: readBuffer,
 		NetDialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 			if err == nil {
@@ -169,7 +167,7 @@
 	c, err := d.group.establish(ws, w.address, w.set)
 	if err != nil {
 		stop()
-		d.group.end(ws, err)
+		d.group.end(ws, err, nil)
 		return nil, err
 	}
 	if !stop() {
