order: let no owner act on an older configuration than the last one

Cause: an agent that woke up after a long freeze looked at the engine before it had read the new configuration. It claimed the target anew, with a valid fencing token, and loaded the version that had been replaced. Ruled out: the fencing check and the lease (the order had a higher token than the last one). Change: the owner row keeps the configuration revision that its holder acted on. A claim needs a configuration of that revision or a later one.

--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -72,11 +72,12 @@
 		a.setReady(false, state)
 		return nil
 	}
+	a.leaseMu.Lock()
+	a.lease.SetRevision(snapshot.Revision)
 	if t, ok := store.Spec[resrc.Target](snapshot, a.cfg.Target); ok {
-		a.leaseMu.Lock()
 		a.lease.SetChecksFencing(t.ChecksFencing)
-		a.leaseMu.Unlock()
 	}
+	a.leaseMu.Unlock()
 	orders := a.plan(desired, state).Orders
 	if len(orders) == 0 {
 		a.release()
@@ -177,6 +178,9 @@
 		case order.Wait:
 			r.wait(step.For)
 			return false, nil
+		case order.Behind:
+			r.wait(retryTable)
+			return false, fault.Newf(fault.Conflict, "the last owner of the target acted on revision %d", step.Revision)
 		case order.Read:
 			err = a.readOwner(ctx)
 		case order.Commit:
--- a/internal/order/lease.go
+++ b/internal/order/lease.go
@@ -18,6 +18,9 @@
 		Lease time.Duration
 		// Released says that the holder sends no more orders under the epoch.
 		Released bool
+		// Revision is the configuration revision that the holder acts on; it
+		// never decreases from one owner to the next.
+		Revision uint64
 	}
 
 	// Rules are the times of the lease protocol.
@@ -39,6 +42,8 @@
 	Lease struct {
 		self  string
 		rules Rules
+		// revision is the configuration revision in force in this process.
+		revision uint64
 		// epoch is the claimed epoch; 0 if none is held.
 		epoch uint64
 		// until is the end of the claim by this process's monotonic clock,
@@ -71,6 +76,10 @@
 		Owner   Owner
 	}
 
+	// Behind asks to wait until the configuration has the revision that an
+	// earlier owner acted on.
+	Behind struct{ Revision uint64 }
+
 	// Held says that the claim holds.
 	Held struct{}
 )
@@ -78,6 +87,7 @@
 func (Read) step()   {}
 func (Wait) step()   {}
 func (Commit) step() {}
+func (Behind) step() {}
 func (Held) step()   {}
 
 // NewLease returns the lease view of an agent incarnation.
@@ -86,6 +96,9 @@
 // SetChecksFencing follows a change of the target's declaration.
 func (l *Lease) SetChecksFencing(checks bool) { l.rules.ChecksFencing = checks }
 
+// SetRevision sets the configuration revision that the orders follow from.
+func (l *Lease) SetRevision(revision uint64) { l.revision = revision }
+
 // Tick records that the process is running. After a gap the claim is given up.
 func (l *Lease) Tick(now time.Time) {
 	if !l.tick.IsZero() && now.Sub(l.tick) > l.rules.Gap {
@@ -110,6 +123,12 @@
 	if !l.read {
 		return Read{}
 	}
+	// A holder that was frozen for long wakes up with an old configuration, and
+	// would bring the target back to a state that was replaced meanwhile.
+	if l.revision < l.owner.Revision {
+		l.read = false
+		return Behind{l.owner.Revision}
+	}
 	if l.epoch > 0 && l.owner.Holder == l.self && l.owner.Epoch == l.epoch && now.Before(l.until) {
 		return l.commit(l.epoch)
 	}
@@ -134,7 +153,7 @@
 
 func (l *Lease) commit(epoch uint64) Step {
 	l.read = false
-	return Commit{l.row, Owner{Holder: l.self, Epoch: epoch, Lease: l.rules.Lease}}
+	return Commit{l.row, Owner{Holder: l.self, Epoch: epoch, Lease: l.rules.Lease, Revision: l.revision}}
 }
 
 // Observed records the row; version 0 means that it is absent. A change of
@@ -180,8 +199,9 @@
 		l.epoch = 0
 		return Commit{}, false
 	}
-	epoch := l.epoch
 	l.epoch = 0
 	l.read = false
-	return Commit{l.row, Owner{Holder: l.self, Epoch: epoch, Lease: l.rules.Lease, Released: true}}, true
+	released := l.owner
+	released.Released = true
+	return Commit{l.row, released}, true
 }
--- a/internal/order/script_test.go
+++ b/internal/order/script_test.go
@@ -31,17 +31,23 @@
 					return []string{describe(s)}
 				case Wait:
 					return []string{fmt.Sprintf("Wait %s", s.For)}
+				case Behind:
+					return []string{fmt.Sprintf("Behind revision=%d", s.Revision)}
 				default:
 					return []string{strings.TrimPrefix(fmt.Sprintf("%T", s), "order.")}
 				}
 			case "observed":
 				x.Observed(uint64(l.Int("version")), Owner{
 					Holder: l.Text("holder"), Epoch: uint64(l.Int("epoch")), Lease: 10 * time.Second, Released: l.Bool("released"),
+					Revision: uint64(l.Int("revision")),
 				}, now)
 				return nil
 			case "written":
 				x.Written(commit, now.Add(-l.Duration("took")), l.Bool("ok"), l.Bool("known"))
 				return nil
+			case "revision":
+				x.SetRevision(uint64(l.Int("is")))
+				return nil
 			case "checks-fencing":
 				x.SetChecksFencing(true)
 				return nil
--- a/test/faults/owner_test.go
+++ b/test/faults/owner_test.go
@@ -26,11 +26,16 @@
 }
 
 func testFrozenOwner(t *testing.T, ignore bool) {
-	c := newCluster(t, plan{entries: 1, stages: 1, replicas: 1, ignoreFence: ignore, extraAgent: `Lease = "1s"` + "\n" + `OrderTimeout = "1s"`})
+	c := newCluster(t, plan{entries: 1, stages: 1, replicas: 1, ignoreFence: ignore, relayed: true, extraAgent: `Lease = "1s"` + "\n" + `OrderTimeout = "1s"`})
 	old := c.agents[0]
 	// The old owner is frozen while the declared version changes, so that it
 	// wakes up with an order to send.
 	old.freeze()
+	// No entry tells the old owner of the new configuration when it wakes up.
+	for _, n := range []*node{old, c.entries[0]} {
+		n.relay.Refuse(true)
+		n.relay.Cut()
+	}
 	second := *old
 	a := ports(t, 2)
 	second.operator, second.link, second.relay = a[0], a[1], nil
@@ -41,13 +46,21 @@
 	c.put(resrc.Resource{Kind: resrc.KindTarget, Name: old.target, Revision: c.revision(old.target), Spec: spec})
 	c.startNode(&second)
 	eventually(t, 20*time.Second, "takeover", func() error { return c.holds(old, "oak-2") })
+	// The second owner releases its claim, so that the old one need not wait.
+	time.Sleep(1500 * time.Millisecond)
 	before := c.orders(old)
+	// With a slow table the old owner looks at the engine before it has read
+	// the new configuration.
+	c.faults(c.platformURL, map[string]any{"Delay": "200ms"})
 	old.thaw()
-	time.Sleep(4 * time.Second)
+	time.Sleep(5 * time.Second)
 	for _, o := range c.orders(old)[len(before):] {
 		if o.Fence < before[len(before)-1].Fence {
 			t.Errorf("order with token %d was executed after token %d", o.Fence, before[len(before)-1].Fence)
 		}
+		if o.Version == versionName {
+			t.Errorf("order with token %d went back to the version before", o.Fence)
+		}
 	}
 	if err := c.holds(old, "oak-2"); err != nil {
 		t.Error(err)
@@ -70,9 +83,12 @@
 	c.getJSON(n.standinURL+"/stats", &s)
 	var out []orderSeen
 	for _, o := range s.Orders {
-		out = append(out, orderSeen{o.Fence})
+		out = append(out, orderSeen{o.Fence, o.Version})
 	}
 	return out
 }
 
-type orderSeen struct{ Fence uint64 }
+type orderSeen struct {
+	Fence   uint64
+	Version string
+}
