steps, agent: test the chain with the entry's coordinator, free unused sessions

A Cancel that is lost with its link left the session for ever when the entry came back; sessions without a message for a minute are freed now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,6 +79,7 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return a.reportLoad(work) })
+	g.Go(func() error { return a.sweep(work) })
 	if a.cfg.Engine != nil {
 		g.Go(func() error { return a.reconcile(work) })
 		g.Go(func() error { return a.tickLease(work) })
@@ -124,6 +125,23 @@
 	}
 }
 
+// sweep frees sessions that nobody uses any more.
+func (a *Agent) sweep(ctx context.Context) error {
+	ticks, cancel := a.cfg.Timer.Every(a.cfg.Times.Unused / 8)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+		}
+		since := a.cfg.Timer.Now().Add(-a.cfg.Times.Unused)
+		for _, s := range a.allSessions() {
+			s.expire(since)
+		}
+	}
+}
+
 func (a *Agent) freeAll() {
 	for _, s := range a.allSessions() {
 		s.end()
--- a/internal/agent/chain_test.go
+++ b/internal/agent/chain_test.go
@@ -249,6 +249,24 @@
 	w.eventually("session is freed", p.agent.Idle)
 }
 
+// Guards against sessions that stay when a Cancel was lost with its link, and
+// against the end of a session that is still used.
+func TestUnusedSessionIsFreed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	p := w.stage(0, 6, 0, func(c *Config) { c.Times.Unused = 400 * time.Millisecond })
+	used, lost := w.request("used", 1, p), w.request("lost", 1, p)
+	used.begin()
+	lost.begin()
+	for range 8 {
+		time.Sleep(100 * time.Millisecond)
+		w.entry.send(p, wire.Resync{Request: "used", Attempt: 1, Next: len(used.prompt)})
+	}
+	is.Equal(p.agent.load().Open, 1)
+	w.entry.send(p, wire.Stale{Request: "used", Rejected: 1})
+	w.eventually("session is freed", p.agent.Idle)
+}
+
 // Guards P5 and P6: an agent that leaves refuses new work, whatever the entry
 // believes, and ends only when the work in flight has ended.
 func TestDrain(t *testing.T) {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -59,6 +59,9 @@
 		Observe time.Duration
 		// Orphan is how long a session outlives its entry's link.
 		Orphan time.Duration
+		// Unused is how long a session lives without a message, which is the
+		// backstop for a Cancel or Finished that was lost with its link.
+		Unused time.Duration
 		// Neighbour is how long the next stage may be unreachable. A link is
 		// silent for 1 s before it is redialled, and a redial takes less.
 		Neighbour time.Duration
@@ -93,6 +96,7 @@
 	t.Report = cmp.Or(t.Report, 200*time.Millisecond)
 	t.Observe = cmp.Or(t.Observe, 500*time.Millisecond)
 	t.Orphan = cmp.Or(t.Orphan, 5*time.Second)
+	t.Unused = cmp.Or(t.Unused, time.Minute)
 	t.Neighbour = cmp.Or(t.Neighbour, time.Second)
 	t.Step = cmp.Or(t.Step, 2*time.Second)
 	t.Engine = cmp.Or(t.Engine, time.Second)
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"time"
 
 	"shallotcourse/internal/engine"
 	"shallotcourse/internal/fault"
@@ -26,6 +27,8 @@
 	machine *steps.Session
 	// entry is the incarnation of the coordinator.
 	entry string
+	// used is the time of the last message.
+	used time.Time
 	// next is the address of the next stage whose link is asked for.
 	next  string
 	freed bool
@@ -38,7 +41,7 @@
 	ctx, finish := context.WithCancel(context.Background())
 	return &session{
 		agent: a, request: request, entry: entry, ctx: ctx, finish: finish,
-		machine: steps.NewSession(a.cfg.Limits.Steps),
+		machine: steps.NewSession(a.cfg.Limits.Steps), used: a.cfg.Timer.Now(),
 	}
 }
 
@@ -49,6 +52,7 @@
 	if s.freed {
 		return false
 	}
+	s.used = s.agent.cfg.Timer.Now()
 	if m.Attempt >= s.machine.Attempt() {
 		s.entry = p.Hello().Incarnation
 		s.stopOrphan()
@@ -86,9 +90,14 @@
 	s.apply(nil, func(x *steps.Session) []steps.Decision { return x.End() })
 }
 
+// stale handles the answer of the next stage, or of the entry, that it does
+// not know the request or has a newer attempt.
 func (s *session) stale(p link.Peer, m wire.Stale) {
-	from := p.Hello().Target
+	from, entry := p.Hello().Target, p.Hello().Incarnation
 	s.apply(nil, func(x *steps.Session) []steps.Decision {
+		if s.entry == entry && m.Rejected == x.Attempt() {
+			return x.End()
+		}
 		if next, ok := successor(x); !ok || next.Target != from {
 			return nil
 		}
@@ -96,6 +105,16 @@
 	})
 }
 
+// expire frees the session if it has not been used since a time.
+func (s *session) expire(since time.Time) {
+	s.apply(nil, func(x *steps.Session) []steps.Decision {
+		if s.used.After(since) {
+			return nil
+		}
+		return x.End()
+	})
+}
+
 // apply gives an input to the state machine and carries out its decisions.
 func (s *session) apply(from link.Peer, input func(*steps.Session) []steps.Decision) {
 	s.mu.Lock()
@@ -103,6 +122,9 @@
 	if s.freed {
 		return
 	}
+	if from != nil {
+		s.used = s.agent.cfg.Timer.Now()
+	}
 	s.carryOut(from, input(s.machine))
 }
 
--- a/internal/steps/chain_test.go
+++ b/internal/steps/chain_test.go
@@ -16,13 +16,16 @@
 )
 
 const (
-	toEntry = -1
-	version = "v1"
+	// theEntry is the address of the entry on the network.
+	theEntry = ""
+	version  = "v1"
 )
 
 type (
-	// node is one stage with the engine beside it.
+	// node is one target: the state machine of its agent, and its engine.
 	node struct {
+		target  string
+		stage   int
 		machine *Session
 		kernels map[int]*fengn.Kernel
 		// runs are engine requests that have not been answered.
@@ -32,31 +35,28 @@
 	}
 
 	packet struct {
-		// link numbers the connection; a crash begins new ones.
-		from, to int
+		from, to string
 		message  wire.Message
 	}
 
-	// world is a chain of three stages, its coordinator and its network.
+	// world is a chain of three stages, their coordinator and the network.
 	world struct {
 		t       *rapid.T
-		nodes   []*node
 		layers  []resrc.LayerRange
-		network []packet
 		limits  Limits
-		prompt  []uint32
-		max     int
-		seed    uint64
+		network []packet
+		// nodes holds the targets that live, in the order of their start. A
+		// frozen one lives on after the coordinator has replaced it.
+		nodes []*node
+		// serial numbers the targets.
+		serial int
 
-		attempt int
-		fresh   bool
-		opened  map[int]wire.Opened
-		started []wire.Start
-		answer  []uint32
-		early   map[int]wire.Token
-		done    bool
-		// runs counts the positions run on all kernels.
-		runs int
+		plan   Plan
+		coord  Coord
+		timer  int
+		answer []uint32
+		want   []uint32
+		done   bool
 	}
 )
 
@@ -76,46 +76,48 @@
 func TestChainMatchesReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		w.begin(false)
 		for range rapid.IntRange(0, 200).Draw(t, "actions") {
 			w.act(rapid.IntRange(0, 99).Draw(t, "action"))
 		}
 		w.settle()
-		want := fengn.Reference(version, "", 6, w.prompt, w.max, w.seed)
-		if !w.done || len(want) != len(w.answer) {
-			t.Fatalf("done %t with %d tokens, want %d", w.done, len(w.answer), len(want))
+		if !w.done || len(w.want) != len(w.answer) {
+			t.Fatalf("done %t with %d tokens, want %d", w.done, len(w.answer), len(w.want))
 		}
 	})
 }
 
-func newWorld(t *rapid.T) *world {
-	w := &world{
-		t: t, layers: []resrc.LayerRange{{From: 0, To: 2}, {From: 2, To: 3}, {From: 3, To: 6}},
-		prompt: rapid.SliceOfN(rapid.Uint32Range(1, 300), 1, 20).Draw(t, "prompt"),
-		max:    rapid.IntRange(1, 30).Draw(t, "max"), seed: rapid.Uint64().Draw(t, "seed"),
-		limits: Limits{
-			LogBytes:      rapid.SampledFrom([]int{300, 1 << 20}).Draw(t, "log"),
-			HoldPositions: 1000, ChunkPositions: rapid.IntRange(1, 8).Draw(t, "chunk"),
-		},
-		early: map[int]wire.Token{},
-	}
-	for range w.layers {
-		w.nodes = append(w.nodes, w.newNode())
-	}
-	return w
-}
-
-func (w *world) newNode() *node {
-	return &node{machine: NewSession(w.limits), kernels: map[int]*fengn.Kernel{}}
+// Guards the recovery time: while links lose nothing, a request needs no timer
+// and no redial, and one attempt for each loss of a stage, or two where a log
+// is too short.
+func TestChainNeedsNoTimers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		attempts := 1
+		for range rapid.IntRange(0, 200).Draw(t, "actions") {
+			action := rapid.IntRange(0, 99).Draw(t, "action")
+			if action >= 85 && action < 97 {
+				continue
+			}
+			if action >= 97 && !w.done {
+				attempts += 4
+			}
+			w.act(action)
+		}
+		w.drain()
+		if !w.done || w.coord.Attempt() > attempts {
+			t.Fatalf("done %t after %d attempts, want %d", w.done, w.coord.Attempt(), attempts)
+		}
+	})
 }
 
 // act does one random thing; deliveries and runs are the most frequent.
 func (w *world) act(action int) {
+	n := w.nodes[w.draw(len(w.nodes))]
 	switch {
 	case action < 60:
 		w.deliver(w.pick(), true)
 	case action < 85:
-		if n := w.nodes[w.draw(len(w.nodes))]; len(n.runs) > 0 {
+		if len(n.runs) > 0 {
 			w.answerRun(n, w.draw(len(n.runs)))
 		}
 	case action < 89:
@@ -126,38 +128,50 @@
 		w.deliver(w.pick(), false)
 	case action < 94:
 		w.redial()
+	case action < 95:
+		n.failing = true
 	case action < 96:
-		w.nodes[w.draw(len(w.nodes))].failing = true
-	case action < 98:
-		w.crash(w.draw(len(w.nodes)))
+		w.event(Fired{Timer: w.timer})
+	case action < 97:
+		// The coordinator takes a frozen target for dead.
+		w.event(LinkLost{Target: n.target})
 	case action < 99:
-		w.crash(0)
-		w.crash(2)
+		w.crash(n)
 	default:
-		w.begin(true)
+		w.crash(w.nodes[0])
+		w.crash(w.nodes[len(w.nodes)-1])
 	}
 }
 
-// settle stops the faults and lets the request end.
+// settle stops the faults and lets the request end. The stall timer of the
+// coordinator fires when a redial did not help.
 func (w *world) settle() {
 	for _, n := range w.nodes {
 		n.failing = false
 	}
-	for range 200 {
+	for round := range 200 {
+		w.drain()
+		if w.done {
+			return
+		}
+		if round%2 == 0 {
+			w.redial()
+		} else {
+			w.event(Fired{Timer: w.timer})
+		}
+	}
+}
+
+// drain delivers and runs all that is under way.
+func (w *world) drain() {
+	for busy := true; busy; {
+		busy = len(w.network) > 0
 		for len(w.network) > 0 {
 			w.deliver(0, true)
 		}
-		idle := true
 		for _, n := range w.nodes {
-			idle = !w.answerRun(n, 0) && idle
+			busy = w.answerRun(n, 0) || busy
 		}
-		if !idle || len(w.network) > 0 {
-			continue
-		}
-		if w.done {
-			return
-		}
-		w.redial()
 	}
 }
 
@@ -179,55 +193,59 @@
 	if remove {
 		w.network = append(w.network[:i], w.network[i+1:]...)
 	}
-	if p.to == toEntry {
-		w.receive(p.message)
+	if p.to == theEntry {
+		w.event(Received{Target: p.from, Message: p.message})
 		return
 	}
-	x := w.nodes[p.to].machine
+	n, ok := w.node(p.to)
+	if !ok {
+		return
+	}
+	x := n.machine
 	switch m := p.message.(type) {
 	case wire.Open:
-		w.carryOut(p, x.Open(m))
+		w.carryOut(n, p.from, x.Open(m))
 	case wire.Start:
-		w.carryOut(p, x.Start(m))
+		w.carryOut(n, p.from, x.Start(m))
 	case wire.Step:
-		w.carryOut(p, x.Step(m))
+		w.carryOut(n, p.from, x.Step(m))
 	case wire.Token:
-		w.carryOut(p, x.Token(m))
+		w.carryOut(n, p.from, x.Token(m))
 	case wire.Resync:
-		w.carryOut(p, x.Resync(m))
+		w.carryOut(n, p.from, x.Resync(m))
 	case wire.Stale:
-		w.carryOut(p, x.SuccessorStale(m))
+		w.carryOut(n, p.from, x.SuccessorStale(m))
+	case wire.Cancel:
+		w.carryOut(n, p.from, x.Cancel(m.Attempt))
 	}
 }
 
-func (w *world) carryOut(p packet, decisions []Decision) {
-	n := w.nodes[p.to]
-	send := func(to int, m wire.Message) { w.network = append(w.network, packet{p.to, to, m}) }
+func (w *world) carryOut(n *node, from string, decisions []Decision) {
+	send := func(to string, m wire.Message) { w.network = append(w.network, packet{n.target, to, m}) }
 	for _, d := range decisions {
 		switch d := d.(type) {
 		case OpenEngine, Run, Truncate:
 			n.runs = append(n.runs, d)
 		case SendOpened:
-			send(toEntry, d.Opened)
+			send(theEntry, d.Opened)
 		case SendFailed:
-			send(toEntry, d.Failed)
+			send(theEntry, d.Failed)
 		case SendRefused:
-			send(toEntry, d.Refused)
+			send(theEntry, d.Refused)
 		case SendStep:
-			send(p.to+1, d.Step)
+			send(n.machine.Chain()[n.stage+1].Target, d.Step)
 		case SendToken:
 			if d.Entry {
-				send(toEntry, d.Token)
+				send(theEntry, d.Token)
 			}
 			if d.ToFirst {
-				send(0, d.Token)
+				send(n.machine.Chain()[0].Target, d.Token)
 			}
 		case SendStale:
-			if p.from != toEntry {
-				send(p.from, d.Stale)
-			}
+			send(from, d.Stale)
 		case Free:
-			w.crash(p.to)
+			// An agent forgets the session; the next Open makes a new one.
+			n.machine, n.runs, n.kernels = NewSession(w.limits), nil, map[int]*fengn.Kernel{}
 		case CloseEngine:
 		}
 	}
@@ -243,34 +261,32 @@
 	i = slices.IndexFunc(n.runs, func(r Decision) bool { return generationOf(r) == generationOf(d) })
 	d = n.runs[i]
 	n.runs = slices.Delete(n.runs, i, i+1)
-	at := packet{to: w.indexOf(n), from: toEntry}
 	o := n.machine.Request()
 	switch d := d.(type) {
 	case OpenEngine:
 		n.kernels[d.Generation] = fengn.NewKernel(engine.SessionRequest{
-			Session: strconv.Itoa(d.Generation), Version: version, Layers: w.layers[at.to],
-			Prompt: o.Prompt, Seed: o.Seed, Sample: at.to == len(w.layers)-1,
+			Session: strconv.Itoa(d.Generation), Version: version, Layers: w.layers[n.stage],
+			Prompt: o.Prompt, Seed: o.Seed, Sample: n.stage == len(w.layers)-1,
 		}, false)
-		w.carryOut(at, n.machine.EngineOpened(d.Generation, 0))
+		w.carryOut(n, theEntry, n.machine.EngineOpened(d.Generation, w.cached(n, d.Generation)))
 	case Truncate:
 		n.kernels[d.Generation].Truncate(d.Position)
-		w.carryOut(at, n.machine.Truncated(d.Generation))
+		w.carryOut(n, theEntry, n.machine.Truncated(d.Generation))
 	case Run:
 		if n.failing {
 			n.failing = false
-			w.carryOut(at, n.machine.EngineFailed(d.Generation, "fault"))
+			w.carryOut(n, theEntry, n.machine.EngineFailed(d.Generation, "fault"))
 			return true
 		}
 		r, err := n.kernels[d.Generation].Run(engine.StepRequest{Position: d.Position, Count: d.Count, Data: d.Data})
 		if err != nil {
-			w.t.Fatalf("stage %d: %v", at.to, err)
+			w.t.Fatalf("target %s: %v", n.target, err)
 		}
-		w.runs += d.Count
 		out := Result{Position: r.Position, Count: r.Count, Data: r.Data}
 		for _, s := range r.Tokens {
 			out.Tokens = append(out.Tokens, Sampled(s))
 		}
-		w.carryOut(at, n.machine.Ran(d.Generation, out))
+		w.carryOut(n, theEntry, n.machine.Ran(d.Generation, out))
 	}
 	return true
 }
@@ -286,19 +302,3 @@
 	}
 	return 0
 }
-
-func (w *world) indexOf(n *node) int {
-	for i, other := range w.nodes {
-		if other == n {
-			return i
-		}
-	}
-	return -1
-}
-
-// crash replaces a stage; its packets stay on the network, as do those of a
-// frozen stage that wakes up.
-func (w *world) crash(i int) {
-	w.nodes[i] = w.newNode()
-	w.begin(false)
-}
