--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +14,7 @@
 	"shallotcourse/internal/fakes/relay"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/wire"
+	"shallotcourse/pkg/resrc"
 )
 
 // patience bounds each wait of a test; it is generous for a busy machine.
@@ -114,8 +116,9 @@
 	return found
 }
 
-// Guards against lost or reordered messages in either direction, and against
-// a Want that is not undone.
+// Guards against lost or reordered messages in either direction, against
+// received bytes that are overwritten by later frames, and against a Want that
+// is not undone.
 func TestBothDirections(t *testing.T) {
 	is := is.New(t)
 	a, b := newEnd(t, Config{Hello: hello("a")}), newEnd(t, Config{Hello: hello("b")})
@@ -124,13 +127,16 @@
 	p := peerOf(t, a, b.address, nil)
 	is.Equal(p.Hello().Instance, "b")
 	is.Equal(Dialed(p), b.address)
+	content := func(i int) []byte { return bytes.Repeat([]byte{'0' + byte(i%10)}, 100) }
 	for i := range 1000 {
-		is.NoErr(p.Send(wire.Pull{Since: uint64(i)}))
+		is.NoErr(p.Send(wire.Step{Position: i, Data: content(i)}))
+		is.NoErr(p.Send(wire.Changes{Changes: []resrc.Change{{Body: content(i)}}}))
 	}
-	until(t, "1000 messages", func() bool { _, n, _ := b.seen.counts(); return n == 1000 })
+	until(t, "2000 messages", func() bool { _, n, _ := b.seen.counts(); return n == 2000 })
 	b.seen.mu.Lock()
-	for i, m := range b.seen.messages {
-		is.Equal(m, wire.Pull{Since: uint64(i)})
+	for i := range 1000 {
+		is.Equal(b.seen.messages[2*i], wire.Step{Position: i, Data: content(i)})
+		is.Equal([]byte(b.seen.messages[2*i+1].(wire.Changes).Changes[0].Body), content(i))
 	}
 	b.seen.mu.Unlock()
 	b.Broadcast(wire.Leaving{Target: "t"}, nil)
@@ -191,6 +197,36 @@
 	peerOf(t, a, r.Address(), nil)
 }
 
+// Guards against a planned stop that drops messages which were queued before
+// it, and against one that hangs on a silent link.
+func TestStopWritesQueuedMessages(t *testing.T) {
+	is := is.New(t)
+	const n = 2000
+	a, b := newEnd(t, Config{Hello: hello("a")}), newEnd(t, Config{Hello: hello("b")})
+	a.Want(b.address)
+	p := peerOf(t, a, b.address, nil)
+	body := make([]byte, 4<<10)
+	for range n {
+		is.NoErr(p.Send(wire.Call{Body: body}))
+	}
+	a.Stop()
+	until(t, "the end of the link", func() bool { _, _, downs := b.seen.counts(); return downs == 1 })
+	_, messages, _ := b.seen.counts()
+	is.Equal(messages, n)
+	is.True(fault.Is(b.seen.down(), fault.Leaving))
+
+	c := newEnd(t, Config{Hello: hello("c")})
+	r, err := relay.Start("127.0.0.1:0", b.address)
+	is.NoErr(err)
+	defer r.Close()
+	c.Want(r.Address())
+	peerOf(t, c, r.Address(), nil)
+	r.Silence()
+	begun := time.Now()
+	c.Stop()
+	is.True(time.Since(begun) < patience/2)
+}
+
 // Guards against a peer of another version, an incomplete Hello, a malformed
 // message or an oversized frame that reaches a handler. Each must close the
 // connection with its typed reason.
