--- a/internal/fakes/relay/command.go
+++ b/internal/fakes/relay/command.go
@@ -49,7 +49,7 @@
 }
 
 // Switches returns the HTTP interface of the faults: POST /silence, /cut,
-// /mute?On=true, /refuse?On=true and /delay?By=5ms, and GET /stats.
+// /mute?On=true, /refuse?On=true, /delay?By=5ms and /rate?BytesPerSecond=1000000, and GET /stats.
 func (r *Relay) Switches() http.Handler {
 	m := mux.NewRouter()
 	post := func(path string, f func(*http.Request) error) {
@@ -71,6 +71,14 @@
 		r.Delay(d)
 		return nil
 	})
+	post("/rate", func(q *http.Request) error {
+		n, err := strconv.Atoi(q.FormValue("BytesPerSecond"))
+		if err != nil || n < 0 {
+			return fault.Invalid("BytesPerSecond", q.FormValue("BytesPerSecond"), "0 (no bound) or more")
+		}
+		r.Rate(n)
+		return nil
+	})
 	m.HandleFunc("/stats", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(r.Stats())
 	}).Methods(http.MethodGet)
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -15,7 +15,7 @@
 )
 
 var upgrader = websocket.Upgrader{
-	ReadBufferSize: readBuffer,
+	ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, WriteBufferPool: writeBuffers,
 	// Peers are processes and send no Origin; a browser is refused.
 	CheckOrigin: func(r *http.Request) bool { return r.Header.Get("Origin") == "" },
 }
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -26,6 +26,9 @@
 	// readBuffer is held by each link. At 16 KiB an idle link took 90 KB instead
 	// of 66 KB, both ends together, and messages cost no less.
 	readBuffer = 4 << 10
+	// writeBuffer takes a whole batch, which then needs one system call. It is
+	// taken from a pool for each write.
+	writeBuffer = batchBytes + 64
 	// helloBytes bounds the frame that holds Hello, which arrives before the
 	// peer is known.
 	helloBytes = 16 << 10
@@ -48,7 +51,8 @@
 		Silence time.Duration
 		// DialTimeout bounds connecting, upgrade and Hello together.
 		DialTimeout time.Duration
-		// WriteTimeout bounds the writing of one frame.
+		// WriteTimeout bounds the writing of one frame, or of each part of a
+		// large one.
 		WriteTimeout time.Duration
 		// BackoffFirst and BackoffMax bound the wait before a redial.
 		BackoffFirst time.Duration
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -43,7 +44,8 @@
 	_ Peer = (*conn)(nil)
 
 	// frames holds buffers for received frames, which all links share.
-	frames = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+	writeBuffers = &sync.Pool{}
+	frames       = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 )
 
 // Hello implements Peer.
@@ -187,12 +189,26 @@
 }
 
 func (c *conn) writeFrame(frame []byte) error {
-	c.writing.Store(int64(c.group.elapsed()))
-	err := c.ws.WriteMessage(websocket.BinaryMessage, frame)
-	c.writing.Store(0)
 	c.group.stats.framesOut.Add(1)
 	c.group.stats.bytesOut.Add(uint64(len(frame)))
-	return err
+	defer c.writing.Store(0)
+	if len(frame) <= batchBytes {
+		c.writing.Store(int64(c.group.elapsed()))
+		return c.ws.WriteMessage(websocket.BinaryMessage, frame)
+	}
+	w, err := c.ws.NextWriter(websocket.BinaryMessage)
+	if err != nil {
+		return err
+	}
+	// The bound of a write holds for each part, so that a large message may
+	// take its time on a slow link.
+	for part := range slices.Chunk(frame, batchBytes) {
+		c.writing.Store(int64(c.group.elapsed()))
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
+	return w.Close()
 }
 
 // join appends messages to the frame up to its bound, at least one, and
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -151,7 +151,7 @@
 	// Upgrade and Hello do not watch ctx; closing the connection ends them.
 	stop := func() bool { return true }
 	dialer := websocket.Dialer{
-		ReadBufferSize: readBuffer,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, WriteBufferPool: writeBuffers,
 		NetDialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 			if err == nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -227,6 +227,31 @@
 	is.True(time.Since(begun) < patience/2)
 }
 
+// Guards against a large message that counts as silence or as a stuck write
+// on a link that needs longer than both timeouts for it, and against a message
+// that arrives incomplete.
+func TestLargeMessageOnSlowLink(t *testing.T) {
+	is := is.New(t)
+	c := Config{Heartbeat: 100 * time.Millisecond, Silence: time.Second, WriteTimeout: time.Second}
+	a, b := newEnd(t, c), newEnd(t, c)
+	r, err := relay.Start("127.0.0.1:0", b.address)
+	is.NoErr(err)
+	defer r.Close()
+	a.Want(r.Address())
+	p := peerOf(t, a, r.Address(), nil)
+	r.Rate(4 << 20)
+	body := bytes.Repeat([]byte("large"), 3<<20)
+	begun := time.Now()
+	is.NoErr(p.Send(wire.Call{Body: body}))
+	until(t, "the message", func() bool { _, n, _ := b.seen.counts(); return n == 1 })
+	is.True(time.Since(begun) > 2*time.Second)
+	b.seen.mu.Lock()
+	is.True(bytes.Equal(b.seen.messages[0].(wire.Call).Body, body))
+	b.seen.mu.Unlock()
+	_, _, downs := a.seen.counts()
+	is.Equal(downs, 0)
+}
+
 // Guards against a peer of another version, an incomplete Hello, a malformed
 // message or an oversized frame that reaches a handler. Each must close the
 // connection with its typed reason.
