--- a/internal/link/latest.go
+++ b/internal/link/latest.go
@@ -20,7 +20,8 @@
 // Latest returns a handler that keeps next on a live link while a peer has
 // several: when the newest link ends and an older one is still open, next sees
 // LinkUp of the older one again before LinkDown. Messages of all links are
-// passed on.
+// passed on. LinkUp of a peer that next has seen before may come while it
+// handles a message of that peer.
 func Latest(next Handler) Handler {
 	return &latest{next: next, links: map[string][]Peer{}}
 }
