--- a/internal/store/snap.go
+++ b/internal/store/snap.go
@@ -15,43 +15,39 @@
 	Snapshot struct {
 		// Revision is the revision of the last change contained; 0 when empty.
 		Revision uint64
-		// resources is never changed after the snapshot is published.
-		resources map[ref]resrc.Resource
-	}
-
-	ref struct {
-		kind resrc.Kind
-		name string
+		// kinds holds the resources of each kind in order of their names. It
+		// is never changed after the snapshot is published; snapshots share
+		// the kinds that a change did not touch.
+		kinds map[resrc.Kind][]resrc.Resource
 	}
 )
 
 // NewSnapshot returns a snapshot of the given resources at a revision.
 func NewSnapshot(revision uint64, resources []resrc.Resource) Snapshot {
-	m := make(map[ref]resrc.Resource, len(resources))
+	s := Snapshot{Revision: revision, kinds: map[resrc.Kind][]resrc.Resource{}}
 	for _, r := range resources {
-		m[ref{r.Kind, r.Name}] = r
+		s.kinds[r.Kind] = append(s.kinds[r.Kind], r)
 	}
-	return Snapshot{Revision: revision, resources: m}
+	for _, list := range s.kinds {
+		slices.SortFunc(list, func(a, b resrc.Resource) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return s
 }
 
 // Get returns a resource by kind and name.
 func (s Snapshot) Get(kind resrc.Kind, name string) (resrc.Resource, bool) {
-	r, ok := s.resources[ref{kind, name}]
-	return r, ok
-}
-
-// List returns the resources of a kind in order of their names.
-func (s Snapshot) List(kind resrc.Kind) []resrc.Resource {
-	var out []resrc.Resource
-	for k, r := range s.resources {
-		if k.kind == kind {
-			out = append(out, r)
-		}
+	list := s.kinds[kind]
+	at, ok := find(list, name)
+	if !ok {
+		return resrc.Resource{}, false
 	}
-	slices.SortFunc(out, func(a, b resrc.Resource) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	return list[at], true
 }
 
+// List returns the resources of a kind in order of their names. The slice is
+// shared by all callers, which must not change it.
+func (s Snapshot) List(kind resrc.Kind) []resrc.Resource { return slices.Clip(s.kinds[kind]) }
+
 // Spec returns the spec of a resource with its own type.
 func Spec[T resrc.Spec](s Snapshot, name string) (T, bool) {
 	var zero T
@@ -69,22 +65,34 @@
 	if c.Revision != s.Revision+1 {
 		return s, false
 	}
-	m := maps.Clone(s.resources)
-	if m == nil {
-		m = make(map[ref]resrc.Resource)
-	}
-	key := ref{c.Kind, c.Name}
+	list := slices.Clone(s.kinds[c.Kind])
+	at, found := find(list, c.Name)
 	switch c.Operation {
 	case resrc.OperationDelete:
-		delete(m, key)
+		if found {
+			list = slices.Delete(list, at, at+1)
+		}
 	case resrc.OperationPut:
 		spec, err := resrc.DecodeSpec(c.Kind, c.Body)
 		if err != nil {
 			return s, false
 		}
-		m[key] = resrc.Resource{Kind: c.Kind, Name: c.Name, Revision: c.Revision, Spec: spec}
+		r := resrc.Resource{Kind: c.Kind, Name: c.Name, Revision: c.Revision, Spec: spec}
+		if !found {
+			list = slices.Insert(list, at, r)
+		}
+		list[at] = r
 	default:
 		return s, false
 	}
-	return Snapshot{Revision: c.Revision, resources: m}, true
+	kinds := maps.Clone(s.kinds)
+	if kinds == nil {
+		kinds = map[resrc.Kind][]resrc.Resource{}
+	}
+	kinds[c.Kind] = list
+	return Snapshot{Revision: c.Revision, kinds: kinds}, true
+}
+
+func find(list []resrc.Resource, name string) (int, bool) {
+	return slices.BinarySearchFunc(list, name, func(r resrc.Resource, name string) int { return strings.Compare(r.Name, name) })
 }
