--- a/test/faults/proc_test.go
+++ b/test/faults/proc_test.go
@@ -22,16 +22,18 @@
 const (
 	// startTimeout bounds the time until a process answers its health check.
 	startTimeout = 20 * time.Second
-	// firstPort and endPort bound the ports of the tests.
-	firstPort = 20000
-	endPort   = 32000
+	// firstPort, blockPorts and blocks divide the ports of the tests, so that
+	// test runs beside each other rarely meet.
+	firstPort  = 20000
+	blockPorts = 600
+	blocks     = 20
 	// stopTimeout bounds a graceful stop before the test fails.
 	stopTimeout = 30 * time.Second
 )
 
 var lastPort atomic.Int32
 
-func init() { lastPort.Store(firstPort) }
+func init() { lastPort.Store(int32(firstPort + os.Getpid()%blocks*blockPorts)) }
 
 type (
 	// proc is one process that the test started; it is stopped by its id.
@@ -161,7 +163,7 @@
 	var out []string
 	for len(out) < n {
 		port := lastPort.Add(1)
-		if port >= endPort {
+		if port >= firstPort+blocks*blockPorts {
 			t.Fatal("no free port below the ephemeral range")
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
