agent, steps: let answers that lost a stage in above the adaptive limit

Cause: after a stage died, all its sessions moved to the one replica left, which was at its adaptive limit and refused them as Full. Each refusal cost a pause of 100 ms and a new choice. Ruled out: detection (1.25 s at most) and the relink pause (250 ms) explain only 1.5 s. Change: Open carries Resume, and the agent admits such a session up to its hard limit.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -42,7 +42,7 @@
 		return nil, wire.RefusedNotLoaded
 	case !a.health.open(a.cfg.Timer.Now()):
 		return nil, wire.RefusedEngine
-	case len(a.sessions)+a.calls >= a.limit.limit():
+	case len(a.sessions)+a.calls >= a.sessionLimit(m):
 		return nil, wire.RefusedFull
 	}
 	s := newSession(a, m.Request, p.Hello().Incarnation)
@@ -50,6 +50,15 @@
 	return s, ""
 }
 
+// sessionLimit lets an answer that lost a stage in, above the adaptive limit:
+// refusing it would throw away the work of all its stages.
+func (a *Agent) sessionLimit(m wire.Open) int {
+	if m.Resume {
+		return a.limit.bounds.Max
+	}
+	return a.limit.limit()
+}
+
 // admitCall counts a call in, or returns why it is refused.
 func (a *Agent) admitCall() wire.RefuseReason {
 	draining := a.draining()
--- /dev/null
+++ b/internal/agent/resume_test.go
@@ -0,0 +1,29 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"shallotcourse/internal/wire"
+)
+
+// Guards against an answer that waits, or is given up, because the only
+// replacement of its lost stage is at its adaptive limit.
+func TestResumedRequestPassesAdaptiveLimit(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	p := w.stage(0, 6, 0, func(c *Config) { c.Limits.Sessions = Bounds{Initial: 1, Min: 1, Max: 2} })
+	open := func(id string, resume bool) {
+		w.entry.send(p, wire.Open{
+			Request: id, Attempt: 2, Chain: []wire.Stage{p.stage}, Version: testVersion, Prompt: []uint32{1}, MaxTokens: 1, Resume: resume,
+		})
+	}
+	w.request("r", 1, p).begin()
+	open("new", false)
+	is.Equal(next(w, func(m wire.Refused) bool { return m.Request == "new" }).Reason, wire.RefusedFull)
+	open("moved", true)
+	is.Equal(next(w, func(m wire.Opened) bool { return m.Request == "moved" }).Attempt, 2)
+	open("beyond", true)
+	is.Equal(next(w, func(m wire.Refused) bool { return m.Request == "beyond" }).Reason, wire.RefusedFull) // the hard limit holds
+}
--- a/internal/wire/msg.go
+++ b/internal/wire/msg.go
@@ -146,6 +146,9 @@
 		Deadline time.Duration
 		// Fresh asks for a new engine session even if one exists.
 		Fresh bool
+		// Resume says that stages have run for the request in an earlier
+		// attempt.
+		Resume bool
 	}
 
 	// Opened accepts Open. Nothing has run for a new session.
