--- a/test/faults/leave_test.go
+++ b/test/faults/leave_test.go
@@ -103,8 +103,8 @@
 func TestRollingRestart(t *testing.T) {
 	c := newCluster(t, plan{entries: 2, stages: 2, replicas: 2, services: 2, endless: true, cost: "2ms/20us"})
 	for _, a := range c.agentsOf(-1) {
-		// Calls last long enough to be running when an agent stops.
-		c.faults(a.standinURL, map[string]any{"AfterDelay": 300 * time.Millisecond})
+		// Calls outlast the second for which a stopped agent keeps its links.
+		c.faults(a.standinURL, map[string]any{"AfterDelay": 2 * time.Second})
 	}
 	balancer := c.balance()
 	stopCalls := c.steadyCalls(balancer)
@@ -191,7 +191,7 @@
 	var all []reply
 	var wg sync.WaitGroup
 	var ended atomic.Bool
-	for w := range 4 {
+	for w := range 16 {
 		wg.Go(func() {
 			for n := 0; !ended.Load(); n++ {
 				r := c.call(b.pick(), "POST", "/bookings", "", fmt.Sprintf("rolling-%d-%d", w, n))
