agent: keep the least step time over a lasting load, measure services apart

The base followed each sample, so that at some thousand steps a second it reached the loaded step time within a second and hid the queue. The calls of a service differ by themselves, so they are compared with their usual time. A frozen engine holds up the next batch for 50 ms only.

--- a/internal/agent/adapt_test.go
+++ b/internal/agent/adapt_test.go
@@ -32,7 +32,12 @@
 				case "begin":
 					m.begin()
 				case "report":
-					m.report()
+					m.report(200 * time.Millisecond)
+				case "load":
+					// One report of steps that all take the same time.
+					m.varied = line.Bool("varied")
+					m.record(line.Duration("took"), true)
+					m.report(200 * time.Millisecond)
 				case "failure":
 					h.record(now, fault.New(fault.Code(line.Text("code")), "failure"))
 				case "success":
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,7 +58,7 @@
 	cfg = cfg.withDefaults()
 	a := &Agent{
 		cfg:      cfg,
-		meter:    &meter{},
+		meter:    &meter{varied: cfg.Engine == nil},
 		sessions: make(map[string]*session),
 		entries:  make(map[string]link.Peer),
 		ready:    cfg.Engine == nil,
--- a/internal/agent/batch.go
+++ b/internal/agent/batch.go
@@ -14,6 +14,10 @@
 	// maxBatch bounds the steps of one request.
 	maxBatch = 512
 
+	// maxWrite bounds the wait for the writing of a request. A frozen engine
+	// reads nothing, and the steps that gather meanwhile need their timeout.
+	maxWrite = 50 * time.Millisecond
+
 	// stepTries is how often a step is sent when its answer is lost. The
 	// engine keeps what it has run, so that the second try fetches it.
 	stepTries = 2
@@ -77,8 +81,11 @@
 		b.queue = b.queue[n:]
 		b.mu.Unlock()
 		sent := make(chan struct{})
-		go b.request(jobs, sync.OnceFunc(func() { close(sent) }))
+		once := sync.OnceFunc(func() { close(sent) })
+		cancel := b.agent.cfg.Timer.After(maxWrite, once)
+		go b.request(jobs, once)
 		<-sent
+		cancel()
 	}
 }
 
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -2,100 +2,17 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"shallotcourse/internal/wire"
 )
 
-const (
-	// smoothing is the weight of a new sample in a moving average.
-	smoothing = 0.1
-
-	// serviceRise lets the least step time follow an engine that becomes
-	// slower: it doubles in about 700 samples that are all above it.
-	serviceRise = 1.001
-
-	// stepFactor times the usual step time is the step timeout, where that is
-	// longer than the configured one.
-	stepFactor = 20
-)
-
-type (
-	// meter measures the engine's steps.
-	meter struct {
-		mu      sync.Mutex
-		waiting int
-		// service is the least time of a decode step, raised slowly.
-		service float64
-		// step and delay are moving averages in seconds.
-		step  float64
-		delay float64
-		// samples counts those since the last report.
-		samples int
-	}
-
-	// limiter adapts the number of admitted sessions to the queue delay. The
-	// engine's own load reports lag and are not used.
-	limiter struct {
-		bounds Bounds
-		target time.Duration
-		value  float64
-	}
-)
-
-// begin counts a waiting step.
-func (m *meter) begin() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.waiting++
-}
-
-// end counts an answered step. Only decode steps are measured, since the time
-// of a prefill depends on its length.
-func (m *meter) end(elapsed time.Duration, count int, ok bool) {
-	m.mu.Lock()
-	m.waiting--
-	m.mu.Unlock()
-	if count == 1 {
-		m.record(elapsed, ok)
-	}
-}
-
-// record adds the time of one decode step or call.
-func (m *meter) record(elapsed time.Duration, ok bool) {
-	if !ok {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := elapsed.Seconds()
-	m.samples++
-	if m.step == 0 {
-		m.step, m.service = s, s
-		return
-	}
-	m.service = min(s, m.service*serviceRise)
-	m.step += smoothing * (s - m.step)
-	m.delay += smoothing * (s - m.service - m.delay)
-}
-
-// report returns the measures. Without new samples the delay fades, since an
-// idle engine has no queue.
-func (m *meter) report() (waiting int, delay, step time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.samples == 0 && m.waiting == 0 {
-		m.delay /= 2
-	}
-	m.samples = 0
-	return m.waiting, seconds(m.delay), seconds(m.step)
-}
-
-func (m *meter) stepTime() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return seconds(m.step)
+// limiter adapts the number of admitted sessions to the queue delay. The
+// engine's own load reports lag and are not used.
+type limiter struct {
+	bounds Bounds
+	target time.Duration
+	value  float64
 }
 
 func newLimiter(b Bounds, target time.Duration) limiter {
@@ -129,7 +46,8 @@
 			return nil
 		case <-ticks:
 		}
-		_, delay, _ := a.meter.report()
+		a.meter.report(a.cfg.Times.Report)
+		_, delay, _ := a.meter.load()
 		a.mu.Lock()
 		a.limit.adapt(delay, len(a.sessions)+a.calls)
 		a.mu.Unlock()
@@ -147,9 +65,7 @@
 // load returns the exact load now.
 func (a *Agent) load() wire.Load {
 	draining := a.draining()
-	a.meter.mu.Lock()
-	waiting, delay, step := a.meter.waiting, seconds(a.meter.delay), seconds(a.meter.step)
-	a.meter.mu.Unlock()
+	waiting, delay, step := a.meter.load()
 	a.mu.RLock()
 	defer a.mu.RUnlock()
 	leaving := a.leaving || draining
@@ -160,7 +76,6 @@
 }
 
 func (a *Agent) stepTimeout() time.Duration {
-	return max(a.cfg.Times.Step, stepFactor*a.meter.stepTime())
+	_, _, step := a.meter.load()
+	return max(a.cfg.Times.Step, stepFactor*step)
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/steps/log.go
+++ b/internal/steps/log.go
@@ -68,8 +68,12 @@
 	}
 }
 
-// data joins the outputs of positions [from, to), which the log must hold.
+// data joins the outputs of positions [from, to), which the log must hold. A
+// single output, as in each decode step, is not copied.
 func (o *outputs) data(from, to int) []byte {
+	if to-from == 1 {
+		return o.entries[from-o.from].data
+	}
 	var b []byte
 	for _, e := range o.entries[from-o.from : to-o.from] {
 		b = append(b, e.data...)
