--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -205,9 +205,12 @@
 		Session: s.engineID(generation), Version: o.Version, Adapter: o.Adapter, Layers: o.Chain[o.Index].Layers,
 		Prompt: o.Prompt, Seed: o.Seed, Priority: o.Priority, Sample: last,
 	})
-	if s.ctx.Err() == nil {
-		s.agent.health.record(s.agent.cfg.Timer.Now(), err)
+	if s.ctx.Err() != nil {
+		// The close may have reached the engine before the open.
+		s.closeEngine(generation)
+		return
 	}
+	s.agent.health.record(s.agent.cfg.Timer.Now(), err)
 	s.apply(nil, func(x *steps.Session) []steps.Decision {
 		if err != nil {
 			return x.EngineFailed(generation, detail(err))
--- a/internal/steps/session.go
+++ b/internal/steps/session.go
@@ -120,8 +120,13 @@
 }
 
 // EngineOpened answers OpenEngine: the engine holds the positions below next.
+// A session that was given up is closed again, since the first close may have
+// reached the engine before the open.
 func (s *Session) EngineOpened(generation, next int) []Decision {
-	if generation != s.generation || s.phase != phaseOpening {
+	if generation != s.generation {
+		return []Decision{CloseEngine{generation}}
+	}
+	if s.phase != phaseOpening {
 		return nil
 	}
 	s.phase = phaseOpened
