--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -12,8 +13,13 @@
 	"shallotcourse/internal/timer"
 )
 
-// defaultMaxTokens applies to requests without max_tokens.
-const defaultMaxTokens = 256
+const (
+	// defaultMaxTokens applies to requests without max_tokens.
+	defaultMaxTokens = 256
+	// placeholder stands for the text in an encoded chunk; the names and
+	// identifiers around it cannot contain spaces.
+	placeholder = " text "
+)
 
 type (
 	usage struct {
@@ -77,6 +83,11 @@
 		// begun is true once the status line was written.
 		begun bool
 		dirty bool
+		// before and after are the encoded chunk around its text, which alone
+		// differs from token to token.
+		before, after []byte
+		// chunk and event are buffers that are used again.
+		chunk, event []byte
 	}
 )
 
@@ -151,18 +162,43 @@
 	if piece == "" {
 		return nil
 	}
-	return s.event("", s.form.chunk(piece, !s.begun, nil))
+	if !s.begun {
+		return s.send("", s.form.chunk(piece, true, nil))
+	}
+	data, err := s.encode(piece)
+	if err != nil {
+		return err
+	}
+	return s.raw("", data)
+}
+
+// encode returns the chunk for a text, which is much cheaper than encoding all
+// of its fields again.
+func (s *stream) encode(piece string) ([]byte, error) {
+	if s.before == nil {
+		b, err := json.Marshal(s.form.chunk(placeholder, false, nil))
+		if err != nil {
+			return nil, fault.New(fault.Internal, "cannot encode event").WithCause(err)
+		}
+		s.before, s.after, _ = bytes.Cut(b, []byte(`"`+placeholder+`"`))
+	}
+	text, err := json.Marshal(piece)
+	if err != nil {
+		return nil, fault.New(fault.Internal, "cannot encode event").WithCause(err)
+	}
+	s.chunk = append(append(append(s.chunk[:0], s.before...), text...), s.after...)
+	return s.chunk, nil
 }
 
 // finish writes the terminal events of a complete answer.
 func (s *stream) finish(reason string, u *usage) error {
-	if err := s.event("", s.form.chunk(s.decoder.rest, !s.begun, &reason)); err != nil {
+	if err := s.send("", s.form.chunk(s.decoder.rest, !s.begun, &reason)); err != nil {
 		return err
 	}
 	if u != nil {
 		b := s.form.body("text_completion", "chat.completion.chunk")
 		b.Usage = u
-		if err := s.event("", b); err != nil {
+		if err := s.send("", b); err != nil {
 			return err
 		}
 	}
@@ -172,7 +208,7 @@
 // fail ends a stream that has begun with an error event.
 func (s *stream) fail(f *fault.Error) { _ = s.raw("error", errorBody(f)) }
 
-func (s *stream) event(name string, v any) error {
+func (s *stream) send(name string, v any) error {
 	b, err := json.Marshal(v)
 	if err != nil {
 		return fault.New(fault.Internal, "cannot encode event").WithCause(err)
@@ -190,12 +226,12 @@
 	// A caller that does not read must not hold the request for ever.
 	_ = s.control.SetWriteDeadline(s.timer.Now().Add(s.timeout))
 	s.dirty = true
-	event := make([]byte, 0, len(name)+len(data)+24)
+	event := s.event[:0]
 	if name != "" {
 		event = append(append(append(event, "event: "...), name...), '\n')
 	}
-	event = append(append(append(event, "data: "...), data...), "\n\n"...)
-	_, err := s.w.Write(event)
+	s.event = append(append(append(event, "data: "...), data...), "\n\n"...)
+	_, err := s.w.Write(s.event)
 	return err
 }
 
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"shallotcourse/internal/fault"
@@ -29,6 +30,8 @@
 	}
 
 	item struct {
+		// ctx ends when the writer gives up; the write is then left out.
+		ctx       context.Context
 		condition plat.Condition
 		write     plat.Write
 		done      chan error
@@ -47,6 +50,7 @@
 // leaves the outcome unknown.
 func (b *batcher) commit(ctx context.Context, key string, version uint64, value []byte) error {
 	i := &item{
+		ctx:       ctx,
 		condition: plat.Condition{Key: key, Version: version},
 		write:     plat.Write{Key: key, Value: value},
 		done:      make(chan error, 1),
@@ -116,6 +120,10 @@
 // apply commits a batch. One refused condition refuses the transaction as a
 // whole, so its rows are then written one by one.
 func (b *batcher) apply(ctx context.Context, batch []*item) {
+	batch = slices.DeleteFunc(batch, func(i *item) bool { return i.ctx.Err() != nil })
+	if len(batch) == 0 {
+		return
+	}
 	var t plat.Txn
 	for _, i := range batch {
 		t.Conditions = append(t.Conditions, i.condition)
@@ -123,8 +131,8 @@
 	}
 	err := b.table.Commit(ctx, t)
 	if len(batch) > 1 && (fault.Is(err, fault.Conflict) || fault.Is(err, fault.TooLarge)) {
-		for n := range batch {
-			b.apply(ctx, batch[n:n+1])
+		for _, i := range batch {
+			b.apply(ctx, []*item{i})
 		}
 		return
 	}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -25,7 +25,7 @@
 type (
 	// world is a set of in-memory agents in front of one entry.
 	world struct {
-		t      *testing.T
+		t      testing.TB
 		entry  *Entry
 		server *httptest.Server
 		table  *table
@@ -87,7 +87,7 @@
 func (nowhere) Want(string)   {}
 func (nowhere) Unwant(string) {}
 
-func newWorld(t *testing.T, bounds Bounds, names ...string) *world {
+func newWorld(t testing.TB, bounds Bounds, names ...string) *world {
 	name := append(names, "e1")[0]
 	hash := func(key string) []string {
 		sum := sha256.Sum256([]byte(key))
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -89,12 +90,19 @@
 	h.Set("Content-Type", contentJSON)
 	h.Set(fault.Header, string(f.Outcome))
 	if f.Outcome == fault.NotRun {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(max(f.RetryAfter, time.Second).Seconds()))))
+		h.Set("Retry-After", strconv.Itoa(wholeSeconds(f.RetryAfter, rand.Float64())))
 	}
 	w.WriteHeader(f.Status())
 	_, _ = w.Write(errorBody(f))
 }
 
+// wholeSeconds rounds a retry hint at random, so that the mean of many hints
+// stays what it was. Rounded all one way they would return in waves. The
+// random value is in [0, 1).
+func wholeSeconds(d time.Duration, random float64) int {
+	return max(1, int(math.Floor(d.Seconds()+random)))
+}
+
 // errorBody has the field case of the published error format.
 func errorBody(f *fault.Error) []byte {
 	var body struct {
