--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -160,7 +160,7 @@
 // random, so that entries do not all follow the same lagging report.
 func (e *Entry) pick(service string, tried map[string]bool) (string, peerOf, bool) {
 	var open []route.Target
-	for _, t := range e.view.Value().Targets() {
+	for t := range e.view.Value().All() {
 		if t.Spec.Service != service || !t.Admits() || tried[t.Name] {
 			continue
 		}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -52,23 +52,30 @@
 	place struct{ dataCentre, region string }
 
 	node struct {
-		target Target
-		stage  wire.Stage
-		place  place
-		cost   time.Duration
+		stage wire.Stage
+		step  time.Duration
+		// at is the index of the place.
+		at   int
+		cost time.Duration
 		// rest is the cost from this node to the end of the chain, itself
 		// included, for the loop end of the current search.
 		rest time.Duration
+		open int
 	}
 
 	search struct {
-		query Query
+		query  Query
+		places []place
+		// hops holds the delay from place to place.
+		hops [][]time.Duration
 		// nodes is ordered by the first layer, highest first, so that a
 		// node's successors come before it.
 		nodes []node
 		// starts maps a first layer to its nodes [from, to).
 		starts map[int][2]int
-		slack  time.Duration
+		// best holds the least rest by first layer and place.
+		best  map[int][]time.Duration
+		slack time.Duration
 	}
 )
 
@@ -77,49 +84,45 @@
 // false when no chain covers the layers.
 func Choose(v View, q Query, random *rand.Rand) ([]wire.Stage, bool) {
 	s := newSearch(v, q)
-	here := place{q.DataCentre, q.Region}
-	best, loops := unreachable, s.loopEnds()
-	costs := make([]time.Duration, len(loops))
-	for i, loop := range loops {
-		costs[i] = s.run(loop) + hop(here, loop)
-		best = min(best, costs[i])
+	here, best := s.at(place{q.DataCentre, q.Region}), unreachable
+	costs := make([]time.Duration, len(s.places))
+	for loop := range s.places {
+		costs[loop] = s.run(loop) + s.hops[here][loop]
+		best = min(best, costs[loop])
 	}
 	if best >= unreachable {
 		return nil, false
 	}
 	s.slack = time.Duration(float64(best) * Tolerance)
-	// Data centres of the first stage are drawn in proportion to their
-	// targets, otherwise a small data centre would get an equal share.
-	var near []place
-	for i, loop := range loops {
-		if costs[i] > best+s.slack {
-			continue
-		}
-		for _, n := range s.at(0) {
-			if n.place == loop {
-				near = append(near, loop)
-			}
+	// Places of the first stage are drawn in proportion to their targets,
+	// otherwise a small data centre would get an equal share.
+	var near []int
+	for _, n := range s.from(0) {
+		if costs[n.at] <= best+s.slack {
+			near = append(near, n.at)
 		}
 	}
 	loop := near[random.IntN(len(near))]
-	s.slack -= s.run(loop) + hop(here, loop) - best
+	s.run(loop)
+	s.slack -= costs[loop] - best
 	return s.walk(loop, random), true
 }
 
 // newSearch collects the usable targets of the query.
 func newSearch(v View, q Query) *search {
-	s := &search{query: q, starts: map[int][2]int{}}
+	s := &search{query: q, starts: map[int][2]int{}, best: map[int][]time.Duration{}}
+	s.at(place{q.DataCentre, q.Region})
 	kept := map[string]bool{}
 	for _, st := range q.Keep {
 		kept[st.Target] = true
 		t, _ := v.Get(st.Target)
-		s.nodes = append(s.nodes, s.node(t, st))
+		s.add(t, st)
 	}
 	for _, t := range v.targets {
-		if kept[t.Name] || !usable(t, q) {
+		if kept[t.Name] || !usable(*t, q) {
 			continue
 		}
-		s.nodes = append(s.nodes, s.node(t, t.Stage()))
+		s.add(*t, t.Stage())
 	}
 	s.addAffinity()
 	slices.SortStableFunc(s.nodes, func(a, b node) int {
@@ -133,6 +136,9 @@
 		r[1] = i + 1
 		s.starts[n.stage.Layers.From] = r
 	}
+	for layer := range s.starts {
+		s.best[layer] = make([]time.Duration, len(s.places))
+	}
 	return s
 }
 
@@ -152,12 +158,31 @@
 	return true
 }
 
-func (s *search) node(t Target, st wire.Stage) node {
+func (s *search) add(t Target, st wire.Stage) {
 	own := 0
 	if s.query.Own != nil {
 		own = s.query.Own(st.Target)
 	}
-	return node{target: t, stage: st, place: place{t.Spec.DataCentre, t.Spec.Region}, cost: t.delay(own)}
+	s.nodes = append(s.nodes, node{
+		stage: st, step: t.Load.StepTime, at: s.at(place{t.Spec.DataCentre, t.Spec.Region}), cost: t.delay(own), open: t.Load.Open,
+	})
+}
+
+// at returns the index of a place, and adds a new one.
+func (s *search) at(p place) int {
+	if i := slices.Index(s.places, p); i >= 0 {
+		return i
+	}
+	s.places = append(s.places, p)
+	for i := range s.hops {
+		s.hops[i] = append(s.hops[i], hop(s.places[i], p))
+	}
+	var row []time.Duration
+	for _, other := range s.places {
+		row = append(row, hop(p, other))
+	}
+	s.hops = append(s.hops, row)
+	return len(s.places) - 1
 }
 
 // addAffinity lowers the cost of the target that ranks first for the prefix
@@ -168,89 +193,83 @@
 		return
 	}
 	first := map[[2]int]int{}
-	for i, n := range s.nodes {
-		key := [2]int{n.stage.Layers.From, n.stage.Layers.To}
-		j, ok := first[key]
-		if !ok || rank(s.query.Prefix, n.stage.Target) > rank(s.query.Prefix, s.nodes[j].stage.Target) {
-			first[key] = i
+	highest := map[[2]int]uint64{}
+	for i := range s.nodes {
+		st := &s.nodes[i].stage
+		key, r := [2]int{st.Layers.From, st.Layers.To}, rank(s.query.Prefix, st.Target)
+		if _, ok := first[key]; !ok || r > highest[key] {
+			first[key], highest[key] = i, r
 		}
 	}
 	for _, i := range first {
 		n := &s.nodes[i]
-		step := max(n.target.Load.StepTime, defaultStep/10)
+		step := max(n.step, defaultStep/10)
 		n.cost -= min(time.Duration(float64(step)*affinityGain), n.cost/2)
 	}
 }
 
-// loopEnds returns the places of possible first stages: each token returns
-// from the last stage to the first.
-func (s *search) loopEnds() []place {
-	var out []place
-	for _, n := range s.at(0) {
-		if !slices.Contains(out, n.place) {
-			out = append(out, n.place)
-		}
-	}
-	return out
-}
-
-// at returns the nodes whose first layer is the given one.
-func (s *search) at(layer int) []node {
+// from returns the nodes whose first layer is the given one.
+func (s *search) from(layer int) []node {
 	r := s.starts[layer]
 	return s.nodes[r[0]:r[1]]
 }
 
-// run fills in rest for chains whose first stage is at loop and returns the
-// lowest cost.
-func (s *search) run(loop place) time.Duration {
+// run fills in rest for chains whose first stage is at the loop end, where each
+// token returns to from the last stage, and returns the lowest cost.
+func (s *search) run(loop int) time.Duration {
+	for _, best := range s.best {
+		for i := range best {
+			best[i] = unreachable
+		}
+	}
 	for i := range s.nodes {
 		n := &s.nodes[i]
+		hops := s.hops[n.at]
 		n.rest = unreachable
 		if n.stage.Layers.To == s.query.Layers {
-			n.rest = n.cost + hop(n.place, loop)
-			continue
-		}
-		for _, next := range s.at(n.stage.Layers.To) {
-			n.rest = min(n.rest, n.cost+hop(n.place, next.place)+next.rest)
+			n.rest = n.cost + hops[loop]
+		} else {
+			for p, rest := range s.best[n.stage.Layers.To] {
+				n.rest = min(n.rest, n.cost+hops[p]+rest)
+			}
 		}
+		best := s.best[n.stage.Layers.From]
+		best[n.at] = min(best[n.at], n.rest)
 	}
-	best := unreachable
-	for _, n := range s.at(0) {
-		if n.place == loop {
-			best = min(best, n.rest)
-		}
+	if best := s.best[0]; best != nil {
+		return best[loop]
 	}
-	return best
+	return unreachable
 }
 
 // walk draws a path whose cost is within the remaining slack of the best.
-func (s *search) walk(loop place, random *rand.Rand) []wire.Stage {
+func (s *search) walk(loop int, random *rand.Rand) []wire.Stage {
 	var (
 		chain []wire.Stage
 		from  = loop
 	)
 	for layer := 0; layer < s.query.Layers; {
-		nodes := s.at(layer)
-		cost := func(n node) time.Duration {
-			if layer == 0 && n.place != loop {
+		nodes := s.from(layer)
+		cost := func(n *node) time.Duration {
+			if layer == 0 && n.at != loop {
 				return unreachable
 			}
-			return hop(from, n.place) + n.rest
+			return s.hops[from][n.at] + n.rest
 		}
 		best := unreachable
-		for _, n := range nodes {
-			best = min(best, cost(n))
+		for i := range nodes {
+			best = min(best, cost(&nodes[i]))
 		}
-		var near []node
-		for _, n := range nodes {
-			if c := cost(n); c < unreachable && c <= best+s.slack {
-				near = append(near, n)
+		var near []*node
+		for i := range nodes {
+			if c := cost(&nodes[i]); c < unreachable && c <= best+s.slack {
+				near = append(near, &nodes[i])
 			}
 		}
 		n := near[random.IntN(len(near))]
 		s.slack -= cost(n) - best
 		chain = append(chain, n.stage)
-		layer, from = n.stage.Layers.To, n.place
+		layer, from = n.stage.Layers.To, n.at
 	}
 	return chain
 }
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -51,7 +51,7 @@
 func (LeastLoaded) Choose(v View, q Query, _ *rand.Rand) ([]wire.Stage, bool) {
 	return newSearch(v, q).greedy(func(nodes []node) node {
 		return slices.MinFunc(nodes, func(a, b node) int {
-			return cmp.Compare(a.target.Load.Open, b.target.Load.Open)
+			return cmp.Compare(a.open, b.open)
 		})
 	})
 }
@@ -59,11 +59,11 @@
 // greedy picks range by range among the nodes from which the end can be
 // reached.
 func (s *search) greedy(pick func([]node) node) ([]wire.Stage, bool) {
-	s.run(place{})
+	s.run(0)
 	var chain []wire.Stage
 	for layer := 0; layer < s.query.Layers; {
 		var open []node
-		for _, n := range s.at(layer) {
+		for _, n := range s.from(layer) {
 			if n.rest < unreachable {
 				open = append(open, n)
 			}
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -28,20 +29,37 @@
 	}
 
 	// View is an immutable set of targets in order of their names.
+	// The targets are pointed to, so that a view after one report shares all
+	// others with the one before.
 	View struct {
-		targets []Target
+		targets []*Target
 	}
 )
 
 // NewView returns a view of the given targets.
 func NewView(targets []Target) View {
-	t := slices.Clone(targets)
-	slices.SortFunc(t, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+	t := make([]*Target, len(targets))
+	for i := range targets {
+		c := targets[i]
+		t[i] = &c
+	}
+	slices.SortFunc(t, func(a, b *Target) int { return strings.Compare(a.Name, b.Name) })
 	return View{targets: t}
 }
 
-// Targets returns the targets in order of their names; not to be changed.
-func (v View) Targets() []Target { return v.targets }
+// All iterates over the targets in order of their names.
+func (v View) All() iter.Seq[Target] {
+	return func(yield func(Target) bool) {
+		for _, t := range v.targets {
+			if !yield(*t) {
+				return
+			}
+		}
+	}
+}
+
+// Targets returns a copy of the targets in order of their names.
+func (v View) Targets() []Target { return slices.Collect(v.All()) }
 
 // Get returns a target by name.
 func (v View) Get(name string) (Target, bool) {
@@ -49,7 +67,7 @@
 	if !ok {
 		return Target{}, false
 	}
-	return v.targets[i], true
+	return *v.targets[i], true
 }
 
 // WithLoad returns the view after a load report. Reports of targets that are
@@ -122,7 +140,7 @@
 }
 
 func (v View) find(name string) (int, bool) {
-	return slices.BinarySearchFunc(v.targets, name, func(t Target, n string) int { return strings.Compare(t.Name, n) })
+	return slices.BinarySearchFunc(v.targets, name, func(t *Target, n string) int { return strings.Compare(t.Name, n) })
 }
 
 func (v View) with(name string, change func(*Target)) View {
@@ -130,7 +148,9 @@
 	if !ok {
 		return v
 	}
+	changed := *v.targets[i]
+	change(&changed)
 	t := slices.Clone(v.targets)
-	change(&t[i])
+	t[i] = &changed
 	return View{targets: t}
 }
