--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/link"
@@ -80,13 +81,23 @@
 	_ = e.cfg.Log.Log("msg", "link down", "target", h.Target, "reason", reason)
 	e.view.Update(func(v route.View) (route.View, bool) { return v.WithoutLoad(h.Target), true })
 	e.calls.linkChanged(h.Target)
-	e.cfg.Timer.After(e.bounds.Relink, func() {
+	e.cfg.Timer.After(e.relinkTime(reason), func() {
 		if p, ok := e.agent(h.Target); !ok || p.Hello().Incarnation != h.Incarnation {
 			e.open.broadcast(steps.LinkLost{Target: h.Target})
 		}
 	})
 }
 
+// relinkTime returns how long a lost link may take to come back. A connection
+// that was reset mostly means that the process has ended, while a silent one
+// may lead to a live process.
+func (e *Entry) relinkTime(reason error) time.Duration {
+	if fault.Is(reason, fault.Unavailable) {
+		return e.bounds.Relink * 2 / 5
+	}
+	return e.bounds.Relink
+}
+
 // Receive implements link.Handler. Messages of other parts are ignored.
 func (e *Entry) Receive(p link.Peer, m wire.Message) {
 	target := p.Hello().Target
