--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -16,7 +16,7 @@
 		Short:        "Emulate policies, generate load and measure capacity",
 		SilenceUsage: true,
 	}
-	root.AddCommand(lab.PolicyCommand())
+	root.AddCommand(lab.PolicyCommand(), lab.LoadCommand(), lab.SlopesCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,10 +1,19 @@
 package lab
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"shallotcourse/internal/fakes/fengn"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/token"
 )
 
 // Guards against results that differ between runs of one seed, and against
@@ -39,3 +48,60 @@
 		is.True(outage(seed).Added <= RetryBound)
 	}
 }
+
+// Guards against answers that are counted as whole although they are wrong,
+// cut off, or end without a terminal event.
+func TestLoadKinds(t *testing.T) {
+	is := is.New(t)
+	event := func(text string) string { return `data: {"choices":[{"text":"` + text + `"}]}` + "\n\n" }
+	failed := `{"error":{"code":"TargetLost","outcome":"Partial"}}`
+	turn := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		text := token.Decode(fengn.Reference("v", "", 2, token.Encode(fmt.Sprintf("p %d 0", turn)), 4, uint64(turn)))
+		turn++
+		answers := []string{
+			event(text) + "data: [DONE]\n\n",
+			event("no") + "data: [DONE]\n\n",
+			event(text) + "event: error\ndata: " + failed + "\n\n",
+			event(text),
+		}
+		if turn <= len(answers) {
+			_, _ = w.Write([]byte(answers[turn-1]))
+			return
+		}
+		w.Header().Set(fault.Header, "NotRun")
+		w.WriteHeader(http.StatusTooManyRequests)
+		_, _ = w.Write([]byte(`{"error":{"code":"LimitReached","outcome":"NotRun","retry_after":1.5}}`))
+	}))
+	defer server.Close()
+	l := Load{
+		Entries: []string{server.URL}, Keys: []string{"k"}, Model: "m", Version: "v", Layers: 2, Prompt: "p",
+		MaxTokens: 4, Count: 1, Time: time.Minute, Clock: timer.System{},
+	}
+	var got []LoadReport
+	for seed := range uint64(5) {
+		// The prompt carries the number within the run, which is 0 here.
+		l.Seed, l.Prompt = seed, fmt.Sprint("p ", seed)
+		r, err := l.Run(context.Background())
+		is.NoErr(err)
+		got = append(got, r)
+	}
+	is.Equal(got[0].Whole, 1)
+	is.Equal(got[1].Wrong, 1)
+	is.Equal(got[2].Truncated, 1)
+	is.Equal(got[2].Outcomes, map[string]int{"TargetLost/Partial": 1})
+	is.Equal(got[3].Silent, 1)
+	is.Equal(got[4].Refused, 1)
+	is.Equal(got[4].HintMedian, 1500*time.Millisecond)
+}
+
+// Guards against probes that fail or that measure nothing.
+func TestProbes(t *testing.T) {
+	is := is.New(t)
+	for _, p := range probes(timer.System{}) {
+		point, err := p.measure(context.Background(), timer.System{}, 8, 300*time.Millisecond)
+		is.NoErr(err)
+		is.Equal(point.Size, 8)
+		is.True(point.HeapBytes > 0 || point.WireBytes > 0)
+	}
+}
--- a/internal/lab/session.go
+++ b/internal/lab/session.go
@@ -18,7 +18,7 @@
 type (
 	// caller wants one answer and tries until it has it or the run ends.
 	caller struct {
-		account *account
+		account *accountState
 		world   *world
 		prompt  int
 		answer  int
@@ -28,7 +28,7 @@
 	// session is one try of a caller that was admitted to dispatch.
 	session struct {
 		caller  *caller
-		entry   *entry
+		entry   *entryState
 		arrived time.Time
 		sent    time.Time
 		ticket  uint64
@@ -85,7 +85,7 @@
 }
 
 // refused lets the caller come back after the entry's hint.
-func (c *caller) refused(e *entry) {
+func (c *caller) refused(e *entryState) {
 	hint := e.gate.RetryAfter(e.world.now, e.world.random.Float64())
 	e.world.result.refused++
 	e.world.result.hints = append(e.world.result.hints, hint)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -48,13 +48,13 @@
 		plan     plan
 		targets  []*target
 		byName   map[string]*target
-		entries  []*entry
-		accounts []*account
+		entries  []*entryState
+		accounts []*accountState
 		result   tally
 	}
 
-	// entry holds the decision state of one entry process.
-	entry struct {
+	// entryState holds the decision state of one entry process.
+	entryState struct {
 		world   *world
 		gate    *limit.Gate
 		policy  route.Policy
@@ -64,7 +64,7 @@
 		place   resrc.Target
 	}
 
-	account struct {
+	accountState struct {
 		name   string
 		weight int
 		// wanted counts requests of its callers, done those answered.
@@ -114,7 +114,7 @@
 		bounds.Queue = 1 << 20
 	}
 	for i := range entries {
-		e := &entry{world: w, gate: limit.NewGate(bounds), policy: p.policy(), own: map[string]int{}, waiting: map[uint64]*session{}}
+		e := &entryState{world: w, gate: limit.NewGate(bounds), policy: p.policy(), own: map[string]int{}, waiting: map[uint64]*session{}}
 		e.place = resrc.Target{DataCentre: fmt.Sprint("dc", i), Region: "r"}
 		var known []route.Target
 		for _, t := range w.targets {
@@ -129,7 +129,7 @@
 	}
 	for i := range 10 {
 		// Two of ten accounts are large.
-		a := &account{name: fmt.Sprintf("account-%d", i), weight: 1}
+		a := &accountState{name: fmt.Sprintf("account-%d", i), weight: 1}
 		if i < 2 {
 			a.weight = 4
 		}
@@ -152,21 +152,21 @@
 	})
 }
 
-func (e *entry) choose(exclude map[string]bool) ([]wire.Stage, bool) {
+func (e *entryState) choose(exclude map[string]bool) ([]wire.Stage, bool) {
 	return e.policy.Choose(e.view, route.Query{
 		Version: version, Layers: layers, DataCentre: e.place.DataCentre, Region: e.place.Region,
 		Exclude: exclude, Own: func(name string) int { return e.own[name] },
 	}, e.world.random)
 }
 
-func (e *entry) count(chain []wire.Stage, n int) {
+func (e *entryState) count(chain []wire.Stage, n int) {
 	for _, st := range chain {
 		e.own[st.Target] += n
 	}
 }
 
 // serve dispatches waiting requests.
-func (e *entry) serve(ids []uint64) {
+func (e *entryState) serve(ids []uint64) {
 	for _, id := range ids {
 		s := e.waiting[id]
 		delete(e.waiting, id)
