--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SHELL := /bin/bash
 GO ?= go
 
-.PHONY: all build run check fmt fmt-check lint vet test models faults slopes known-red tools
+.PHONY: all build run check fmt fmt-check lint vet test models faults slopes cost known-red tools
 
 all: build
 
@@ -47,5 +47,9 @@
 slopes: build
 	bin/lab slopes
 
+# What the router adds to its engines, in time and processor time.
+cost: build
+	scripts/cost.sh
+
 known-red:
 	@if [ -f KNOWN-RED.txt ]; then echo "known failures, see KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
