--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -35,7 +35,7 @@
 // Guards against a malformed or unknown message reaching a handler.
 func TestDecodeRejects(t *testing.T) {
 	is := is.New(t)
-	for _, b := range [][]byte{nil, {0xff}, {0x01}, []byte("text"), {0xd9, 0xff, 0xff, 0xa0}} {
+	for _, b := range [][]byte{nil, {0xff}, {0x01}, []byte("text"), {0xd9, 0xff, 0xff, 0xa0}, {0xd9, 0xd9, 0xf8}, {0xd9, 0xd9, 0xf8, 0x01}} {
 		_, err := Decode(b)
 		is.True(fault.Is(err, fault.Malformed))
 	}
