--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -40,7 +40,8 @@
 	is.True(strings.Contains(b, `"message":{"role":"assistant","content":"`))
 }
 
-// Guards against a failure without outcome, and against a 401 that tells
+// Guards against a failure without outcome, an answer that ignores what the
+// caller asked for, and against a 401 that tells
 // more than that.
 func TestRefusals(t *testing.T) {
 	is := is.New(t)
@@ -56,6 +57,9 @@
 		{"/v1/completions", `{"model":"oak","prompt":"x"}`, "NoTarget", 503, nil},
 		{"/v1/completions", `{"model":"elm","prompt":"x"}`, "NotFound", 404, nil},
 		{"/v1/completions", `{`, "BadInput", 400, nil},
+		{"/v1/completions", `{"model":"oak","prompt":"x","stop":null,"logit_bias":{}}`, "NoTarget", 503, nil},
+		{"/v1/completions", `{"model":"oak","prompt":"x","stop":["end"]}`, "BadInput", 400, nil},
+		{"/v1/completions", `{"model":"oak","prompt":"x","seed":1.5}`, "BadInput", 400, nil},
 		{"/v1/completions", `{"prompt":"` + strings.Repeat("x", 300) + `"}`, "TooLarge", 413, nil},
 		{"/services/ledger/rolls/../transfers", ``, "BadInput", 400, nil},
 		{"/services/ledger/x", ``, "NoTarget", 503, nil},
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -49,9 +50,31 @@
 		StreamOptions       struct {
 			IncludeUsage bool `json:"include_usage"`
 		} `json:"stream_options"`
-	}
+		// The fields below would change the answer and are not supported.
+		Stop           unsupported `json:"stop"`
+		Tools          unsupported `json:"tools"`
+		ResponseFormat unsupported `json:"response_format"`
+		LogitBias      unsupported `json:"logit_bias"`
+		Logprobs       unsupported `json:"logprobs"`
+		Echo           unsupported `json:"echo"`
+		Suffix         unsupported `json:"suffix"`
+	}
+
+	// unsupported refuses any value but an empty one.
+	unsupported struct{}
 )
 
+// emptyValues are the values of a field that ask for nothing.
+var emptyValues = []string{"null", "false", "[]", "{}", `""`, `{"type":"text"}`}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (unsupported) UnmarshalJSON(b []byte) error {
+	if slices.Contains(emptyValues, string(b)) {
+		return nil
+	}
+	return fault.Newf(fault.BadInput, "field with the value %.40s is not supported", b)
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (t *text) UnmarshalJSON(b []byte) error {
 	var s string
