agent: keep the limit of a plain service fixed

Cause: the adaptive limit took the length of a call beyond the shortest one as queue delay. After short reads, calls of 2 s shrank the limit to 4, and further calls were refused as Full. Ruled out: the entry's gate (the refusals came from agents), the drain (they began before it). Change: the limit adapts for engines only; that of a service is its bound.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,7 +62,7 @@
 		sessions: make(map[string]*session),
 		entries:  make(map[string]link.Peer),
 		ready:    cfg.Engine == nil,
-		limit:    newLimiter(cfg.Limits.Sessions, cfg.Limits.QueueDelay),
+		limit:    newLimiter(cfg.sessionBounds(), cfg.Limits.QueueDelay),
 		journal:  once.NewJournal(cfg.Incarnation, cfg.Limits.Calls),
 		waiters:  make(map[string][]string),
 		lease:    order.NewLease(cfg.Incarnation, cfg.Limits.Rules),
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -116,3 +116,14 @@
 	}
 	return c
 }
+
+// sessionBounds returns the bounds of the adaptive limit. That of a plain
+// service is fixed: its calls differ in length by nature, so a long call tells
+// nothing about a queue.
+func (c Config) sessionBounds() Bounds {
+	b := c.Limits.Sessions
+	if c.Engine == nil {
+		return Bounds{Initial: b.Max, Min: b.Max, Max: b.Max}
+	}
+	return b
+}
--- a/internal/agent/resume_test.go
+++ b/internal/agent/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -27,3 +28,15 @@
 	open("beyond", true)
 	is.Equal(next(w, func(m wire.Refused) bool { return m.Request == "beyond" }).Reason, wire.RefusedFull) // the hard limit holds
 }
+
+// Guards against a plain service that refuses calls because long ones follow
+// short ones: their length is no sign of a queue.
+func TestServiceLimitIsFixed(t *testing.T) {
+	is := is.New(t)
+	c := Config{Limits: Limits{Sessions: Bounds{Initial: 8, Min: 2, Max: 64}}}
+	l := newLimiter(c.sessionBounds(), time.Millisecond)
+	for range 100 {
+		l.adapt(time.Second, 10)
+	}
+	is.Equal(l.limit(), 64)
+}
