--- a/test/faults/leave_test.go
+++ b/test/faults/leave_test.go
@@ -193,6 +193,8 @@
 	var ended atomic.Bool
 	for w := range 16 {
 		wg.Go(func() {
+			// The calls overlap, so that some are running at any moment.
+			time.Sleep(time.Duration(w) * 125 * time.Millisecond)
 			for n := 0; !ended.Load(); n++ {
 				r := c.call(b.pick(), "POST", "/bookings", "", fmt.Sprintf("rolling-%d-%d", w, n))
 				mu.Lock()
