order: write a newer revision to the owner row before acting on it

A holder whose configuration moved on during its claim sent orders from the newer revision while the row still held the older one. After its end, an agent with the older configuration could have undone them.

--- a/internal/order/lease.go
+++ b/internal/order/lease.go
@@ -46,6 +46,8 @@
 		revision uint64
 		// epoch is the claimed epoch; 0 if none is held.
 		epoch uint64
+		// claimed is the revision in the row of the claim.
+		claimed uint64
 		// until is the end of the claim by this process's monotonic clock,
 		// counted from before its write was sent.
 		until time.Time
@@ -115,9 +117,9 @@
 }
 
 // Next returns what to do to hold the target. A claim is renewed in its last
-// half.
+// half, and before an order from a newer revision than the row holds.
 func (l *Lease) Next(now time.Time) Step {
-	if _, ok := l.May(now); ok && l.until.Sub(now) > l.rules.Lease/2 {
+	if _, ok := l.May(now); ok && l.until.Sub(now) > l.rules.Lease/2 && l.claimed >= l.revision {
 		return Held{}
 	}
 	if !l.read {
@@ -165,7 +167,7 @@
 	l.read = true
 	if owner == l.written && l.written.Epoch > 0 {
 		// The write whose answer was lost did take effect.
-		l.hold(l.written.Epoch, l.writtenAt)
+		l.hold(l.written, l.writtenAt)
 	}
 	if l.epoch > 0 && (owner.Holder != l.self || owner.Epoch != l.epoch) {
 		l.epoch = 0
@@ -181,14 +183,14 @@
 	switch {
 	case c.Owner.Released:
 	case ok:
-		l.hold(c.Owner.Epoch, sent)
+		l.hold(c.Owner, sent)
 	case !known:
 		l.written, l.writtenAt = c.Owner, sent
 	}
 }
 
-func (l *Lease) hold(epoch uint64, sent time.Time) {
-	l.epoch = epoch
+func (l *Lease) hold(o Owner, sent time.Time) {
+	l.epoch, l.claimed = o.Epoch, o.Revision
 	l.until = sent.Add(l.rules.Lease)
 }
 
--- a/internal/order/lease_test.go
+++ b/internal/order/lease_test.go
@@ -12,6 +12,11 @@
 	rival struct {
 		lease  *Lease
 		paused bool
+		// revision is its configuration, which is never ahead of the newest.
+		revision uint64
+		// decided is the epoch under which it is about to send an order from
+		// the revision decidedAt; it may be paused in between.
+		decided, decidedAt uint64
 		// busy is the end of the order that it has sent.
 		busy time.Time
 	}
@@ -26,19 +31,23 @@
 		rivals  []*rival
 		// late holds writes that will reach the table later, if at all.
 		late []Commit
+		// newest is the newest revision of the configuration.
+		newest uint64
 		// last is the newest order's sender, its epoch and its end.
 		last  *rival
 		epoch uint64
-		end   time.Time
-		sent  int
+		// revision is that of the newest order.
+		revision uint64
+		end      time.Time
+		sent     int
 	}
 )
 
 var contestRules = Rules{Lease: 10 * time.Second, LongestOrder: 20 * time.Second, Gap: time.Second}
 
-// Guards P8 for engines that ignore the token: whatever pauses, lost answers
-// and delayed writes there are, orders of two owners never overlap, and epochs
-// never go back.
+// Guards P8 for engines that ignore the token, and P7: whatever pauses, lost
+// answers and delayed writes there are, orders of two owners never overlap, and
+// epochs and configurations never go back.
 func TestOrdersOfTwoOwnersNeverOverlap(t *testing.T) {
 	total := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -58,7 +67,7 @@
 
 func (c *contest) act() {
 	r := c.rivals[rapid.IntRange(0, 2).Draw(c.t, "rival")]
-	switch rapid.IntRange(0, 11).Draw(c.t, "action") {
+	switch rapid.IntRange(0, 12).Draw(c.t, "action") {
 	case 0, 1:
 		c.pass(rapid.IntRange(1, 30).Draw(c.t, "ticks"))
 	case 2:
@@ -77,6 +86,10 @@
 		}
 	case 5, 6, 7:
 		c.order(r)
+	case 8:
+		c.newest += uint64(rapid.IntRange(0, 1).Draw(c.t, "change"))
+		r.revision = c.newest
+		r.lease.SetRevision(r.revision)
 	default:
 		if !r.paused {
 			c.step(r)
@@ -98,6 +111,9 @@
 
 func (c *contest) step(r *rival) {
 	switch s := r.lease.Next(c.now).(type) {
+	case Held:
+		r.decided, _ = r.lease.May(c.now)
+		r.decidedAt = r.revision
 	case Read:
 		r.lease.Observed(c.version, c.owner, c.now)
 	case Commit:
@@ -131,7 +147,7 @@
 // woken up.
 func (c *contest) order(r *rival) {
 	epoch, ok := r.lease.May(c.now)
-	if !ok || c.now.Before(r.busy) {
+	if !ok || epoch != r.decided || c.now.Before(r.busy) {
 		return
 	}
 	if c.last != r && c.now.Before(c.end) {
@@ -140,6 +156,11 @@
 	if epoch < c.epoch || epoch == c.epoch && c.last != r && c.last != nil {
 		c.t.Fatalf("epoch %d after %d", epoch, c.epoch)
 	}
+	if r.decidedAt < c.revision {
+		c.t.Fatalf("an order from revision %d came after one from %d", r.decidedAt, c.revision)
+	}
+	c.revision = r.decidedAt
+	r.decided = 0
 	r.busy = c.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(c.t, "length")) * time.Second)
 	c.last, c.epoch, c.end = r, epoch, r.busy
 	c.sent++
