entry: link subsets of targets and entries, not all to all

Cause: by the slopes (lab slopes), 16 links per group and 409 links to other entries give an entry at the target size about 300 KB/s of load reports and 46 KB/s of heartbeats, against 22 KB/s. An entry cut off from the others also applied the whole limit of each account. Ruled out: fewer reports alone (the heartbeats of 900 links are over the budget by themselves). Change: an entry links at least 4 targets of a group, more while few entries share the group so that each target has 4 entries, three of four in its own region; and 8 other entries. Limits count the entries of the platform's list, and quota is lent only where all entries are linked. After: at most 4 of 18 targets at 410 entries, every target linked (TestWantedCoversTargets).

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -24,6 +24,10 @@
 	"shallotcourse/internal/wire"
 )
 
+// entryLinks bounds the links to other entries of the list. Changes reach 410
+// entries in 3 hops over 8 links each.
+const entryLinks = 8
+
 type (
 	// entryDaemon is a running entry process.
 	entryDaemon struct {
@@ -99,6 +103,7 @@
 		Instance: settings.Instance, Incarnation: d.incarnation, DataCentre: settings.DataCentre, Region: settings.Region,
 		Timer: d.clock, Log: d.logger, Snapshot: e.store.Section(), Links: e.links, Table: e.platform.Table,
 		Tokenizer: tokenizer{}, Metrics: d.metrics, Bounds: entryBounds(settings),
+		Entries: e.entries,
 	})
 	handlers.set(e.replica, link.Latest(e.entry))
 	return e
@@ -163,7 +168,18 @@
 	}
 }
 
-// followFleet keeps links to the other entries of the instance list, and
+// entries counts the entries that the instance list knows, this one included.
+func (e *entryDaemon) entries() int {
+	n := 1
+	for _, i := range e.fleet.View().Value().With(wire.RoleEntry, fleet.Live, fleet.Suspect) {
+		if i.Name != e.settings.Instance {
+			n++
+		}
+	}
+	return n
+}
+
+// followFleet keeps links to other entries of the instance list, and
 // stops choosing targets whose instance leaves according to it. The agent's
 // next load report decides again.
 func (e *entryDaemon) followFleet(ctx context.Context) {
@@ -181,14 +197,19 @@
 	}
 }
 
-// followPeers returns the wanted addresses after a view.
+// followPeers returns the wanted addresses after a view. Changes of the
+// configuration spread from entry to entry over these links.
 func (e *entryDaemon) followPeers(view fleet.View, wanted map[string]bool) map[string]bool {
-	listed := map[string]bool{}
+	var addresses []string
 	for _, i := range view.With(wire.RoleEntry, fleet.Live, fleet.Leaving, fleet.Suspect) {
 		if i.Name != e.settings.Instance && i.Address != "" && !slices.Contains(e.settings.Peers, i.Address) {
-			listed[i.Address] = true
+			addresses = append(addresses, i.Address)
 		}
 	}
+	listed := map[string]bool{}
+	for _, address := range route.Subset(e.settings.Instance, addresses, entryLinks) {
+		listed[address] = true
+	}
 	for address := range listed {
 		if !wanted[address] {
 			e.links.Want(address)
--- a/internal/conf/entry.go
+++ b/internal/conf/entry.go
@@ -56,7 +56,8 @@
 		Relink Duration
 		// Write bounds one write to a caller that does not read.
 		Write Duration
-		// TargetsPerGroup bounds the links to interchangeable targets.
+		// TargetsPerGroup is the least number of links to interchangeable
+		// targets; there are more while few entries share them.
 		TargetsPerGroup int
 	}
 )
@@ -78,7 +79,7 @@
 			CallRetries:     2,
 			Relink:          of(250 * time.Millisecond),
 			Write:           of(10 * time.Second),
-			TargetsPerGroup: 16,
+			TargetsPerGroup: 4,
 		},
 		BalancerLag: of(3 * time.Second),
 		StopTimeout: of(5 * time.Minute),
--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -27,7 +27,8 @@
 	BalancerLag time.Duration
 	// WriteTimeout bounds one write to a caller that does not read.
 	WriteTimeout time.Duration
-	// TargetsPerGroup bounds the links to interchangeable targets.
+	// TargetsPerGroup is the least number of links to interchangeable targets;
+	// there are more while few entries share them.
 	TargetsPerGroup int
 	// CallRetries bounds the retries of one repeatable call.
 	CallRetries int
@@ -44,7 +45,7 @@
 	set(&b.Relink, 250*time.Millisecond)
 	set(&b.BalancerLag, 3*time.Second)
 	set(&b.WriteTimeout, 10*time.Second)
-	set(&b.TargetsPerGroup, 16)
+	set(&b.TargetsPerGroup, 4)
 	set(&b.CallRetries, 2)
 	return b
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,7 +52,10 @@
 		Links       Links
 		Table       plat.Table
 		Tokenizer   Tokenizer
-		Metrics     *metrics.Set
+		// Entries counts all entries that the platform lists; nil or a smaller
+		// number than the linked ones counts those.
+		Entries func() int
+		Metrics *metrics.Set
 		// Seed starts the random source; 0 takes a random one.
 		Seed uint64
 		// Bounds are the limits of this process.
@@ -163,11 +166,14 @@
 
 // follow applies each new configuration snapshot.
 func (e *Entry) follow(ctx context.Context) {
+	review, stop := e.cfg.Timer.Every(reviewLinks)
+	defer stop()
 	for {
 		snap, version := e.cfg.Snapshot.Get()
 		e.configure(snap)
 		select {
 		case <-e.cfg.Snapshot.Changed(version):
+		case <-review:
 		case <-ctx.Done():
 			return
 		}
@@ -190,63 +196,6 @@
 	e.link(e.wanted(targets))
 }
 
-// link keeps links to exactly the given addresses.
-func (e *Entry) link(addresses []string) {
-	e.linkMu.Lock()
-	defer e.linkMu.Unlock()
-	wanted := map[string]bool{}
-	for _, address := range addresses {
-		wanted[address] = true
-		if !e.linked[address] {
-			e.cfg.Links.Want(address)
-		}
-	}
-	for address := range e.linked {
-		if !wanted[address] {
-			e.cfg.Links.Unwant(address)
-		}
-	}
-	e.linked = wanted
-}
-
-// linkToo links an agent outside this entry's subset until the next change of
-// the configuration.
-func (e *Entry) linkToo(address string) {
-	e.linkMu.Lock()
-	defer e.linkMu.Unlock()
-	if !e.linked[address] {
-		e.linked[address] = true
-		e.cfg.Links.Want(address)
-	}
-}
-
-// wanted returns the agents that this entry links to: for each group of
-// interchangeable targets, the subset that ranks highest for this entry.
-func (e *Entry) wanted(targets []resrc.Resource) []string {
-	type group struct {
-		version, service string
-		layers           resrc.LayerRange
-	}
-	members := map[group][]string{}
-	addresses := map[string]string{}
-	for _, r := range targets {
-		t, ok := r.Spec.(resrc.Target)
-		if !ok {
-			continue
-		}
-		g := group{t.Version, t.Service, t.Layers}
-		members[g] = append(members[g], r.Name)
-		addresses[r.Name] = t.Agent
-	}
-	var out []string
-	for _, names := range members {
-		for _, name := range route.Subset(e.cfg.Instance, names, e.bounds.TargetsPerGroup) {
-			out = append(out, addresses[name])
-		}
-	}
-	return out
-}
-
 // ownWork returns the counter of the entry's open work at a target.
 func (e *Entry) ownWork(target string) *atomic.Int64 {
 	if c, ok := e.own.Load(target); ok {
--- /dev/null
+++ b/internal/entry/links_test.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"shallotcourse/pkg/resrc"
+)
+
+// Guards against links from all entries to all targets, and against a target
+// that no entry links.
+func TestWantedCoversTargets(t *testing.T) {
+	for _, size := range []struct{ entries, perGroup, atMost int }{
+		{1, 18, 18}, {3, 10, 10}, {10, 18, 8}, {410, 18, 4},
+	} {
+		t.Run(fmt.Sprintf("%d entries", size.entries), func(t *testing.T) {
+			is := is.New(t)
+			var targets []resrc.Resource
+			for i := range size.perGroup {
+				targets = append(targets, resrc.Resource{Name: fmt.Sprintf("t-%d", i), Spec: resrc.Target{
+					Region: fmt.Sprintf("region-%d", i%3), Agent: fmt.Sprintf("10.0.0.%d:1", i), Version: "oak-1",
+				}})
+			}
+			covered := map[string]int{}
+			for i := range size.entries {
+				e := &Entry{cfg: Config{
+					Instance: fmt.Sprintf("entry-%d", i), Region: fmt.Sprintf("region-%d", i%3),
+					Entries: func() int { return size.entries },
+				}, peers: newPeers(), bounds: Bounds{}.withDefaults()}
+				wanted := e.wanted(targets)
+				is.True(len(wanted) <= size.atMost)
+				for _, address := range wanted {
+					covered[address]++
+				}
+			}
+			is.Equal(len(covered), size.perGroup) // every target is linked
+		})
+	}
+}
+
+// Guards against an entry that has lost all other regions: targets of other
+// regions stay among its links.
+func TestWantedKeepsOtherRegion(t *testing.T) {
+	is := is.New(t)
+	var targets []resrc.Resource
+	for i := range 12 {
+		region := "near"
+		if i >= 6 {
+			region = "far"
+		}
+		targets = append(targets, resrc.Resource{Name: fmt.Sprintf("t-%d", i), Spec: resrc.Target{
+			Region: region, Agent: region + fmt.Sprint(i), Version: "oak-1",
+		}})
+	}
+	far, near := 0, 0
+	for i := range 100 {
+		e := &Entry{cfg: Config{
+			Instance: fmt.Sprintf("entry-%d", i), Region: "near", Entries: func() int { return 410 },
+		}, peers: newPeers(), bounds: Bounds{}.withDefaults()}
+		for _, address := range e.wanted(targets) {
+			if address[:3] == "far" {
+				far++
+			} else {
+				near++
+			}
+		}
+	}
+	is.True(near >= 300)
+	is.True(far >= 20)
+}
+
+// Guards against an entry that is cut off from the others and then applies the
+// whole limit of an account by itself.
+func TestCutOffEntryAppliesItsShare(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, Bounds{})
+	w.entry.cfg.Entries = func() int { return 10 }
+	a := w.entry.admit
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.account("any", resrc.ClientAccount{RequestsPerSecond: 100, Burst: 50, Concurrency: 40, Weight: 1}, w.entry.cfg.Timer.Now())
+	is.Equal(c.rates.PerSecond, 10.0)
+	is.Equal(c.rates.Concurrency, 4)
+}
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -21,7 +21,13 @@
 
 // renew asks the owners of the accounts in use for quota. An account whose
 // owner does not answer falls back to the limit divided by the entries.
+//
+// Entries that don't see each other would choose different owners, which
+// would lend the same quota twice. So nothing is lent unless all are linked.
 func (a *admission) renew(now time.Time) {
+	if a.entry.linkedEntries() < a.entry.entryCount() {
+		return
+	}
 	names := a.entry.entryNames()
 	snap := a.entry.cfg.Snapshot.Value()
 	for name, wanted := range a.demands(now) {
@@ -84,6 +90,9 @@
 // same quota twice.
 func (a *admission) quotaRequest(p link.Peer, m wire.QuotaRequest) {
 	spec, ok := store.Spec[resrc.ClientAccount](a.entry.cfg.Snapshot.Value(), m.Account)
+	if a.entry.linkedEntries() < a.entry.entryCount() {
+		return
+	}
 	if !ok || route.Owner(m.Account, a.entry.entryNames()) != a.entry.cfg.Instance || !(m.Wanted >= 0) {
 		return
 	}
@@ -116,9 +125,3 @@
 	}
 	return names
 }
-
-func (e *Entry) entryCount() int {
-	e.peers.mu.RLock()
-	defer e.peers.mu.RUnlock()
-	return 1 + len(e.peers.entries)
-}
