steps, entry: repair a lost Start at once; free stages of ended requests

Cause: the last stage may resend a token from its log, so a token is no proof that every stage received Start. Ruled out: sending Start again after each redial (the agent's Opened tells exactly who waits). Change: an Opened that comes after Start is answered with Start again; a token of a request that is not open is answered with Stale. Operators' watches end when an entry starts to stop. Found by reading; the scripts coord_lost_start.txt and TestTokenOfEndedRequestIsStale fail without the change.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -36,6 +36,9 @@
 		settings conf.Entry
 		links    *link.Group
 		entry    *entry.Entry
+		// stopping is closed when the entry starts to stop; operators' watches
+		// end then and go on at another entry.
+		stopping chan struct{}
 	}
 
 	// tokenizer implements entry.Tokenizer with the built-in vocabulary.
@@ -96,7 +99,7 @@
 
 func newEntryDaemon(settings conf.Entry, logs io.Writer) *entryDaemon {
 	d := newDaemon(settings.Instance, settings.Log, logs)
-	e := &entryDaemon{daemon: d, replica: newReplica(d, settings.Platform), settings: settings}
+	e := &entryDaemon{daemon: d, replica: newReplica(d, settings.Platform), settings: settings, stopping: make(chan struct{})}
 	handlers := &lateHandlers{}
 	e.links = d.links(linkSettings{times: settings.Links, hello: e.hello, handler: handlers})
 	e.entry = entry.New(entry.Config{
@@ -124,7 +127,7 @@
 	e.operations(operators, e.ready)
 	operators.PathPrefix("/v1/").Handler(opapi.New(opapi.Options{
 		Store: e.store, Sync: e.sync, Operators: operatorsOf(e.settings.OperatorKeyHashes), Self: e.hello(),
-		Clock: e.clock, Log: e.logger,
+		Clock: e.clock, Log: e.logger, Stopping: e.stopping,
 	}))
 	headerBytes := e.settings.Limits.HeaderBytes
 	if err := e.serve("links", e.settings.LinkListen, headerBytes, linkRouter(e.links)); err != nil {
@@ -158,6 +161,7 @@
 // drain lets the balancer notice the stop and the open requests end.
 func (e *entryDaemon) drain() {
 	_ = level.Info(e.logger).Log("msg", "stopping", "open", e.entry.Open())
+	close(e.stopping)
 	e.links.Broadcast(wire.Leaving{}, nil)
 	bound := e.settings.BalancerLag.Duration + e.settings.StopTimeout.Duration
 	ctx, cancel := timer.WithTimeout(context.Background(), e.clock, bound)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -103,7 +103,10 @@
 	target := p.Hello().Target
 	switch m := m.(type) {
 	case wire.Token:
-		e.open.post(m.Request, steps.Received{Target: target, Message: m})
+		if !e.open.post(m.Request, steps.Received{Target: target, Message: m}) {
+			// The message that freed the stage was lost with a link.
+			_ = p.Send(wire.Stale{Request: m.Request, Rejected: m.Attempt})
+		}
 	case wire.Opened:
 		e.open.post(m.Request, steps.Received{Target: target, Message: m})
 	case wire.Refused:
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -69,15 +69,17 @@
 	delete(s.boxes, request)
 }
 
-// post hands an event to an open request; events of others are dropped.
-func (r *registry) post(request string, ev steps.Event) {
+// post hands an event to an open request; false if there is none.
+func (r *registry) post(request string, ev steps.Event) bool {
 	s := r.shard(request)
 	s.mu.RLock()
 	b := s.boxes[request]
 	s.mu.RUnlock()
-	if b != nil {
-		b.post(ev)
+	if b == nil {
+		return false
 	}
+	b.post(ev)
+	return true
 }
 
 // broadcast hands an event to all open requests.
--- a/internal/steps/coord.go
+++ b/internal/steps/coord.go
@@ -69,13 +69,17 @@
 		ran map[string]bool
 		// opened holds the answers to Open of this attempt by index.
 		opened []*wire.Opened
+		// begin holds the cursors of the last Start, and emitted the position of
+		// the next token at that time.
+		begin   []int
+		emitted int
 		// allFresh asks every stage for a new session in this attempt.
 		allFresh bool
 		// started is true once a Start was sent in any attempt: from then on
 		// the request is not NotRun.
 		started bool
-		// flowing is true once a token of this attempt arrived, which proves
-		// that every stage received Start.
+		// flowing is true once a token of this attempt arrived. It shows that
+		// the last stage received Start; its token may come from its log.
 		flowing bool
 		// answer holds the emitted tokens, one per position from the end of
 		// the prompt.
--- a/internal/steps/coord_chain.go
+++ b/internal/steps/coord_chain.go
@@ -67,8 +67,14 @@
 // accepted records an Opened and starts the chain when all stages accepted.
 func (c Coord) accepted(target string, m wire.Opened) (Coord, []Action) {
 	i := m.Index
-	if c.phase != PhaseOpening || m.Attempt != c.attempt || i < 0 || i >= len(c.chain) ||
-		c.chain[i].Target != target || c.opened[i] != nil {
+	if m.Attempt != c.attempt || i < 0 || i >= len(c.chain) || c.chain[i].Target != target {
+		return c, nil
+	}
+	if c.phase == PhaseRunning {
+		// The stage still waits for Start, which was lost with a link.
+		return c, []Action{c.startStage(i)}
+	}
+	if c.phase != PhaseOpening || c.opened[i] != nil {
 		return c, nil
 	}
 	c.opened = slices.Clone(c.opened)
@@ -118,23 +124,29 @@
 // start sends Start to all stages; from here on the request may have run.
 func (c Coord) start(cursors []int) (Coord, []Action) {
 	c.phase, c.started, c.checked = PhaseRunning, true, len(c.answer)
+	c.begin, c.emitted = cursors, c.nextPosition()
 	c.ran = map[string]bool{}
 	var actions []Action
 	for i, st := range c.chain {
 		c.ran[st.Target] = true
-		m := wire.Start{
-			Request: c.plan.Request, Attempt: c.attempt, Cursors: cursors,
-			Reset: cursors[i] < c.opened[i].Next, Emitted: c.nextPosition(),
-		}
-		if i == 0 {
-			m.Tokens = c.tokensFrom(cursors[0])
-		}
-		actions = append(actions, Send{Stage: st, Message: m})
+		actions = append(actions, c.startStage(i))
 	}
 	c, arm := c.arm(c.plan.StallTimeout)
 	return c, append(actions, arm)
 }
 
+// startStage returns the Start of a stage. A stage that has started ignores it.
+func (c Coord) startStage(i int) Action {
+	m := wire.Start{
+		Request: c.plan.Request, Attempt: c.attempt, Cursors: c.begin,
+		Reset: c.begin[i] < c.opened[i].Next, Emitted: c.emitted,
+	}
+	if i == 0 {
+		m.Tokens = c.tokensFrom(c.begin[0])
+	}
+	return Send{Stage: c.chain[i], Message: m}
+}
+
 // tokensFrom returns the values of the prompt and the answer from a position.
 func (c Coord) tokensFrom(position int) []uint32 {
 	if position >= c.nextPosition() {
