--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -127,7 +127,7 @@
 	w := newWorld(p)
 	for range int(w.bound() * returnLoad) {
 		c := w.caller()
-		w.after(time.Duration(w.random.Float64()*float64(time.Second)), c.arrive)
+		w.after(time.Duration(w.demand.Float64()*float64(time.Second)), c.arrive)
 	}
 	w.run(10 * time.Second)
 	r := ReturnResult{Policy: p.name}
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -15,6 +15,8 @@
 	sim struct {
 		now    time.Time
 		random *rand.Rand
+		// demand draws the callers, so that all policies see the same ones.
+		demand *rand.Rand
 		events eventHeap
 		added  uint64
 	}
@@ -29,7 +31,7 @@
 )
 
 func newSim(seed uint64) *sim {
-	return &sim{now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 1))}
+	return &sim{now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 1)), demand: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // after runs f when d has passed.
@@ -60,9 +62,9 @@
 // since returns the time since the start.
 func (s *sim) since() time.Duration { return s.now.Sub(time.Unix(0, 0)) }
 
-// exponential returns a random interval with the given mean.
+// exponential returns a random interval between callers with the given mean.
 func (s *sim) exponential(mean time.Duration) time.Duration {
-	return time.Duration(s.random.ExpFloat64() * float64(mean))
+	return time.Duration(s.demand.ExpFloat64() * float64(mean))
 }
 
 // Len implements heap.Interface.
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -185,14 +185,14 @@
 // caller returns a new caller of a random account: half of all callers belong
 // to the two large accounts.
 func (w *world) caller() *caller {
-	a := w.accounts[2+w.random.IntN(8)]
-	if w.random.IntN(2) == 0 {
-		a = w.accounts[w.random.IntN(2)]
+	a := w.accounts[2+w.demand.IntN(8)]
+	if w.demand.IntN(2) == 0 {
+		a = w.accounts[w.demand.IntN(2)]
 	}
 	a.wanted++
 	return &caller{
 		account: a, world: w,
-		prompt: meanPrompt/2 + w.random.IntN(meanPrompt), answer: meanAnswer/2 + w.random.IntN(meanAnswer),
+		prompt: meanPrompt/2 + w.demand.IntN(meanPrompt), answer: meanAnswer/2 + w.demand.IntN(meanAnswer),
 	}
 }
 
