--- a/spec/steps.pml
+++ b/spec/steps.pml
@@ -93,8 +93,7 @@
 #define RESETS(a) (fresh[a])
 #endif
 
-/* Entry: the last known position runs again even if all stages have it cached, */
-/* since its output is the next token. */
+/* Entry: the last known position runs again, though cached: its output is the next token. */
 /* Go: internal/steps, Coord.cursors (need). */
 #ifdef MUTANT_WHOLE_PROMPT_CACHED
 #define LOWEST(x, y) MIN(x, y)
@@ -257,12 +256,9 @@
 end:
   do
   /* Open, also a repeated or an old one. */
-  :: OPEN(1, 0)
-  :: OPEN(1, 1)
-  :: OPEN(2, 0)
-  :: OPEN(2, 1)
-  :: OPEN(3, 0)
-  :: OPEN(3, 1)
+  :: OPEN(1, 0) :: OPEN(1, 1)
+  :: OPEN(2, 0) :: OPEN(2, 1)
+  :: OPEN(3, 0) :: OPEN(3, 1)
   /* Start. */
   :: d_step { session[t] && startSent[attempt[t]] && NOT_STARTED(t) &&
       chain[AT(attempt[t], stage[t])] == t ->
@@ -290,12 +286,9 @@
     advance(t)
   }
   /* Stage 1: any Step that was ever sent to this stage. */
-  :: RUN(1, 0)
-  :: RUN(1, 1)
-  :: RUN(2, 0)
-  :: RUN(2, 1)
-  :: RUN(3, 0)
-  :: RUN(3, 1)
+  :: RUN(1, 0) :: RUN(1, 1)
+  :: RUN(2, 0) :: RUN(2, 1)
+  :: RUN(3, 0) :: RUN(3, 1)
   /* Crash: a new incarnation knows nothing of the request. */
   :: d_step { crashes < CRASHES && started[t] ->
     crashes++;
