--- /dev/null
+++ b/internal/agent/report_test.go
@@ -0,0 +1,41 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"shallotcourse/internal/wire"
+)
+
+// Guards against reports that repeat what the entries know, and against a
+// change that they learn late.
+func TestReportDue(t *testing.T) {
+	is := is.New(t)
+	var r reporter
+	now := time.Unix(100, 0)
+	base := wire.Load{Open: 50, Limit: 64, Ready: true}
+	is.True(r.due(base, now)) // the first
+	is.True(!r.due(base, now.Add(200*time.Millisecond)))
+	small := base
+	small.Open = 55
+	is.True(!r.due(small, now.Add(400*time.Millisecond)))
+	for name, change := range map[string]func(*wire.Load){
+		"open":    func(l *wire.Load) { l.Open = 70 },
+		"limit":   func(l *wire.Load) { l.Limit = 40 },
+		"delay":   func(l *wire.Load) { l.QueueDelay = 8 * time.Millisecond },
+		"leaving": func(l *wire.Load) { l.Leaving = true },
+		"ready":   func(l *wire.Load) { l.Ready = false },
+		"version": func(l *wire.Load) { l.Version = "oak-2" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fresh := reporter{last: base, at: now}
+			l := base
+			change(&l)
+			is.True(fresh.due(l, now.Add(200*time.Millisecond)))
+		})
+	}
+	is.True(r.due(base, now.Add(time.Second))) // a quiet target is reported, too
+}
