entry, once: delete claims that have outlived their retention

Cause: claim rows were never deleted, so the table grew with every keyed call. Change: settled claims are kept for 24 hours, claims without a known outcome for 7 days.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -42,6 +42,7 @@
 	mine := once.Claim{
 		Nonce: newID(), ID: q.call.ID, Digest: once.Digest(q.call.Method, q.call.Path, q.call.Body),
 		Entry: e.cfg.Instance, Target: target, Incarnation: p.incarnation,
+		Created: e.cfg.Timer.Now().UTC().Round(0),
 	}
 	switch step := s.settle(ctx, mine).(type) {
 	case once.Return:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -139,6 +139,7 @@
 	wg.Go(func() { e.follow(ctx) })
 	wg.Go(func() { e.batch.run(ctx) })
 	wg.Go(func() { e.admit.run(ctx) })
+	wg.Go(func() { (&sweeper{entry: e}).run(ctx) })
 	wg.Wait()
 }
 
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -20,6 +20,7 @@
 	retries    *metrics.Counter
 	recoveries *metrics.Counter
 	claims     *metrics.Counter
+	swept      *metrics.Counter
 	firstToken *metrics.Histogram
 	gaps       *metrics.Histogram
 	queueTime  *metrics.Histogram
@@ -34,6 +35,7 @@
 		retries:    set.GetOrCreateCounter(`shallotcourse_entry_retries_total`),
 		recoveries: set.GetOrCreateCounter(`shallotcourse_entry_recoveries_total`),
 		claims:     set.GetOrCreateCounter(`shallotcourse_entry_claims_total`),
+		swept:      set.GetOrCreateCounter(`shallotcourse_entry_claims_swept_total`),
 		firstToken: set.GetOrCreateHistogram(`shallotcourse_entry_first_token_seconds`),
 		gaps:       set.GetOrCreateHistogram(`shallotcourse_entry_between_tokens_seconds`),
 		queueTime:  set.GetOrCreateHistogram(`shallotcourse_entry_queue_seconds`),
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/url"
+	"time"
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/wire"
@@ -22,6 +23,15 @@
 	// ClaimUnknown is a claim whose effect will never be known. It is final.
 	ClaimUnknown ClaimState = "Unknown"
 
+	// ClaimPrefix starts the row keys of all claims.
+	ClaimPrefix = "Claim/"
+
+	// SettledRetention is how long a settled claim answers repeated calls.
+	SettledRetention = 24 * time.Hour
+	// UnsettledRetention is longer, because forgetting a key whose effect is
+	// not known lets a late retry run.
+	UnsettledRetention = 7 * 24 * time.Hour
+
 	// MaxKeyBytes bounds an idempotency key.
 	MaxKeyBytes = 256
 	// MaxStoredBytes bounds the body of a result in a claim row. Rows are
@@ -47,6 +57,8 @@
 		Target      string
 		Incarnation string
 		State       ClaimState
+		// Created is the time of the first write by the clock of the entry.
+		Created time.Time
 		// Status, Header and Body are the result of a Done claim.
 		Status int                 `json:",omitempty"`
 		Header map[string][]string `json:",omitempty"`
@@ -58,7 +70,7 @@
 
 // ClaimKey returns the row key of an account's idempotency key.
 func ClaimKey(account, key string) string {
-	return "Claim/" + url.PathEscape(account) + "/" + url.PathEscape(key)
+	return ClaimPrefix + url.PathEscape(account) + "/" + url.PathEscape(key)
 }
 
 // Digest returns the digest of a call, by which a second attempt is compared.
@@ -107,3 +119,12 @@
 	}
 	return c
 }
+
+// Outlived reports whether the claim may be deleted.
+func (c Claim) Outlived(now time.Time) bool {
+	keep := UnsettledRetention
+	if c.State == ClaimDone || c.State == ClaimNotRun {
+		keep = SettledRetention
+	}
+	return now.Sub(c.Created) > keep
+}
