--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,11 +58,11 @@
 	cfg = cfg.withDefaults()
 	a := &Agent{
 		cfg:      cfg,
-		meter:    &meter{},
+		meter:    &meter{varied: cfg.Engine == nil},
 		sessions: make(map[string]*session),
 		entries:  make(map[string]link.Peer),
 		ready:    cfg.Engine == nil,
-		limit:    newLimiter(cfg.Limits.Sessions, cfg.Limits.QueueDelay),
+		limit:    newLimiter(cfg.sessionBounds(), cfg.Limits.QueueDelay),
 		journal:  once.NewJournal(cfg.Incarnation, cfg.Limits.Calls),
 		waiters:  make(map[string][]string),
 		lease:    order.NewLease(cfg.Incarnation, cfg.Limits.Rules),
@@ -108,6 +108,13 @@
 	a.sendLoad()
 }
 
+// left reports whether the agent takes no new work for good.
+func (a *Agent) left() bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.leaving
+}
+
 // Idle reports whether no session is open and no call is running.
 func (a *Agent) Idle() bool {
 	a.mu.RLock()
--- a/internal/agent/batch.go
+++ b/internal/agent/batch.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -93,7 +94,7 @@
 func (b *batcher) open() *stream {
 	s := &stream{batcher: b, wake: make(chan struct{}, 1), done: make(chan struct{}), pending: map[int]*job{}}
 	s.conn = b.agent.cfg.Engine.Stream(s.answered, s.ended)
-	s.arm(b.agent.stepTimeout())
+	s.arm(s.wait(b.agent.cfg.Timer.Now(), b.queue))
 	go s.write()
 	return s
 }
@@ -214,16 +215,10 @@
 	default:
 	}
 	now := b.agent.cfg.Timer.Now()
-	var late, again []*job
-	for i, j := range s.pending {
-		if !now.Before(j.due) {
-			late = append(late, j)
-			delete(s.pending, i)
-		}
-	}
+	late := s.late(now)
 	if len(late) > 0 && b.current == s {
 		b.current = nil
-		again = s.withdraw()
+		b.queue = append(s.withdraw(), b.queue...)
 	}
 	if len(s.pending) == 0 && (b.current != s || s.sent == s.seen) {
 		if b.current == s {
@@ -232,13 +227,38 @@
 		s.conn.Close(errUnused)
 	}
 	s.seen = s.sent
-	s.arm(s.wait(now))
+	var queue []*job
+	if b.current == s {
+		queue = b.queue
+	}
+	s.arm(s.wait(now, queue))
 	b.next()
 	b.mu.Unlock()
 	for _, j := range late {
 		b.end(j, engine.StepResult{}, fault.New(fault.Deadline, "no answer within the deadline").WithOutcome(fault.Unknown))
 	}
-	b.push(again...)
+}
+
+// late removes the steps that have taken too long, also those that wait while
+// an engine that is frozen reads nothing.
+func (s *stream) late(now time.Time) []*job {
+	var late []*job
+	for i, j := range s.pending {
+		if !now.Before(j.due) {
+			late = append(late, j)
+			delete(s.pending, i)
+		}
+	}
+	if b := s.batcher; b.current == s {
+		b.queue = slices.DeleteFunc(b.queue, func(j *job) bool {
+			if now.Before(j.due) {
+				return false
+			}
+			late = append(late, j)
+			return true
+		})
+	}
+	return late
 }
 
 // withdraw removes the steps that may be sent once more.
@@ -255,10 +275,13 @@
 }
 
 // wait returns the time until the next step has taken too long.
-func (s *stream) wait(now time.Time) time.Duration {
+func (s *stream) wait(now time.Time, queue []*job) time.Duration {
 	d := s.batcher.agent.stepTimeout()
 	for _, j := range s.pending {
 		d = min(d, j.due.Sub(now))
 	}
+	for _, j := range queue {
+		d = min(d, j.due.Sub(now))
+	}
 	return d
 }
