--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -11,6 +11,7 @@
 	"shallotcourse/internal/engine"
 	"shallotcourse/internal/fakes/fengn"
 	"shallotcourse/internal/fakes/relay"
+	"shallotcourse/internal/fault"
 	"shallotcourse/internal/wire"
 	"shallotcourse/pkg/resrc"
 )
@@ -74,6 +75,37 @@
 	is.Equal(r.answer, r.reference())
 }
 
+// Guards against the loss of all steps when the connection goes silent: only
+// the step that has taken too long fails, and a later one is sent again on
+// another connection within its time.
+func TestSilentEngineConnectionLosesOneStep(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	const step = 400 * time.Millisecond
+	p, relayed := w.relayed(step)
+	for _, id := range []string{"a", "b"} {
+		_, err := p.agent.cfg.Engine.Open(t.Context(), engine.SessionRequest{
+			Session: id, Version: testVersion, Layers: p.stage.Layers,
+		})
+		is.NoErr(err)
+	}
+	run := func(id string, position int) <-chan error {
+		ended := make(chan error, 1)
+		p.agent.steps.add(&job{
+			step: engine.BatchStep{Session: id, StepRequest: engine.StepRequest{Position: position, Count: 1, Data: make([]byte, 4)}},
+			live: func() bool { return true }, ended: func(_ engine.StepResult, err error) { ended <- err },
+		})
+		return ended
+	}
+	is.NoErr(<-run("a", 0))
+	relayed.Silence()
+	first := run("a", 1)
+	time.Sleep(step / 2)
+	second := run("b", 0)
+	is.True(fault.Is(<-first, fault.Deadline))
+	is.NoErr(<-second)
+}
+
 // Guards against a stream that is kept open for ever and would hold up a
 // planned stop of the engine, and against steps that are lost when it closes.
 func TestIdleStreamIsClosed(t *testing.T) {
