--- a/test/faults/caller_test.go
+++ b/test/faults/caller_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,6 +24,8 @@
 		prompt string
 		tokens int
 		seed   uint64
+		// key is the caller's key; empty for the default account.
+		key string
 	}
 
 	// answer is what a caller saw of a completion.
@@ -80,7 +83,7 @@
 		a.err = err
 		return a
 	}
-	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Authorization", "Bearer "+cmp.Or(r.key, callerKey))
 	resp, err := c.http.Do(req)
 	if err != nil {
 		a.err = err
--- a/test/faults/cluster_test.go
+++ b/test/faults/cluster_test.go
@@ -47,10 +47,31 @@
 		relayed bool
 		// cost is the iteration time of the engines.
 		cost string
+		// kinds are the accelerators of the replicas of each stage; without
+		// them all are alike.
+		kinds []kind
+		// accounts are declared beside the default one.
+		accounts []account
 		// extraEntry and extraAgent are added to the settings.
 		extraEntry, extraAgent string
 	}
 
+	// kind is an accelerator and the link in front of its agent.
+	kind struct {
+		name string
+		// base and perToken are the iteration time of its engine.
+		base, perToken time.Duration
+		// delay holds back each message on the agent's links.
+		delay time.Duration
+	}
+
+	// account is a client account; its key equals its name.
+	account struct {
+		name    string
+		weight  int
+		callers int
+	}
+
 	// node is one of our processes with its addresses.
 	node struct {
 		*proc
@@ -63,6 +84,7 @@
 		standinURL string
 		target     string
 		stage      int
+		kind       kind
 	}
 
 	cluster struct {
@@ -97,7 +119,11 @@
 	}
 	for stage := range p.stages {
 		for replica := range p.replicas {
-			c.addAgent(stage, fmt.Sprintf("engine-%d-%d", stage, replica))
+			k := kind{name: "fast"}
+			if len(p.kinds) > 0 {
+				k = p.kinds[replica%len(p.kinds)]
+			}
+			c.addAgentOf(k, stage, fmt.Sprintf("engine-%d-%d", stage, replica))
 		}
 	}
 	for i := range p.services {
@@ -126,8 +152,12 @@
 }
 
 func (c *cluster) addAgent(stage int, target string) *node {
+	return c.addAgentOf(kind{name: "fast"}, stage, target)
+}
+
+func (c *cluster) addAgentOf(k kind, stage int, target string) *node {
 	a := ports(c.t, 3)
-	n := &node{operator: a[0], link: a[1], stage: stage, target: target, standinURL: "http://" + a[2]}
+	n := &node{kind: k, operator: a[0], link: a[1], stage: stage, target: target, standinURL: "http://" + a[2]}
 	n.proc = &proc{t: c.t, name: "agent-" + target}
 	args := []string{"service", "--listen", a[2]}
 	if stage >= 0 {
@@ -141,9 +171,15 @@
 		if c.plan.cost != "" {
 			args = append(args, "--cost", "fast="+c.plan.cost)
 		}
+		if k.base > 0 {
+			args = append(args, "--accelerator", k.name, "--cost", fmt.Sprintf("%s=%v/%v", k.name, k.base, k.perToken))
+		}
 	}
 	n.standin = start(c.t, target, "standin", args...)
 	c.withRelay(n)
+	if n.relay != nil {
+		n.relay.Delay(k.delay)
+	}
 	c.agents = append(c.agents, n)
 	return n
 }
@@ -216,7 +252,7 @@
 		t.Service = serviceName
 		return t
 	}
-	t.Accelerator, t.Version, t.Layers = "fast", versionName, c.layers(n.stage)
+	t.Accelerator, t.Version, t.Layers = n.kind.name, versionName, c.layers(n.stage)
 	return t
 }
 
@@ -230,6 +266,11 @@
 	c.put(resrc.Resource{Kind: resrc.KindClientAccount, Name: "registry", Spec: resrc.ClientAccount{
 		KeyHashes: []string{hash(callerKey)}, Weight: 1, RequestsPerSecond: 10000, Burst: 10000, Concurrency: 10000,
 	}})
+	for _, a := range c.plan.accounts {
+		c.put(resrc.Resource{Kind: resrc.KindClientAccount, Name: a.name, Spec: resrc.ClientAccount{
+			KeyHashes: []string{hash(a.name)}, Weight: a.weight, RequestsPerSecond: 10000, Burst: 10000, Concurrency: 10000,
+		}})
+	}
 	for _, a := range c.agents {
 		c.put(resrc.Resource{Kind: resrc.KindTarget, Name: a.target, Spec: c.targetSpec(a)})
 	}
