agent: limit sessions by the measured cost of a step

Cause: an agent admitted 64 sessions at first and changed that by 5% in 200 ms, whatever the time between tokens: too many for slow engines, too few for fast ones, and refused Opens became NotRun. Ruled out: a first limit of another fixed size; the right one differs by a factor of ten between the engines of the tests. Change: the limit follows from the least step time, the mean step time, and the steps in flight, so that the stage keeps its share of 45 ms; it adapts every 50 ms and a notable change is reported at once. Services keep the old limiter.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,6 +25,8 @@
 	meter *meter
 	steps *batcher
 	dials *dials
+	// capacity measures what the engine can take.
+	capacity capacity
 	// health follows the target's failures.
 	health health
 
--- a/internal/agent/batch.go
+++ b/internal/agent/batch.go
@@ -37,6 +37,8 @@
 		step  engine.BatchStep
 		begun time.Time
 		tries int
+		// inFlight counts the positions in flight when the step began.
+		inFlight int
 		// live is false when nobody waits for the result any more.
 		live  func() bool
 		ended func(engine.StepResult, error)
@@ -49,6 +51,7 @@
 func (b *batcher) add(j *job) {
 	j.begun = b.agent.cfg.Timer.Now()
 	b.agent.meter.begin()
+	j.inFlight = b.agent.capacity.begin(j.step.Count)
 	b.push(j)
 }
 
@@ -110,6 +113,7 @@
 	}
 	now := b.agent.cfg.Timer.Now()
 	b.agent.meter.end(now.Sub(j.begun), j.step.Count, err == nil)
+	b.agent.capacity.end(j.step.Count, j.inFlight, now.Sub(j.begun), err == nil)
 	b.agent.health.record(now, err)
 	j.ended(r, err)
 }
--- /dev/null
+++ b/internal/agent/capacity.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// meanShare is the mean step time as a share of the one that 95 in 100
+	// steps may take: steps wait for the running batch, between none and all
+	// of its time.
+	meanShare = 0.7
+
+	// capacityWeight is the weight of the newest interval in the averages.
+	capacityWeight = 0.3
+
+	// leastRise lets the least step time follow an engine that becomes slower.
+	// It is slow, because steps of a lasting load are all above the true least.
+	leastRise = 0.05 / 60
+
+	// worthwhile is the multiple of the least step time that is always
+	// allowed: an engine that cannot keep the goal at all is not left idle.
+	worthwhile = 2
+
+	// busyWait is the step time of an engine that is never idle, as a multiple
+	// of its iteration time: a step waits for half an iteration on average.
+	busyWait = 1.5
+
+	// growth bounds how far the measures are extrapolated: to a multiple of
+	// the steps in flight.
+	growth = 3
+)
+
+// capacity finds the number of steps in flight at which the mean step time of
+// an engine reaches a goal. It takes the step time as linear in the steps in
+// flight, through the least step time with the wait of a busy engine, and the
+// mean of the last intervals.
+type capacity struct {
+	mu sync.Mutex
+	// inFlight counts positions without an answer.
+	inFlight int
+	// least is the least time of a decode step in seconds.
+	least float64
+	// steps and time are moving averages: positions in flight when a step
+	// begins, and the time of a step.
+	steps, time float64
+	// sumSteps, sumTime and count describe the samples of this interval.
+	sumSteps, sumTime float64
+	count             int
+}
+
+// begin counts the positions of a step and returns how many are in flight.
+func (c *capacity) begin(positions int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight += positions
+	return c.inFlight
+}
+
+// end counts an answered step, which began with a number in flight. Prefills
+// and failures give no sample.
+func (c *capacity) end(positions, inFlight int, elapsed time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight -= positions
+	if !ok || positions != 1 {
+		return
+	}
+	s := elapsed.Seconds()
+	if c.least == 0 || s < c.least {
+		c.least = s
+	}
+	c.sumSteps += float64(inFlight)
+	c.sumTime += s
+	c.count++
+}
+
+// interval ends an interval of the measurement.
+func (c *capacity) interval(length time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.count == 0 {
+		return
+	}
+	steps, mean := c.sumSteps/float64(c.count), c.sumTime/float64(c.count)
+	if c.time == 0 {
+		c.steps, c.time = steps, mean
+	}
+	c.steps += capacityWeight * (steps - c.steps)
+	c.time += capacityWeight * (mean - c.time)
+	c.least *= 1 + leastRise*length.Seconds()
+	c.sumSteps, c.sumTime, c.count = 0, 0, 0
+}
+
+// sessions returns how many sessions may be open when the steps of a session
+// spend the given share of their time at this engine and should take at most
+// goal there, for 95 in 100. It returns false while nothing was measured.
+func (c *capacity) sessions(goal time.Duration, share float64) (float64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.time == 0 || share <= 0 {
+		return 0, false
+	}
+	allowed := max(meanShare*goal.Seconds(), worthwhile*c.least)
+	// One step takes the least time; below 2 in flight the slope says
+	// nothing, and each further step is taken to cost a whole one.
+	perStep, busy := c.least, c.least
+	if c.steps >= 2 {
+		busy = busyWait * c.least
+		perStep = min(c.least, max(0, c.time-busy)/(c.steps-1))
+	}
+	steps := growth * max(c.steps, 2)
+	if perStep > 0 {
+		steps = min(steps, 1+(allowed-busy)/perStep)
+	}
+	return steps / share, true
+}
--- /dev/null
+++ b/internal/agent/capacity_test.go
@@ -0,0 +1,42 @@
+package agent
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"shallotcourse/internal/script"
+)
+
+// Guards the number of sessions that an engine's measured step times allow,
+// with a goal of 45 ms for the whole chain.
+func TestCapacityScripts(t *testing.T) {
+	script.Run(t, "testdata/capacity/*.txtar", func(t *testing.T) func(script.Line) []string {
+		c := &capacity{}
+		return func(line script.Line) []string {
+			for range max(1, line.Int("times")) {
+				switch line.Name {
+				case "step":
+					positions := max(1, line.Int("positions"))
+					c.begin(positions)
+					c.end(positions, line.Int("inFlight"), line.Duration("took"), !line.Bool("failed"))
+				case "interval":
+					c.interval(50 * time.Millisecond)
+				case "show":
+				default:
+					t.Fatalf("unknown input %s", line.Name)
+				}
+			}
+			share, err := strconv.ParseFloat(line.Text("share"), 64)
+			if err != nil {
+				return nil
+			}
+			n, ok := c.sessions(time.Duration(share*float64(45*time.Millisecond)), share)
+			if !ok {
+				return []string{"unknown"}
+			}
+			return []string{fmt.Sprintf("sessions %d", int(n))}
+		}
+	})
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -85,6 +85,9 @@
 		Sessions Bounds
 		// QueueDelay is the wait above which fewer sessions are admitted.
 		QueueDelay time.Duration
+		// BetweenTokens is the goal for the time between two tokens, of which
+		// each stage may use the share of its layers.
+		BetweenTokens time.Duration
 	}
 
 	// Bounds limit the number of open sessions and running calls.
@@ -108,6 +111,7 @@
 	l.Rules = cmp.Or(l.Rules, order.Rules{Lease: 10 * time.Second, LongestOrder: 2 * time.Minute, Gap: time.Second})
 	l.Sessions = cmp.Or(l.Sessions, Bounds{Initial: 64, Min: 4, Max: 1024})
 	l.QueueDelay = cmp.Or(l.QueueDelay, 20*time.Millisecond)
+	l.BetweenTokens = cmp.Or(l.BetweenTokens, 45*time.Millisecond)
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"shallotcourse/internal/store"
 	"shallotcourse/internal/wire"
+	"shallotcourse/pkg/resrc"
 )
 
 const (
@@ -19,6 +21,12 @@
 	// stepFactor times the usual step time is the step timeout, where that is
 	// longer than the configured one.
 	stepFactor = 20
+
+	// adaptsPerReport is how often the limit adapts between two load reports.
+	adaptsPerReport = 4
+
+	// notable is the change of the limit that is reported at once.
+	notable = 1.1
 )
 
 type (
@@ -123,20 +131,52 @@
 func (a *Agent) reportLoad(ctx context.Context) error {
 	ticks, cancel := a.cfg.Timer.Every(a.cfg.Times.Report)
 	defer cancel()
+	adapt, stop := a.cfg.Timer.Every(a.cfg.Times.Report / adaptsPerReport)
+	defer stop()
+	sent := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-adapt:
+			// Entries that know an old limit refuse callers for nothing.
+			if now := a.adaptSessions(); float64(now) > notable*float64(sent) || notable*float64(now) < float64(sent) {
+				sent = now
+				a.sendLoad()
+			}
+			continue
 		case <-ticks:
 		}
 		_, delay, _ := a.meter.report()
-		a.mu.Lock()
-		a.limit.adapt(delay, len(a.sessions)+a.calls)
-		a.mu.Unlock()
+		if a.cfg.Engine == nil {
+			a.mu.Lock()
+			a.limit.adapt(delay, len(a.sessions)+a.calls)
+			a.mu.Unlock()
+		}
 		a.sendLoad()
 	}
 }
 
+// adaptSessions sets the limit of an engine's sessions by its capacity, and
+// returns the limit in force.
+func (a *Agent) adaptSessions() int {
+	a.capacity.interval(a.cfg.Times.Report / adaptsPerReport)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cfg.Engine == nil {
+		return a.limit.limit()
+	}
+	share := 1.0
+	if v, ok := store.Spec[resrc.ModelVersion](a.cfg.Config.Value(), a.held.Version); ok && v.Layers > 0 {
+		share = float64(a.held.Layers.To-a.held.Layers.From) / float64(v.Layers)
+	}
+	goal := time.Duration(share * float64(a.cfg.Limits.BetweenTokens))
+	if n, ok := a.capacity.sessions(goal, share); ok {
+		a.limit.value = min(float64(a.limit.bounds.Max), max(float64(a.limit.bounds.Min), n))
+	}
+	return a.limit.limit()
+}
+
 func (a *Agent) sendLoad() {
 	m := a.load()
 	for _, p := range a.entryPeers() {
--- a/test/faults/surge_test.go
+++ b/test/faults/surge_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,7 @@
 	wg.Wait()
 	var whole, refused, failed int
 	var first []time.Duration
+	reasons := map[string]int{}
 	for i, a := range got {
 		switch {
 		case a.whole(true):
@@ -45,6 +47,8 @@
 			first = append(first, a.times[0].Sub(a.begin))
 		case a.outcome == "NotRun" && a.retry != "":
 			refused++
+			detail, _, _ := strings.Cut(a.failed, `","`)
+			reasons[fmt.Sprintf("%v: %s", a.begin.Sub(begin).Truncate(250*time.Millisecond), detail)]++
 		case a.wrong(true):
 			t.Errorf("answer %d is wrong or cut without a failure event: %v", i, a.problem())
 		default:
@@ -53,6 +57,9 @@
 	}
 	t.Logf("callers %d in one second, all settled after %v: whole %d, refused NotRun %d, failed with an event %d; first token p50 %v, p95 %v",
 		callers, time.Since(begin).Round(time.Millisecond), whole, refused, failed, quantile(first, 0.5), quantile(first, 0.95))
+	for reason, n := range reasons {
+		t.Logf("refused %d times, arrival %s", n, reason)
+	}
 	if failed > 0 {
 		t.Errorf("%d answers failed after they began", failed)
 	}
