agent: name each engine session once

Cause: a request that an agent released and got again, as after a refusal by another stage, reused the engine session's name. The Cancel of the old session, which is sent in the background, then closed the new one: 'session is not open', and at full targets the attempts of the request were used up. Ruled out: a lost link or a frozen process; the logs show none. Change: the name holds a serial number of the session. TestReleasedRequestComesBack fails without it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -27,6 +28,8 @@
 	dials *dials
 	// capacity measures what the engine can take.
 	capacity capacity
+	// serial counts sessions.
+	serial atomic.Uint64
 	// health follows the target's failures.
 	health health
 
--- a/internal/agent/chain_test.go
+++ b/internal/agent/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -317,3 +318,21 @@
 	w.entry.send(p, wire.Resync{Request: "gone", Attempt: 4})
 	is.Equal(next(w, func(m wire.Stale) bool { return m.Request == "gone" }), wire.Stale{Request: "gone", Rejected: 4})
 }
+
+// Guards against a late Cancel of a released engine session that closes the
+// session of the same request after it has come back.
+func TestReleasedRequestComesBack(t *testing.T) {
+	w := newWorld(t)
+	p := w.stage(0, 6, 0)
+	for i := range 20 {
+		r := w.request(strconv.Itoa(i), 5, p)
+		for range 10 {
+			r.begin()
+			w.entry.send(p, wire.Cancel{Request: r.id, Attempt: r.attempt})
+		}
+		r.begin()
+		r.read(5)
+		is.New(t).Equal(r.answer, r.reference())
+		r.finish()
+	}
+}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -18,6 +18,8 @@
 type session struct {
 	agent   *Agent
 	request string
+	// serial tells this session from earlier ones of the same request.
+	serial uint64
 	// ctx ends when the session is freed.
 	ctx    context.Context
 	finish context.CancelFunc
@@ -40,7 +42,7 @@
 func newSession(a *Agent, request, entry string) *session {
 	ctx, finish := context.WithCancel(context.Background())
 	return &session{
-		agent: a, request: request, entry: entry, ctx: ctx, finish: finish,
+		agent: a, request: request, serial: a.serial.Add(1), entry: entry, ctx: ctx, finish: finish,
 		machine: steps.NewSession(a.cfg.Limits.Steps), used: a.cfg.Timer.Now(),
 	}
 }
@@ -193,9 +195,11 @@
 	s.agent.remove(s)
 }
 
-// engineID names an engine session; it is unique over all incarnations.
+// engineID names an engine session; it is unique over all incarnations. A
+// request that is released and comes back gets another name, because the Cancel
+// of the old engine session may still be under way.
 func (s *session) engineID(generation int) string {
-	return s.agent.cfg.Incarnation + "." + s.request + "." + strconv.Itoa(generation)
+	return s.agent.cfg.Incarnation + "." + s.request + "." + strconv.FormatUint(s.serial, 10) + "-" + strconv.Itoa(generation)
 }
 
 func (s *session) openEngine(generation int, o wire.Open, last bool) {
