cmds: begin with few sessions at an engine that was not measured

Cause: an engine that had not run a step yet admitted 64 sessions. Change: 8 sessions at first, for engines only. The tests under load log the agents' measures.

--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -25,6 +25,10 @@
 const (
 	// agentHeaderBytes bounds the headers that an agent's listeners accept.
 	agentHeaderBytes = 16 << 10
+	// unmeasuredSessions is the limit of an engine that has not run a step yet.
+	// It triples within 50 ms if the engine is fast. With 64, one slow engine
+	// took so many sessions in the first second that each token took 400 ms.
+	unmeasuredSessions = 8
 	// staleLeaving is how long a row that was Leaving from the start is taken
 	// for that of a predecessor with the same name, because the list lags.
 	staleLeaving = 30 * time.Second
@@ -214,6 +218,7 @@
 		},
 	}
 	if s.Engine != "" {
+		c.Limits.Sessions.Initial = min(unmeasuredSessions, s.Sessions)
 		c.Engine = engine.NewClient(s.Engine)
 	} else {
 		c.Service = engine.NewService(s.Service)
--- a/test/faults/load_test.go
+++ b/test/faults/load_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"os"
 	"strconv"
@@ -225,3 +226,23 @@
 	return fmt.Sprintf("processors in use: our processes %.2f, callers %.2f, whole machine %.2f",
 		(u.ours-before.ours)/s, (u.self-before.self)/s, (u.machine-before.machine)/s)
 }
+
+// logTargets writes the agents' measures to the test's log.
+func (c *cluster) logTargets() {
+	for _, a := range c.agents {
+		resp, err := c.http.Get("http://" + a.operator + "/metrics")
+		if err != nil {
+			c.t.Logf("%s: %v", a.target, err)
+			continue
+		}
+		b, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		var out []string
+		for line := range strings.Lines(string(b)) {
+			if rest, ok := strings.CutPrefix(line, "shallotcourse_agent_"); ok {
+				out = append(out, strings.TrimSpace(rest))
+			}
+		}
+		c.t.Logf("%s (%s): %s", a.target, a.kind.name, strings.Join(out, ", "))
+	}
+}
--- a/test/faults/return_test.go
+++ b/test/faults/return_test.go
@@ -38,6 +38,10 @@
 			})
 		}
 	}
+	wg.Go(func() {
+		time.Sleep(time.Until(l.begin.Add(length - time.Second)))
+		c.logTargets()
+	})
 	wg.Wait()
 	cpu := c.usage().since(used)
 	whole, refused := l.check(t)
--- a/test/faults/saturation_test.go
+++ b/test/faults/saturation_test.go
@@ -27,6 +27,10 @@
 			l.keep(c, i, "", l.begin.Add(length))
 		})
 	}
+	wg.Go(func() {
+		time.Sleep(time.Until(l.begin.Add(length - time.Second)))
+		c.logTargets()
+	})
 	wg.Wait()
 	cpu := c.usage().since(used)
 	whole, refused := l.check(t)
