entry: let a request wait only while its first token can be in time

Cause: a request could wait for the whole deadline of the first token before it was dispatched, so that the p95 of those served was over the goal. Ruled out: too long a prefill; the time from dispatch to first token is a tenth of the deadline. Change: the wait, estimated or real, is bounded by the deadline less twice the mean time from dispatch to first token.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -129,8 +129,9 @@
 	}
 	ch := make(chan error, 1)
 	g.waiters[d.ID] = ch
+	patience := g.Patience(deadline)
 	a.mu.Unlock()
-	return a.wait(ctx, p, d.ID, ch, deadline)
+	return a.wait(ctx, p, d.ID, ch, patience)
 }
 
 // charge takes the request from the account's limits.
@@ -182,8 +183,8 @@
 }
 
 // wait waits for a ticket to be served.
-func (a *admission) wait(ctx context.Context, p *pass, id uint64, ch chan error, deadline time.Duration) (*pass, error) {
-	late, cancel := a.entry.alarm(deadline)
+func (a *admission) wait(ctx context.Context, p *pass, id uint64, ch chan error, patience time.Duration) (*pass, error) {
+	late, cancel := a.entry.alarm(patience)
 	defer cancel()
 	var err error
 	select {
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -105,7 +105,7 @@
 		return Admission{Go: true}
 	}
 	wait := g.wait(g.queue.Ahead(account, weight) + 1)
-	if wait > max(deadline-g.first, deadline/10) {
+	if wait > g.Patience(deadline) {
 		return Admission{Refused: true, Wait: wait}
 	}
 	g.nextID++
@@ -119,6 +119,13 @@
 	return a
 }
 
+// Patience is how long a request may wait so that its first token, due within
+// the deadline, comes in time for 95 in 100: their time from dispatch to first
+// token is taken as at most twice the mean.
+func (g *Gate) Patience(deadline time.Duration) time.Duration {
+	return max(deadline-2*g.first, deadline/10)
+}
+
 // Leave ends a dispatched request and returns the tickets that may go now.
 func (g *Gate) Leave(held time.Duration) []uint64 {
 	g.inUse--
