agent: take the spread of the step times into the limit

Cause: the limit allowed a mean step time of 0.7 of the goal, whatever the spread. An engine with large, even batches was held below what it can take. Ruled out: a larger fixed share; with engines of two speeds the p95 between tokens is 1.5 times the median, so it would miss the goal by more. Change: the allowed mean follows from the measured standard deviation and from the number of such engines that a token passes.

--- a/internal/agent/capacity.go
+++ b/internal/agent/capacity.go
@@ -1,15 +1,15 @@
 package agent
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// meanShare is the mean step time as a share of the one that 95 in 100
-	// steps may take: steps wait for the running batch, between none and all
-	// of its time.
-	meanShare = 0.7
+	// tail is the distance of the 95th percentile from the mean in standard
+	// deviations, for a sum of several waits.
+	tail = 1.645
 
 	// capacityWeight is the weight of the newest interval in the averages.
 	capacityWeight = 0.3
@@ -44,9 +44,12 @@
 	// steps and time are moving averages: positions in flight when a step
 	// begins, and the time of a step.
 	steps, time float64
-	// sumSteps, sumTime and count describe the samples of this interval.
-	sumSteps, sumTime float64
-	count             int
+	// square is that of the square of the time of a step.
+	square float64
+	// sumSteps, sumTime, sumSquare and count describe the samples of this
+	// interval.
+	sumSteps, sumTime, sumSquare float64
+	count                        int
 }
 
 // begin counts the positions of a step and returns how many are in flight.
@@ -72,6 +75,7 @@
 	}
 	c.sumSteps += float64(inFlight)
 	c.sumTime += s
+	c.sumSquare += s * s
 	c.count++
 }
 
@@ -82,14 +86,16 @@
 	if c.count == 0 {
 		return
 	}
-	steps, mean := c.sumSteps/float64(c.count), c.sumTime/float64(c.count)
+	n := float64(c.count)
+	steps, mean, square := c.sumSteps/n, c.sumTime/n, c.sumSquare/n
 	if c.time == 0 {
-		c.steps, c.time = steps, mean
+		c.steps, c.time, c.square = steps, mean, square
 	}
 	c.steps += capacityWeight * (steps - c.steps)
 	c.time += capacityWeight * (mean - c.time)
+	c.square += capacityWeight * (square - c.square)
 	c.least *= 1 + leastRise*length.Seconds()
-	c.sumSteps, c.sumTime, c.count = 0, 0, 0
+	c.sumSteps, c.sumTime, c.sumSquare, c.count = 0, 0, 0, 0
 }
 
 // sessions returns how many sessions may be open when the steps of a session
@@ -101,7 +107,10 @@
 	if c.time == 0 || share <= 0 {
 		return 0, false
 	}
-	allowed := max(meanShare*goal.Seconds(), worthwhile*c.least)
+	// A token passes 1/share such engines, so that their deviations even out
+	// in part.
+	spread := math.Sqrt(max(0, c.square-c.time*c.time)) / c.time
+	allowed := max(goal.Seconds()/(1+tail*spread*math.Sqrt(share)), worthwhile*c.least)
 	// One step takes the least time; below 2 in flight the slope says
 	// nothing, and each further step is taken to cost a whole one.
 	perStep, busy := c.least, c.least
--- a/internal/agent/capacity_test.go
+++ b/internal/agent/capacity_test.go
@@ -21,6 +21,15 @@
 					positions := max(1, line.Int("positions"))
 					c.begin(positions)
 					c.end(positions, line.Int("inFlight"), line.Duration("took"), !line.Bool("failed"))
+				case "load":
+					// One interval with a step, or with one more that is late.
+					for _, took := range []string{"took", "late"} {
+						if line.Text(took) != "" {
+							c.begin(1)
+							c.end(1, line.Int("inFlight"), line.Duration(took), true)
+						}
+					}
+					c.interval(50 * time.Millisecond)
 				case "interval":
 					c.interval(50 * time.Millisecond)
 				case "show":
