--- a/internal/agent/chain_test.go
+++ b/internal/agent/chain_test.go
@@ -316,7 +316,7 @@
 	is.Equal(open("d", testVersion, "", p.stage), wire.RefusedFull)
 	load := next(w, func(m wire.Load) bool { return m.Open == 1 })
 	is.Equal(load.Limit, 1)
-	w.entry.send(p, wire.Open{Request: "e", Attempt: 2, Recovery: true, Chain: []wire.Stage{p.stage}, Version: testVersion, Prompt: []uint32{1}, MaxTokens: 1})
+	w.entry.send(p, wire.Open{Request: "e", Attempt: 2, Resume: true, Chain: []wire.Stage{p.stage}, Version: testVersion, Prompt: []uint32{1}, MaxTokens: 1})
 	is.Equal(next(w, func(m wire.Opened) bool { return m.Request == "e" }).Attempt, 2)
 	w.entry.send(p, wire.Resync{Request: "gone", Attempt: 4})
 	is.Equal(next(w, func(m wire.Stale) bool { return m.Request == "gone" }), wire.Stale{Request: "gone", Rejected: 4})
--- a/internal/wire/msg.go
+++ b/internal/wire/msg.go
@@ -144,11 +144,11 @@
 		Priority  int
 		// Deadline is the time left for the whole request.
 		Deadline time.Duration
-		// Recovery says that the request has run and would be lost if the
-		// target refused it for being full.
-		Recovery bool
 		// Fresh asks for a new engine session even if one exists.
 		Fresh bool
+		// Resume says that stages have run for the request in an earlier
+		// attempt.
+		Resume bool
 	}
 
 	// Opened accepts Open. Nothing has run for a new session.
