--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -13,8 +13,8 @@
 	// adaptsPerReport is how often the limit adapts between two load reports.
 	adaptsPerReport = 4
 
-	// notable is the change of the limit that is reported at once.
-	notable = 1.1
+	// notableLimit is the change of the limit that is reported at once.
+	notableLimit = 1.1
 )
 
 // limiter adapts the number of admitted sessions to the queue delay. The
@@ -59,7 +59,7 @@
 			return nil
 		case <-adapt:
 			// Entries that know an old limit refuse callers for nothing.
-			if now := a.adaptSessions(); float64(now) > notable*float64(sent) || notable*float64(now) < float64(sent) {
+			if now := a.adaptSessions(); float64(now) > notableLimit*float64(sent) || notableLimit*float64(now) < float64(sent) {
 				sent = now
 				a.sendLoad()
 			}
--- a/internal/entry/links_test.go
+++ b/internal/entry/links_test.go
@@ -6,6 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/board"
+	"shallotcourse/internal/plat"
+	"shallotcourse/internal/store"
+	"shallotcourse/internal/timer"
 	"shallotcourse/pkg/resrc"
 )
 
@@ -75,12 +79,15 @@
 // whole limit of an account by itself.
 func TestCutOffEntryAppliesItsShare(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, Bounds{})
-	w.entry.cfg.Entries = func() int { return 10 }
-	a := w.entry.admit
+	// The entry does not run, so that nothing reads its fields meanwhile.
+	e := New(Config{
+		Instance: "e", Timer: timer.System{}, Links: nowhere{}, Table: &table{rows: map[string]plat.Row{}},
+		Snapshot: board.New(store.NewSnapshot(1, nil)), Tokenizer: tokenBytes{}, Entries: func() int { return 10 },
+	})
+	a := e.admit
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c := a.account("any", resrc.ClientAccount{RequestsPerSecond: 100, Burst: 50, Concurrency: 40, Weight: 1}, w.entry.cfg.Timer.Now())
+	c := a.account("any", resrc.ClientAccount{RequestsPerSecond: 100, Burst: 50, Concurrency: 40, Weight: 1}, e.cfg.Timer.Now())
 	is.Equal(c.rates.PerSecond, 10.0)
 	is.Equal(c.rates.Concurrency, 4)
 }
