--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -25,6 +26,10 @@
 	meter *meter
 	steps *batcher
 	dials *dials
+	// capacity measures what the engine can take.
+	capacity capacity
+	// serial counts sessions.
+	serial atomic.Uint64
 	// health follows the target's failures.
 	health health
 
--- a/internal/agent/batch.go
+++ b/internal/agent/batch.go
@@ -38,6 +38,8 @@
 		// due is when the step has taken too long.
 		due   time.Time
 		tries int
+		// inFlight counts the positions in flight when the step began.
+		inFlight int
 		// live is false when nobody waits for the result any more.
 		live  func() bool
 		ended func(engine.StepResult, error)
@@ -66,6 +68,7 @@
 	j.begun = b.agent.cfg.Timer.Now()
 	j.due = j.begun.Add(b.agent.stepTimeout())
 	b.agent.meter.begin()
+	j.inFlight = b.agent.capacity.begin(j.step.Count)
 	b.push(j)
 }
 
@@ -119,6 +122,7 @@
 		return
 	}
 	b.agent.meter.end(now.Sub(j.begun), j.step.Count, err == nil)
+	b.agent.capacity.end(j.step.Count, j.inFlight, now.Sub(j.begun), err == nil)
 	b.agent.health.record(now, err)
 	j.ended(r, err)
 }
--- a/test/faults/surge_test.go
+++ b/test/faults/surge_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,7 @@
 	wg.Wait()
 	var whole, refused, failed int
 	var first, gaps []time.Duration
+	reasons := map[string]int{}
 	for i, a := range got {
 		switch {
 		case a.whole(true):
@@ -46,6 +48,8 @@
 			gaps = append(gaps, a.longestGap())
 		case a.outcome == "NotRun" && a.retry != "":
 			refused++
+			detail, _, _ := strings.Cut(a.failed, `","`)
+			reasons[fmt.Sprintf("%v: %s", a.begin.Sub(begin).Truncate(250*time.Millisecond), detail)]++
 		case a.wrong(true):
 			t.Errorf("answer %d is wrong or cut without a failure event: %v", i, a.problem())
 		default:
@@ -54,6 +58,9 @@
 	}
 	t.Logf("callers %d in one second, all settled after %v: whole %d, refused NotRun %d, failed with an event %d; first token p50 %v, p95 %v; longest gap %v",
 		callers, time.Since(begin).Round(time.Millisecond), whole, refused, failed, quantile(first, 0.5), quantile(first, 0.95), quantile(gaps, 1))
+	for reason, n := range reasons {
+		t.Logf("refused %d times, arrival %s", n, reason)
+	}
 	if worst := quantile(gaps, 1); worst > recoveryBound {
 		t.Errorf("longest gap %v; allowed: %v", worst, recoveryBound)
 	}
