agent, entry: send load reports on change or once a second

Ruled out: a lower fixed rate alone (a leaving target or a new limit would be known late). Change: a report goes out when the state, the limit, the open work or the queue delay changes notably, and otherwise once a second.

--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -53,6 +53,7 @@
 	adapt, stop := a.cfg.Timer.Every(a.cfg.Times.Report / adaptsPerReport)
 	defer stop()
 	sent := 0
+	var reports reporter
 	for {
 		select {
 		case <-ctx.Done():
@@ -61,7 +62,7 @@
 			// Entries that know an old limit refuse callers for nothing.
 			if now := a.adaptSessions(); float64(now) > notableLimit*float64(sent) || notableLimit*float64(now) < float64(sent) {
 				sent = now
-				a.sendLoad()
+				reports.due(a.sendLoad(), a.cfg.Timer.Now())
 			}
 			continue
 		case <-ticks:
@@ -73,7 +74,9 @@
 			a.limit.adapt(delay, len(a.sessions)+a.calls)
 			a.mu.Unlock()
 		}
-		a.sendLoad()
+		if reports.due(a.load(), a.cfg.Timer.Now()) {
+			a.sendLoad()
+		}
 	}
 }
 
@@ -97,11 +100,13 @@
 	return a.limit.limit()
 }
 
-func (a *Agent) sendLoad() {
+// sendLoad reports the load to all linked entries and returns the report.
+func (a *Agent) sendLoad() wire.Load {
 	m := a.load()
 	for _, p := range a.entryPeers() {
 		_ = p.Send(m)
 	}
+	return m
 }
 
 // load returns the exact load now.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,8 +50,9 @@
 		Log         log.Logger
 		Snapshot    *board.Section[store.Snapshot]
 		Links       Links
-		Table       plat.Table
-		Tokenizer   Tokenizer
+		// Table keeps the claims of keyed calls; nil only where none are made.
+		Table     plat.Table
+		Tokenizer Tokenizer
 		// Entries counts all entries that the platform lists; nil or a smaller
 		// number than the linked ones counts those.
 		Entries func() int
@@ -139,7 +140,9 @@
 	wg.Go(func() { e.follow(ctx) })
 	wg.Go(func() { e.batch.run(ctx) })
 	wg.Go(func() { e.admit.run(ctx) })
-	wg.Go(func() { (&sweeper{entry: e}).run(ctx) })
+	if e.cfg.Table != nil {
+		wg.Go(func() { (&sweeper{entry: e}).run(ctx) })
+	}
 	wg.Wait()
 }
 
