--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/gorilla/mux"
 
 	"shallotcourse/internal/fault"
@@ -84,7 +86,7 @@
 func (e *Entry) fail(w http.ResponseWriter, f *fault.Error) {
 	e.meter.failed(f)
 	if f.Cause != nil {
-		_ = e.cfg.Log.Log("msg", "request failed", "code", f.Code, "outcome", f.Outcome, "err", f)
+		_ = level.Info(e.cfg.Log).Log("msg", "request failed", "code", f.Code, "outcome", f.Outcome, "err", f)
 	}
 	h := w.Header()
 	h.Set("Content-Type", contentJSON)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,12 +4,13 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/link"
+	"shallotcourse/internal/route"
 	"shallotcourse/internal/steps"
 	"shallotcourse/internal/wire"
-
-	"shallotcourse/internal/route"
 )
 
 type (
@@ -78,7 +79,7 @@
 	case now != p:
 		return
 	}
-	_ = e.cfg.Log.Log("msg", "link down", "target", h.Target, "reason", reason)
+	_ = level.Info(e.cfg.Log).Log("msg", "link down", "target", h.Target, "reason", reason)
 	e.view.Update(func(v route.View) (route.View, bool) { return v.WithoutLoad(h.Target), true })
 	e.calls.linkChanged(h.Target)
 	e.cfg.Timer.After(e.relinkTime(reason), func() {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"shallotcourse/internal/fault"
@@ -140,7 +142,7 @@
 			s.arm(a)
 		case steps.Recovering:
 			s.entry.meter.recoveries.Inc()
-			_ = s.entry.cfg.Log.Log("msg", "recovering", "request", s.plan.Request, "attempt", a.Attempt)
+			_ = level.Info(s.entry.cfg.Log).Log("msg", "recovering", "request", s.plan.Request, "attempt", a.Attempt)
 		case steps.End:
 			s.result = &a
 		}
