--- a/test/faults/once_test.go
+++ b/test/faults/once_test.go
@@ -41,9 +41,11 @@
 			}
 		})
 	}
-	go c.disturb(random, stop)
+	var disturbed sync.WaitGroup
+	disturbed.Go(func() { c.disturb(random, stop) })
 	wg.Wait()
 	close(stop)
+	disturbed.Wait()
 	c.settle()
 	c.checkKeyed(results)
 }
