limit, entry: take the drain rate from served requests only

Cause: a request that the targets refused ends within milliseconds. Its time counted as that of a served one, so the drain rate was far too high and retry hints were near zero: refused callers came back at once, again and again. Ruled out: the spread itself (its slots are one drain interval apart), the queue (it was empty). Change: requests without a first token after a refusal give no sample.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -65,6 +65,9 @@
 		gate      *gate
 		account   *account
 		since     time.Time
+		// unserved is true after targets refused the request, until its first
+		// token.
+		unserved bool
 	}
 )
 
@@ -243,6 +246,10 @@
 	p.admission.mu.Lock()
 	defer p.admission.mu.Unlock()
 	p.account.open--
+	if p.unserved {
+		p.gate.wakeAll(p.gate.LeaveUnserved())
+		return
+	}
 	p.gate.wakeAll(p.gate.Leave(now.Sub(p.since)))
 }
 
@@ -251,6 +258,7 @@
 	p.admission.mu.Lock()
 	defer p.admission.mu.Unlock()
 	p.gate.FirstToken(now.Sub(p.since))
+	p.unserved = false
 }
 
 // targetRefused notes that the targets were too busy.
@@ -258,6 +266,7 @@
 	p.admission.mu.Lock()
 	defer p.admission.mu.Unlock()
 	p.gate.TargetRefused()
+	p.unserved = true
 }
 
 // hint adds a retry hint to a failure without effect.
--- a/internal/lab/session.go
+++ b/internal/lab/session.go
@@ -230,5 +230,9 @@
 		delete(e.waiting, s.ticket)
 		return
 	}
+	if s.got == 0 {
+		e.serve(e.gate.LeaveUnserved())
+		return
+	}
 	e.serve(e.gate.Leave(e.world.now.Sub(s.sent)))
 }
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -133,6 +133,13 @@
 	return g.release()
 }
 
+// LeaveUnserved ends a dispatched request that no target took. Its short time
+// says nothing about the rate at which places become free.
+func (g *Gate) LeaveUnserved() []uint64 {
+	g.inUse--
+	return g.release()
+}
+
 // Cancel takes a waiting request out; false when it does not wait any more.
 func (g *Gate) Cancel(id uint64) bool { return g.queue.Remove(id) }
 
@@ -177,8 +184,15 @@
 // RetryAfter returns a hint for a refused request, spread over the drain rate.
 // The random value is in [0, 1).
 func (g *Gate) RetryAfter(now time.Time, random float64) time.Duration {
+	rate := g.DrainPerSecond()
+	if rate <= 0 {
+		// Nothing has ended yet. Taking each place as free within a second is
+		// early for most, which costs a refusal; too late would leave places
+		// unused.
+		rate = float64(max(1, g.inUse))
+	}
 	var after time.Duration
-	g.spread, after = g.spread.Next(now, g.wait(float64(g.queue.Len())), g.DrainPerSecond(), random)
+	g.spread, after = g.spread.Next(now, g.wait(float64(g.queue.Len())), rate, random)
 	return after
 }
 
--- /dev/null
+++ b/internal/limit/hint_test.go
@@ -0,0 +1,43 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against retry hints near zero: requests that the targets refused end
+// within milliseconds, and counted as places that become free.
+func TestUnservedRequestsGiveNoDrainRate(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Bounds{Queue: 10, Start: 100, Min: 1, Max: 100, Target: time.Second})
+	now := time.Unix(0, 0)
+	for range 20 {
+		is.True(g.Enter("a", 1, time.Second, now).Go)
+	}
+	g.Leave(2 * time.Second)
+	served := g.DrainPerSecond()
+	for range 10 {
+		g.LeaveUnserved()
+	}
+	is.Equal(g.DrainPerSecond(), served)
+	is.Equal(g.InUse(), 9)
+}
+
+// Guards against hints that run to the maximum in the first second, before any
+// request has ended: places would stay unused long after they became free.
+func TestHintsBeforeFirstEnd(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Bounds{Queue: 10, Start: 50, Min: 1, Max: 50, Target: time.Second})
+	now := time.Unix(0, 0)
+	for range 50 {
+		is.True(g.Enter("a", 1, time.Second, now).Go)
+	}
+	var last time.Duration
+	for range 100 {
+		last = g.RetryAfter(now, 0.5)
+	}
+	is.True(last >= time.Second)
+	is.True(last <= 3*time.Second) // 100 hints over 50 places a second
+}
