limit, agent, lab: share the session limit between agent and emulator

Cause: the emulator copied the constants of a limiter that agents no longer used, and the agent still carried that limiter for plain services, whose bounds were equal, so that it did nothing. Change: the measurement of an engine's capacity is limit.Capacity, pure; the agent guards it with a lock, the emulator calls it directly. The limiter by queue delay is deleted with its four scripts, which tested nothing that runs; TestServiceLimitIsFixed now checks the agent itself.

--- a/internal/agent/adapt_test.go
+++ b/internal/agent/adapt_test.go
@@ -15,17 +15,14 @@
 	"shallotcourse/internal/wire"
 )
 
-// Guards the limit, the measures and the health of a target in the cases of
+// Guards the measures and the health of a target in the cases of
 // testdata.
 func TestAdaptScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txtar", func(t *testing.T) func(script.Line) []string {
-		l := newLimiter(Bounds{Initial: 64, Min: 4, Max: 100}, 20*time.Millisecond)
 		m, h, now := &meter{}, &health{}, time.Unix(0, 0)
 		return func(line script.Line) []string {
 			for range max(1, line.Int("times")) {
 				switch line.Name {
-				case "adapt":
-					l.adapt(line.Duration("delay"), line.Int("used"))
 				case "step":
 					m.begin()
 					m.end(line.Duration("took"), max(1, line.Int("count")), !line.Bool("failed"))
@@ -50,8 +47,6 @@
 				}
 			}
 			switch line.Text("of") {
-			case "limit":
-				return []string{fmt.Sprintf("limit %d", l.limit())}
 			case "meter":
 				return []string{fmt.Sprintf("waiting %d delay %s step %s", m.waiting,
 					seconds(m.delay).Round(time.Millisecond), seconds(m.step).Round(time.Millisecond))}
--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -54,9 +54,9 @@
 // refusing it would throw away the work of all its stages.
 func (a *Agent) sessionLimit(m wire.Open) int {
 	if m.Resume {
-		return a.limit.bounds.Max
+		return a.cfg.Limits.Sessions.Max
 	}
-	return a.limit.limit()
+	return a.limit
 }
 
 // admitCall counts a call in, or returns why it is refused.
@@ -71,7 +71,7 @@
 		return wire.RefusedLeaving
 	case !a.health.open(a.cfg.Timer.Now()):
 		return wire.RefusedEngine
-	case len(a.sessions)+a.calls >= a.limit.limit():
+	case len(a.sessions)+a.calls >= a.limit:
 		return wire.RefusedFull
 	}
 	a.calls++
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,7 +45,8 @@
 	// order is about to break a session.
 	ready bool
 	held  engine.State
-	limit limiter
+	// limit bounds open sessions and running calls.
+	limit int
 
 	journalMu sync.Mutex
 	journal   *once.Journal
@@ -67,7 +68,7 @@
 		sessions: make(map[string]*session),
 		entries:  make(map[string]link.Peer),
 		ready:    cfg.Engine == nil,
-		limit:    newLimiter(cfg.sessionBounds(), cfg.Limits.QueueDelay),
+		limit:    cfg.firstLimit(),
 		journal:  once.NewJournal(cfg.Incarnation, cfg.Limits.Calls),
 		waiters:  make(map[string][]string),
 		lease:    order.NewLease(cfg.Incarnation, cfg.Limits.Rules),
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -83,8 +83,6 @@
 		Rules order.Rules
 		// Sessions bounds what the adaptive limit may admit.
 		Sessions Bounds
-		// QueueDelay is the wait above which fewer sessions are admitted.
-		QueueDelay time.Duration
 		// BetweenTokens is the goal for the time between two tokens, of which
 		// each stage may use the share of its layers.
 		BetweenTokens time.Duration
@@ -110,7 +108,6 @@
 	l.Calls = cmp.Or(l.Calls, once.DefaultLimits)
 	l.Rules = cmp.Or(l.Rules, order.Rules{Lease: 10 * time.Second, LongestOrder: 2 * time.Minute, Gap: time.Second})
 	l.Sessions = cmp.Or(l.Sessions, Bounds{Initial: 64, Min: 4, Max: 1024})
-	l.QueueDelay = cmp.Or(l.QueueDelay, 20*time.Millisecond)
 	l.BetweenTokens = cmp.Or(l.BetweenTokens, 45*time.Millisecond)
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
@@ -121,13 +118,11 @@
 	return c
 }
 
-// sessionBounds returns the bounds of the adaptive limit. That of a plain
-// service is fixed: its calls differ in length by nature, so a long call tells
-// nothing about a queue.
-func (c Config) sessionBounds() Bounds {
-	b := c.Limits.Sessions
+// firstLimit returns the limit before anything was measured; that of a plain
+// service is fixed.
+func (c Config) firstLimit() int {
 	if c.Engine == nil {
-		return Bounds{Initial: b.Max, Min: b.Max, Max: b.Max}
+		return c.Limits.Sessions.Max
 	}
-	return b
+	return c.Limits.Sessions.Initial
 }
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/store"
 	"shallotcourse/internal/wire"
 	"shallotcourse/pkg/resrc"
@@ -17,34 +19,33 @@
 	notableLimit = 1.1
 )
 
-// limiter adapts the number of admitted sessions to the queue delay. The
-// engine's own load reports lag and are not used.
-type limiter struct {
-	bounds Bounds
-	target time.Duration
-	value  float64
+// capacity guards the measurement of what the engine can take.
+type capacity struct {
+	mu sync.Mutex
+	limit.Capacity
 }
 
-func newLimiter(b Bounds, target time.Duration) limiter {
-	return limiter{bounds: b, target: target, value: float64(b.Initial)}
+// begin counts the positions of a step and returns how many are in flight.
+func (c *capacity) begin(positions int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Begin(positions)
 }
 
-func (l *limiter) limit() int { return int(l.value) }
+// end counts an answered step, which began with a number in flight.
+func (c *capacity) end(positions, inFlight int, elapsed time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.End(positions, inFlight, elapsed, ok)
+}
 
-// adapt lowers the limit in proportion while the delay is too long, and raises
-// it by steps while it is in use.
-func (l *limiter) adapt(delay time.Duration, used int) {
-	const (
-		lower = 0.95
-		raise = 0.05
-	)
-	switch {
-	case delay > l.target && used > 0:
-		// What is not used cannot cause the delay.
-		l.value = max(float64(l.bounds.Min), min(l.value, 2*float64(used))*lower)
-	case delay <= l.target && float64(used) >= l.value*0.8:
-		l.value = min(float64(l.bounds.Max), l.value+1+l.value*raise)
-	}
+// adapt ends an interval of the measurement and returns the sessions that the
+// engine can take; false while nothing was measured.
+func (c *capacity) adapt(interval, goal time.Duration, share float64) (float64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Interval(interval)
+	return c.Sessions(goal, share)
 }
 
 func (a *Agent) reportLoad(ctx context.Context) error {
@@ -68,12 +69,6 @@
 		case <-ticks:
 		}
 		a.meter.report(a.cfg.Times.Report)
-		_, delay, _ := a.meter.load()
-		if a.cfg.Engine == nil {
-			a.mu.Lock()
-			a.limit.adapt(delay, len(a.sessions)+a.calls)
-			a.mu.Unlock()
-		}
 		if reports.due(a.load(), a.cfg.Timer.Now()) {
 			a.sendLoad()
 		}
@@ -81,23 +76,24 @@
 }
 
 // adaptSessions sets the limit of an engine's sessions by its capacity, and
-// returns the limit in force.
+// returns the limit in force. That of a plain service stays: its calls differ
+// in length by nature, so a long call tells nothing about a queue.
 func (a *Agent) adaptSessions() int {
-	a.capacity.interval(a.cfg.Times.Report / adaptsPerReport)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.cfg.Engine == nil {
-		return a.limit.limit()
+		return a.limit
 	}
 	share := 1.0
 	if v, ok := store.Spec[resrc.ModelVersion](a.cfg.Config.Value(), a.held.Version); ok && v.Layers > 0 {
 		share = float64(a.held.Layers.To-a.held.Layers.From) / float64(v.Layers)
 	}
 	goal := time.Duration(share * float64(a.cfg.Limits.BetweenTokens))
-	if n, ok := a.capacity.sessions(goal, share); ok {
-		a.limit.value = min(float64(a.limit.bounds.Max), max(float64(a.limit.bounds.Min), n))
+	if n, ok := a.capacity.adapt(a.cfg.Times.Report/adaptsPerReport, goal, share); ok {
+		b := a.cfg.Limits.Sessions
+		a.limit = min(b.Max, max(b.Min, int(n)))
 	}
-	return a.limit.limit()
+	return a.limit
 }
 
 // sendLoad reports the load to all linked entries and returns the report.
@@ -118,7 +114,7 @@
 	leaving := a.leaving || draining
 	return wire.Load{
 		Target: a.cfg.Target, Open: len(a.sessions) + a.calls, Waiting: waiting, QueueDelay: delay, StepTime: step,
-		Limit: a.limit.limit(), Ready: a.ready && !leaving && a.health.open(a.cfg.Timer.Now()), Leaving: leaving, Version: a.held.Version, Layers: a.held.Layers,
+		Limit: a.limit, Ready: a.ready && !leaving && a.health.open(a.cfg.Timer.Now()), Leaving: leaving, Version: a.held.Version, Layers: a.held.Layers,
 	}
 }
 
--- a/internal/agent/resume_test.go
+++ b/internal/agent/resume_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/timer"
 	"shallotcourse/internal/wire"
 )
 
@@ -33,10 +34,11 @@
 // short ones: their length is no sign of a queue.
 func TestServiceLimitIsFixed(t *testing.T) {
 	is := is.New(t)
-	c := Config{Limits: Limits{Sessions: Bounds{Initial: 8, Min: 2, Max: 64}}}
-	l := newLimiter(c.sessionBounds(), time.Millisecond)
+	a := New(Config{Timer: timer.System{}, Limits: Limits{Sessions: Bounds{Initial: 8, Min: 2, Max: 64}}})
 	for range 100 {
-		l.adapt(time.Second, 10)
+		a.meter.record(time.Millisecond, true)
+		a.meter.record(time.Second, true)
+		a.meter.report(200 * time.Millisecond)
+		is.Equal(a.adaptSessions(), 64)
 	}
-	is.Equal(l.limit(), 64)
 }
--- a/internal/lab/target.go
+++ b/internal/lab/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/route"
 	"shallotcourse/internal/wire"
 	"shallotcourse/pkg/resrc"
@@ -14,12 +15,12 @@
 	// prefillShare is the time of a prompt position relative to a decode step.
 	prefillShare = 1.0 / 16
 
-	// The agent's meter and limiter are not exported; these are its constants.
+	// The agent's meter is not exported; these are its constants.
 	meterWeight  = 0.1
 	serviceRise  = 1.001
-	delayTarget  = 20 * time.Millisecond
 	limitMin     = 4
-	limitStart   = 64
+	limitStart   = 8
+	adaptPeriod  = 50 * time.Millisecond
 	reportPeriod = 200 * time.Millisecond
 )
 
@@ -42,8 +43,9 @@
 		queue []*piece
 		busy  bool
 		down  bool
-		// open is the exact number of sessions; limit is adapted to the delay.
-		open int
+		// open is the exact number of sessions; limit follows from capacity.
+		open     int
+		capacity limit.Capacity
 		// sessions is the operator's bound of sessions relative to the batch.
 		sessions float64
 		limit    float64
@@ -60,6 +62,9 @@
 		session *session
 		count   int
 		since   time.Time
+		// positions and inFlight are what the agent counted at the beginning.
+		positions int
+		inFlight  int
 	}
 )
 
@@ -73,7 +78,11 @@
 
 // submit queues work and starts a batch if the engine is idle.
 func (t *target) submit(s *session, count int) {
-	t.queue = append(t.queue, &piece{session: s, count: count, since: t.sim.now})
+	// A prompt position costs less than a decode step and counts accordingly.
+	positions := max(1, int(float64(count)*prefillShare))
+	t.queue = append(t.queue, &piece{
+		session: s, count: count, since: t.sim.now, positions: positions, inFlight: t.capacity.Begin(positions),
+	})
 	t.next()
 }
 
@@ -90,6 +99,7 @@
 	for _, p := range t.queue {
 		switch {
 		case p.session.ended:
+			t.capacity.End(p.positions, p.inFlight, 0, false)
 		case p.count == 1 && len(batch) < t.kind.batch:
 			batch = append(batch, p)
 			cost += t.kind.step
@@ -123,12 +133,15 @@
 }
 
 func (t *target) finish(p *piece) {
-	if p.session.ended || t.down {
+	elapsed := t.sim.now.Sub(p.since)
+	live := !p.session.ended && !t.down
+	t.capacity.End(p.positions, p.inFlight, elapsed, live && p.count == 1)
+	if !live {
 		return
 	}
 	if p.count == 1 {
 		p.session.work++
-		t.measure(t.sim.now.Sub(p.since))
+		t.measure(elapsed)
 	}
 	p.session.passed()
 }
@@ -145,19 +158,22 @@
 	t.delay += meterWeight * (s - t.service - t.delay)
 }
 
-// report adapts the limit and returns the load as the agent sends it.
+// adapt sets the limit as the agent does.
+func (t *target) adapt() {
+	t.capacity.Interval(adaptPeriod)
+	share := 1.0 / ranges
+	goal := time.Duration(share * float64(betweenBound))
+	if n, ok := t.capacity.Sessions(goal, share); ok {
+		t.limit = min(t.bound(), max(limitMin, n))
+	}
+}
+
+// report returns the load as the agent sends it.
 func (t *target) report() wire.Load {
 	if t.samples == 0 && len(t.queue) == 0 {
 		t.delay /= 2
 	}
 	t.samples = 0
-	used := float64(t.open)
-	switch delay := time.Duration(t.delay * float64(time.Second)); {
-	case delay > delayTarget && t.open > 0:
-		t.limit = max(limitMin, min(t.limit, 2*used)*0.95)
-	case delay <= delayTarget && used >= t.limit*0.8:
-		t.limit = min(t.bound(), t.limit+1+t.limit*0.05)
-	}
 	return t.load()
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -133,6 +133,7 @@
 		w.every(100*time.Millisecond, func() { e.serve(e.gate.Adapt(w.now)) })
 	}
 	for i, t := range w.targets {
+		w.every(adaptPeriod, t.adapt)
 		w.after(time.Duration(i)*reportPeriod/time.Duration(len(w.targets)), func() { w.every(reportPeriod, func() { w.report(t) }) })
 	}
 	for i := range 10 {
--- a/internal/agent/capacity.go
+++ b/internal/limit/capacity.go
@@ -1,15 +1,14 @@
-package agent
+package limit
 
 import (
 	"math"
-	"sync"
 	"time"
 )
 
 const (
-	// tail is the distance of the 95th percentile from the mean in standard
+	// tail95 is the distance of the 95th percentile from the mean in standard
 	// deviations, for a sum of several waits.
-	tail = 1.645
+	tail95 = 1.645
 
 	// capacityWeight is the weight of the newest interval in the averages.
 	capacityWeight = 0.3
@@ -31,12 +30,11 @@
 	growth = 3
 )
 
-// capacity finds the number of steps in flight at which the mean step time of
+// Capacity finds the number of steps in flight at which the mean step time of
 // an engine reaches a goal. It takes the step time as linear in the steps in
 // flight, through the least step time with the wait of a busy engine, and the
 // mean of the last intervals.
-type capacity struct {
-	mu sync.Mutex
+type Capacity struct {
 	// inFlight counts positions without an answer.
 	inFlight int
 	// least is the least time of a decode step in seconds.
@@ -52,19 +50,15 @@
 	count                        int
 }
 
-// begin counts the positions of a step and returns how many are in flight.
-func (c *capacity) begin(positions int) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// Begin counts the positions of a step and returns how many are in flight.
+func (c *Capacity) Begin(positions int) int {
 	c.inFlight += positions
 	return c.inFlight
 }
 
-// end counts an answered step, which began with a number in flight. Prefills
+// End counts an answered step, which began with a number in flight. Prefills
 // and failures give no sample.
-func (c *capacity) end(positions, inFlight int, elapsed time.Duration, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *Capacity) End(positions, inFlight int, elapsed time.Duration, ok bool) {
 	c.inFlight -= positions
 	if !ok || positions != 1 {
 		return
@@ -79,10 +73,8 @@
 	c.count++
 }
 
-// interval ends an interval of the measurement.
-func (c *capacity) interval(length time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// Interval ends an interval of the measurement.
+func (c *Capacity) Interval(length time.Duration) {
 	if c.count == 0 {
 		return
 	}
@@ -98,19 +90,17 @@
 	c.sumSteps, c.sumTime, c.sumSquare, c.count = 0, 0, 0, 0
 }
 
-// sessions returns how many sessions may be open when the steps of a session
+// Sessions returns how many sessions may be open when the steps of a session
 // spend the given share of their time at this engine and should take at most
 // goal there, for 95 in 100. It returns false while nothing was measured.
-func (c *capacity) sessions(goal time.Duration, share float64) (float64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *Capacity) Sessions(goal time.Duration, share float64) (float64, bool) {
 	if c.time == 0 || share <= 0 {
 		return 0, false
 	}
 	// A token passes 1/share such engines, so that their deviations even out
 	// in part.
 	spread := math.Sqrt(max(0, c.square-c.time*c.time)) / c.time
-	allowed := max(goal.Seconds()/(1+tail*spread*math.Sqrt(share)), worthwhile*c.least)
+	allowed := max(goal.Seconds()/(1+tail95*spread*math.Sqrt(share)), worthwhile*c.least)
 	// One step takes the least time; below 2 in flight the slope says
 	// nothing, and each further step is taken to cost a whole one.
 	perStep, busy := c.least, c.least
--- a/internal/agent/capacity_test.go
+++ b/internal/limit/capacity_test.go
@@ -1,4 +1,4 @@
-package agent
+package limit
 
 import (
 	"fmt"
@@ -13,25 +13,25 @@
 // with a goal of 45 ms for the whole chain.
 func TestCapacityScripts(t *testing.T) {
 	script.Run(t, "testdata/capacity/*.txtar", func(t *testing.T) func(script.Line) []string {
-		c := &capacity{}
+		c := &Capacity{}
 		return func(line script.Line) []string {
 			for range max(1, line.Int("times")) {
 				switch line.Name {
 				case "step":
 					positions := max(1, line.Int("positions"))
-					c.begin(positions)
-					c.end(positions, line.Int("inFlight"), line.Duration("took"), !line.Bool("failed"))
+					c.Begin(positions)
+					c.End(positions, line.Int("inFlight"), line.Duration("took"), !line.Bool("failed"))
 				case "load":
 					// One interval with a step, or with one more that is late.
 					for _, took := range []string{"took", "late"} {
 						if line.Text(took) != "" {
-							c.begin(1)
-							c.end(1, line.Int("inFlight"), line.Duration(took), true)
+							c.Begin(1)
+							c.End(1, line.Int("inFlight"), line.Duration(took), true)
 						}
 					}
-					c.interval(50 * time.Millisecond)
+					c.Interval(50 * time.Millisecond)
 				case "interval":
-					c.interval(50 * time.Millisecond)
+					c.Interval(50 * time.Millisecond)
 				case "show":
 				default:
 					t.Fatalf("unknown input %s", line.Name)
@@ -41,7 +41,7 @@
 			if err != nil {
 				return nil
 			}
-			n, ok := c.sessions(time.Duration(share*float64(45*time.Millisecond)), share)
+			n, ok := c.Sessions(time.Duration(share*float64(45*time.Millisecond)), share)
 			if !ok {
 				return []string{"unknown"}
 			}
