--- a/internal/cmds/call.go
+++ b/internal/cmds/call.go
@@ -1,9 +1,6 @@
 package cmds
 
 import (
-	"os"
-	"strings"
-
 	"github.com/spf13/cobra"
 
 	"shallotcourse/internal/fault"
@@ -43,18 +40,9 @@
 	if f.output != "text" && f.output != "json" {
 		return nil, fault.Invalid("--output", f.output, "text, json")
 	}
-	entries, key := f.entries, f.key
-	if value := os.Getenv(callerEntriesVariable); len(entries) == 0 && value != "" {
-		entries = strings.Split(value, ",")
-	}
-	if key == "" {
-		key = os.Getenv(callerKeyVariable)
-	}
-	if len(entries) == 0 {
-		return nil, fault.Invalid("--entry", "", "the caller address of an entry, or $"+callerEntriesVariable)
-	}
-	if key == "" {
-		return nil, fault.Invalid("--key", "", "an API key, or $"+callerKeyVariable)
+	entries, key, err := access(f.entries, f.key, callerEntriesVariable, callerKeyVariable)
+	if err != nil {
+		return nil, err
 	}
 	return clnt.NewCaller(entries, key), nil
 }
--- a/internal/cmds/operator.go
+++ b/internal/cmds/operator.go
@@ -51,20 +51,29 @@
 	if f.output != "table" && f.output != "json" {
 		return nil, fault.Invalid("--output", f.output, "table, json")
 	}
-	entries, key := f.entries, f.key
+	entries, key, err := access(f.entries, f.key, entriesVariable, operatorKeyVariable)
+	if err != nil {
+		return nil, err
+	}
+	return clnt.New(entries, key), nil
+}
+
+// access takes the entries' addresses and the key from the flags, or else from
+// the named environment variables.
+func access(entries []string, key, entriesVariable, keyVariable string) ([]string, string, error) {
 	if value := os.Getenv(entriesVariable); len(entries) == 0 && value != "" {
 		entries = strings.Split(value, ",")
 	}
 	if key == "" {
-		key = os.Getenv(operatorKeyVariable)
+		key = os.Getenv(keyVariable)
 	}
 	if len(entries) == 0 {
-		return nil, fault.Invalid("--entry", "", "the address of an entry, or $"+entriesVariable)
+		return nil, "", fault.Invalid("--entry", "", "the address of an entry, or $"+entriesVariable)
 	}
 	if key == "" {
-		return nil, fault.Invalid("--key", "", "an operator key, or $"+operatorKeyVariable)
+		return nil, "", fault.Invalid("--key", "", "a key, or $"+keyVariable)
 	}
-	return clnt.New(entries, key), nil
+	return entries, key, nil
 }
 
 // show writes v as JSON, or calls table to write rows.
