faults: look at every entry when the balancer picks one

The callers share one counter, so that a caller's two tries could both fall on the same entry; then entry 0 was taken although the other one was ready. Ruled out: the lag of the entry (500 ms) against that of the polls (100 ms). Change: one count gives the first entry, and the others follow in order. The two loops of steady callers are one. The check stays: no request may be refused or cut.

--- a/test/faults/leave_test.go
+++ b/test/faults/leave_test.go
@@ -17,7 +17,8 @@
 const leaveBound = 3 * time.Second
 
 // load keeps callers busy until stop is called, and returns their answers.
-func (c *cluster) load(callers, tokens int) (stop func() []*answer) {
+// Pick chooses the entry for the n-th request of a caller.
+func (c *cluster) load(callers, tokens int, pick func(caller, n int) int) (stop func() []*answer) {
 	var mu sync.Mutex
 	var all []*answer
 	var wg sync.WaitGroup
@@ -25,7 +26,7 @@
 	for w := range callers {
 		wg.Go(func() {
 			for n := 0; !ended.Load(); n++ {
-				a := c.complete((w+n)%len(c.entries), request{prompt: fmt.Sprintf("guide %d %d", w, n), tokens: tokens, seed: uint64(w*1000 + n)})
+				a := c.complete(pick(w, n), request{prompt: fmt.Sprintf("guide %d %d", w, n), tokens: tokens, seed: uint64(w*1000 + n)})
 				mu.Lock()
 				all = append(all, a)
 				mu.Unlock()
@@ -58,7 +59,7 @@
 func TestLeavingTarget(t *testing.T) {
 	c := newCluster(t, plan{entries: 2, stages: 2, replicas: 2, endless: true, cost: "2ms/20us"})
 	c.faults(c.platformURL, map[string]any{"ListLag": "30s"})
-	stop := c.load(12, 30)
+	stop := c.load(12, 30, func(caller, n int) int { return (caller + n) % len(c.entries) })
 	time.Sleep(time.Second)
 	leaving := c.agentsOf(0)[0]
 	spec := c.targetSpec(leaving)
@@ -108,7 +109,7 @@
 	}
 	balancer := c.balance()
 	stopCalls := c.steadyCalls(balancer)
-	stop := c.steadyAnswers(balancer)
+	stop := c.load(12, 60, func(int, int) int { return balancer.pick() })
 	time.Sleep(500 * time.Millisecond)
 	for _, a := range c.agents {
 		a.terminate()
@@ -156,34 +157,13 @@
 }
 
 func (b *balancer) pick() int {
-	for range len(b.ready) {
-		if i := int(b.next.Add(1) % uint64(len(b.ready))); b.ready[i].Load() {
+	first := int(b.next.Add(1) % uint64(len(b.ready)))
+	for k := range len(b.ready) {
+		if i := (first + k) % len(b.ready); b.ready[i].Load() {
 			return i
 		}
 	}
-	return 0
-}
-
-func (c *cluster) steadyAnswers(b *balancer) (stop func() []*answer) {
-	var mu sync.Mutex
-	var all []*answer
-	var wg sync.WaitGroup
-	var ended atomic.Bool
-	for w := range 12 {
-		wg.Go(func() {
-			for n := 0; !ended.Load(); n++ {
-				a := c.complete(b.pick(), request{prompt: fmt.Sprintf("guide %d %d", w, n), tokens: 60, seed: uint64(w*1000 + n)})
-				mu.Lock()
-				all = append(all, a)
-				mu.Unlock()
-			}
-		})
-	}
-	return func() []*answer {
-		ended.Store(true)
-		wg.Wait()
-		return all
-	}
+	return first
 }
 
 func (c *cluster) steadyCalls(b *balancer) (stop func() []reply) {
