entry: count demand and forget accounts also where nothing is lent

Cause: the early return of an entry that is not linked to all others came before the count of demand, so accounts were never forgotten there, and the first demand after a gap was the sum of all since. The review of links rebuilt the keys and the view every 5 s, which also dropped the extra links to agents that are asked about claims, and the number of entries was counted from the fleet's view for each request. Change: the demand is always taken. A review acts only on another number of entries, which is counted when the view changes. The sweeper's second check of the table and the two fields of QuotaGrant that nobody read are gone. Test: TestCutOffEntryForgetsAccounts.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
@@ -36,6 +37,9 @@
 		settings conf.Entry
 		links    *link.Group
 		entry    *entry.Entry
+		// listed is the number of entries that the instance list knows; it is
+		// read for each request.
+		listed atomic.Int64
 		// stopping is closed when the entry starts to stop; operators' watches
 		// end then and go on at another entry.
 		stopping chan struct{}
@@ -106,7 +110,7 @@
 		Instance: settings.Instance, Incarnation: d.incarnation, DataCentre: settings.DataCentre, Region: settings.Region,
 		Timer: d.clock, Log: d.logger, Snapshot: e.store.Section(), Links: e.links, Table: e.platform.Table,
 		Tokenizer: tokenizer{}, Metrics: d.metrics, Bounds: entryBounds(settings),
-		Entries: e.entries,
+		Entries: func() int { return int(e.listed.Load()) },
 	})
 	handlers.set(e.replica, link.Latest(e.entry))
 	return e
@@ -172,10 +176,10 @@
 	}
 }
 
-// entries counts the entries that the instance list knows, this one included.
-func (e *entryDaemon) entries() int {
+// countEntries counts the entries of a view, this one included.
+func (e *entryDaemon) countEntries(view fleet.View) int {
 	n := 1
-	for _, i := range e.fleet.View().Value().With(wire.RoleEntry, fleet.Live, fleet.Suspect) {
+	for _, i := range view.With(wire.RoleEntry, fleet.Live, fleet.Suspect) {
 		if i.Name != e.settings.Instance {
 			n++
 		}
@@ -190,6 +194,7 @@
 	wanted := map[string]bool{}
 	for ctx.Err() == nil {
 		view, version := e.fleet.View().Get()
+		e.listed.Store(int64(e.countEntries(view)))
 		wanted = e.followPeers(view, wanted)
 		for _, i := range view.With(wire.RoleAgent, fleet.Leaving) {
 			e.entry.View().Update(func(v route.View) (route.View, bool) { return v.WithLeaving(i.Target), true })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,18 +168,34 @@
 	}
 }
 
-// follow applies each new configuration snapshot.
+// follow applies each new configuration snapshot, and links anew when the
+// number of entries changes.
 func (e *Entry) follow(ctx context.Context) {
 	review, stop := e.cfg.Timer.Every(reviewLinks)
 	defer stop()
 	for {
 		snap, version := e.cfg.Snapshot.Get()
+		entries := e.entryCount()
 		e.configure(snap)
+		if !e.awaitChange(ctx, version, entries, review) {
+			return
+		}
+	}
+}
+
+// awaitChange waits for another snapshot or another number of entries; false
+// when ctx ends.
+func (e *Entry) awaitChange(ctx context.Context, version uint64, entries int, review <-chan time.Time) bool {
+	for {
 		select {
 		case <-e.cfg.Snapshot.Changed(version):
+			return true
 		case <-review:
+			if e.entryCount() != entries {
+				return true
+			}
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -111,6 +111,9 @@
 	return max(listed, e.linkedEntries())
 }
 
+// linksAllEntries reports whether no known entry is without a link.
+func (e *Entry) linksAllEntries() bool { return e.linkedEntries() >= e.entryCount() }
+
 // linkedEntries counts this entry and those linked to it.
 func (e *Entry) linkedEntries() int {
 	e.peers.mu.RLock()
--- a/internal/entry/links_test.go
+++ b/internal/entry/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -91,3 +92,21 @@
 	is.Equal(c.rates.PerSecond, 10.0)
 	is.Equal(c.rates.Concurrency, 4)
 }
+
+// Guards against accounts that are kept for ever, and demand that adds up, at
+// an entry that is not linked to all others and therefore borrows nothing.
+func TestCutOffEntryForgetsAccounts(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual(time.Unix(0, 0))
+	e := &Entry{cfg: Config{
+		Entries: func() int { return 10 }, Timer: clock, Snapshot: board.New(store.NewSnapshot(1, nil)),
+	}, peers: newPeers(), bounds: Bounds{}.withDefaults()}
+	a := newAdmission(e)
+	a.account("any", resrc.ClientAccount{RequestsPerSecond: 1, Burst: 1, Concurrency: 1}, clock.Now()).arrived = 7
+	a.accounts["any"].used = clock.Now()
+	a.renew(clock.Now())
+	is.Equal(a.accounts["any"].arrived, 0)
+	clock.Advance(2 * forgetAccount)
+	a.renew(clock.Now())
+	is.Equal(len(a.accounts), 0)
+}
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -25,12 +25,13 @@
 // Entries that don't see each other would choose different owners, which
 // would lend the same quota twice. So nothing is lent unless all are linked.
 func (a *admission) renew(now time.Time) {
-	if a.entry.linkedEntries() < a.entry.entryCount() {
+	demands := a.demands(now)
+	if !a.entry.linksAllEntries() {
 		return
 	}
 	names := a.entry.entryNames()
 	snap := a.entry.cfg.Snapshot.Value()
-	for name, wanted := range a.demands(now) {
+	for name, wanted := range demands {
 		spec, ok := store.Spec[resrc.ClientAccount](snap, name)
 		if !ok {
 			continue
@@ -90,17 +91,11 @@
 // same quota twice.
 func (a *admission) quotaRequest(p link.Peer, m wire.QuotaRequest) {
 	spec, ok := store.Spec[resrc.ClientAccount](a.entry.cfg.Snapshot.Value(), m.Account)
-	if a.entry.linkedEntries() < a.entry.entryCount() {
-		return
-	}
-	if !ok || route.Owner(m.Account, a.entry.entryNames()) != a.entry.cfg.Instance || !(m.Wanted >= 0) {
+	if !ok || !a.entry.linksAllEntries() || route.Owner(m.Account, a.entry.entryNames()) != a.entry.cfg.Instance || !(m.Wanted >= 0) {
 		return
 	}
 	granted := a.lend(m.Account, spec, p.Hello().Instance, m.Wanted, a.entry.cfg.Timer.Now())
-	_ = p.Send(wire.QuotaGrant{
-		Account: m.Account, Granted: granted, Period: limit.QuotaPeriod,
-		Concurrency: ratesOf(spec).Lent(granted).Concurrency,
-	})
+	_ = p.Send(wire.QuotaGrant{Account: m.Account, Granted: granted})
 }
 
 func (a *admission) quotaGrant(m wire.QuotaGrant) {
--- a/internal/entry/sweep.go
+++ b/internal/entry/sweep.go
@@ -29,9 +29,6 @@
 }
 
 func (s *sweeper) run(ctx context.Context) {
-	if s.entry.cfg.Table == nil {
-		return // the entries that the lab measures have no table
-	}
 	for {
 		pause := time.Duration(s.entry.entryCount()) * sweepInterval
 		if timer.Sleep(ctx, s.entry.cfg.Timer, pause/2+rand.N(pause)) != nil {
--- a/internal/wire/msg.go
+++ b/internal/wire/msg.go
@@ -290,13 +290,12 @@
 		Wanted float64
 	}
 
-	// QuotaGrant lends quota for a period.
+	// QuotaGrant lends quota for limit.QuotaPeriod.
 	QuotaGrant struct {
 		Account string
+		// Granted is the rate in requests per second; the same share of the
+		// other limits goes with it.
 		Granted float64
-		// Concurrency is the lent share of the concurrency limit.
-		Concurrency int
-		Period      time.Duration
 	}
 )
 
