agent: keep one state of the last load report

The limit of the last report was kept twice, with two rules for a notable change, and the load was computed twice for each report. A change of the limit by 10% is now the one rule, as it was between the reports.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -111,7 +111,7 @@
 	for _, p := range a.entryPeers() {
 		_ = p.Send(wire.Leaving{Target: a.cfg.Target})
 	}
-	a.sendLoad()
+	a.sendLoad(a.load())
 }
 
 // left reports whether the agent takes no new work for good.
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -14,9 +14,6 @@
 const (
 	// adaptsPerReport is how often the limit adapts between two load reports.
 	adaptsPerReport = 4
-
-	// notableLimit is the change of the limit that is reported at once.
-	notableLimit = 1.1
 )
 
 // capacity guards the measurement of what the engine can take.
@@ -53,24 +50,20 @@
 	defer cancel()
 	adapt, stop := a.cfg.Timer.Every(a.cfg.Times.Report / adaptsPerReport)
 	defer stop()
-	sent := 0
 	var reports reporter
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-adapt:
-			// Entries that know an old limit refuse callers for nothing.
-			if now := a.adaptSessions(); float64(now) > notableLimit*float64(sent) || notableLimit*float64(now) < float64(sent) {
-				sent = now
-				reports.due(a.sendLoad(), a.cfg.Timer.Now())
+			if !reports.limitMoved(a.adaptSessions()) {
+				continue
 			}
-			continue
 		case <-ticks:
+			a.meter.report(a.cfg.Times.Report)
 		}
-		a.meter.report(a.cfg.Times.Report)
-		if reports.due(a.load(), a.cfg.Timer.Now()) {
-			a.sendLoad()
+		if l := a.load(); reports.due(l, a.cfg.Timer.Now()) {
+			a.sendLoad(l)
 		}
 	}
 }
@@ -96,13 +89,11 @@
 	return a.limit
 }
 
-// sendLoad reports the load to all linked entries and returns the report.
-func (a *Agent) sendLoad() wire.Load {
-	m := a.load()
+// sendLoad reports the load to all linked entries.
+func (a *Agent) sendLoad(l wire.Load) {
 	for _, p := range a.entryPeers() {
-		_ = p.Send(m)
+		_ = p.Send(l)
 	}
-	return m
 }
 
 // load returns the exact load now.
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -14,6 +14,9 @@
 	notableShare = 0.2
 	// notableCount is the least change of a count that is reported at once.
 	notableCount = 4
+	// notableLimit is the factor by which the limit has to change for a report
+	// at once: entries that know an old limit refuse callers for nothing.
+	notableLimit = 1.1
 	// notableDelay is the change of the queue delay that is reported at once.
 	notableDelay = 5 * time.Millisecond
 )
@@ -34,11 +37,14 @@
 	return true
 }
 
+// limitMoved reports whether the limit differs notably from the last report.
+func (r *reporter) limitMoved(limit int) bool { return notableLimits(r.last.Limit, limit) }
+
 func notable(a, b wire.Load) bool {
 	if a.Ready != b.Ready || a.Leaving != b.Leaving || a.Version != b.Version || a.Layers != b.Layers {
 		return true
 	}
-	return notableCounts(a.Open, b.Open) || notableCounts(a.Limit, b.Limit) ||
+	return notableCounts(a.Open, b.Open) || notableLimits(a.Limit, b.Limit) ||
 		(a.QueueDelay-b.QueueDelay).Abs() >= notableDelay
 }
 
@@ -46,3 +52,7 @@
 	d := max(a-b, b-a)
 	return d >= notableCount && float64(d) >= notableShare*float64(max(a, b))
 }
+
+func notableLimits(a, b int) bool {
+	return float64(max(a, b)) > notableLimit*float64(min(a, b))
+}
