plat: export the transport to a platform

Cause: the client of the users' platform needs the same timeouts, rates, typed failures and repeat of silent reads as the table client; a second copy was the alternative and was ruled out. Change: transport and request are exported, a request may be held by the platform for a time (Wait), and the typing of refusals is an option. A lost feed history has a type of its own.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -51,6 +51,8 @@
 	TargetLost Code = "TargetLost"
 	// Canceled means that the caller gave the request up.
 	Canceled Code = "Canceled"
+	// HistoryLost means that a feed no longer reaches back far enough.
+	HistoryLost Code = "HistoryLost"
 	// Malformed is a message or row that does not decode.
 	Malformed Code = "Malformed"
 	// Internal is a broken invariant of this process.
@@ -147,6 +149,8 @@
 		return http.StatusNotFound
 	case Conflict, KeyReused:
 		return http.StatusConflict
+	case HistoryLost:
+		return http.StatusGone
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
 	case LimitReached:
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -38,44 +38,52 @@
 	}
 
 	// Option changes the settings of a client.
-	Option func(*transport)
+	Option func(*Transport)
 
-	transport struct {
+	// Transport sends requests to a platform and types their failures. It is
+	// the one place for timeouts, rates and the repeat of a read whose
+	// connection went silent.
+	Transport struct {
 		base    string
 		http    *http.Client
 		clock   timer.Service
 		timeout time.Duration
 		reads   *Bucket
 		writes  *Bucket
+		refuse  func(Request, *http.Response) error
 	}
 
 	// silent marks the failure of a connection on which no answer came.
 	silent struct{ error }
 
-	request struct {
-		method, path string
-		query        url.Values
-		body         []byte
-		// effect says that the request changes state, so that a lost answer
+	// Request is one call to a platform.
+	Request struct {
+		Method, Path string
+		Query        url.Values
+		Body         []byte
+		// Effect says that the request changes state, so that a lost answer
 		// leaves its outcome unknown.
-		effect bool
+		Effect bool
+		// Wait is the time for which the platform may hold the answer back; it
+		// is added to the timeout.
+		Wait time.Duration
 	}
 
-	table     struct{ t *transport }
-	objects   struct{ t *transport }
-	instances struct{ t *transport }
-	weights   struct{ t *transport }
+	table     struct{ t *Transport }
+	objects   struct{ t *Transport }
+	instances struct{ t *Transport }
+	weights   struct{ t *Transport }
 )
 
 // WithTimeout sets the bound of one request.
-func WithTimeout(d time.Duration) Option { return func(t *transport) { t.timeout = d } }
+func WithTimeout(d time.Duration) Option { return func(t *Transport) { t.timeout = d } }
 
 // WithClock sets the timer service.
-func WithClock(s timer.Service) Option { return func(t *transport) { t.clock = s } }
+func WithClock(s timer.Service) Option { return func(t *Transport) { t.clock = s } }
 
 // WithRates bounds this process's reads and writes per second; 0 is no bound.
 func WithRates(readsPerSecond, writesPerSecond float64) Option {
-	return func(t *transport) {
+	return func(t *Transport) {
 		t.reads = NewBucket(readsPerSecond, int(readsPerSecond/4)+1)
 		t.writes = NewBucket(writesPerSecond, int(writesPerSecond/4)+1)
 	}
@@ -83,12 +91,17 @@
 
 // WithTransport sets the HTTP transport.
 func WithTransport(rt http.RoundTripper) Option {
-	return func(t *transport) { t.http = &http.Client{Transport: rt} }
+	return func(t *Transport) { t.http = &http.Client{Transport: rt} }
 }
 
-// NewClient returns a client of the platform at a base URL.
-func NewClient(baseURL string, options ...Option) *Client {
-	t := &transport{base: baseURL, clock: timer.System{}, timeout: defaultTimeout}
+// WithRefusals sets how an answer other than 2xx becomes a failure.
+func WithRefusals(f func(Request, *http.Response) error) Option {
+	return func(t *Transport) { t.refuse = f }
+}
+
+// NewTransport returns a transport to the platform at a base URL.
+func NewTransport(baseURL string, options ...Option) *Transport {
+	t := &Transport{base: baseURL, clock: timer.System{}, timeout: defaultTimeout, refuse: refused}
 	for _, o := range options {
 		o(t)
 	}
@@ -98,30 +111,36 @@
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
 		}}
 	}
+	return t
+}
+
+// NewClient returns a client of the platform at a base URL.
+func NewClient(baseURL string, options ...Option) *Client {
+	t := NewTransport(baseURL, options...)
 	return &Client{Table: table{t}, Objects: objects{t}, Instances: instances{t}, Weights: weights{t}}
 }
 
-// do sends a request and returns the body of a 2xx answer. A read that got no
+// Do sends a request and returns the body of a 2xx answer. A read that got no
 // answer goes out once more: its connection may have fallen silent while new
 // ones work, and so may the idle ones.
-func (t *transport) do(ctx context.Context, r request) ([]byte, error) {
+func (t *Transport) Do(ctx context.Context, r Request) ([]byte, error) {
 	data, err := t.attempt(ctx, r)
 	var silence *silent
 	if err == nil || !eris.As(err, &silence) {
 		return data, err
 	}
 	t.http.CloseIdleConnections()
-	if r.effect || ctx.Err() != nil {
+	if r.Effect || ctx.Err() != nil {
 		return nil, err
 	}
 	return t.attempt(ctx, r)
 }
 
-func (t *transport) attempt(ctx context.Context, r request) ([]byte, error) {
-	ctx, cancel := timer.WithTimeout(ctx, t.clock, t.timeout)
+func (t *Transport) attempt(ctx context.Context, r Request) ([]byte, error) {
+	ctx, cancel := timer.WithTimeout(ctx, t.clock, t.timeout+r.Wait)
 	defer cancel()
 	bucket := t.reads
-	if r.effect {
+	if r.Effect {
 		bucket = t.writes
 	}
 	if err := bucket.Wait(ctx, t.clock); err != nil {
@@ -131,7 +150,7 @@
 	// sent; after that, a failure leaves the outcome open.
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.method, t.url(r), bytes.NewReader(r.body))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, t.url(r), bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, fault.New(fault.Internal, "cannot build a request to the platform").WithCause(err)
 	}
@@ -143,7 +162,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return nil, refused(r, resp)
+		return nil, t.refuse(r, resp)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
@@ -154,17 +173,17 @@
 
 func (s *silent) Unwrap() error { return s.error }
 
-func (t *transport) url(r request) string {
-	u := t.base + r.path
-	if len(r.query) > 0 {
-		u += "?" + r.query.Encode()
+func (t *Transport) url(r Request) string {
+	u := t.base + r.Path
+	if len(r.Query) > 0 {
+		u += "?" + r.Query.Encode()
 	}
 	return u
 }
 
 // decode sends a request and decodes the JSON answer into v.
-func (t *transport) decode(ctx context.Context, r request, v any) error {
-	data, err := t.do(ctx, r)
+func (t *Transport) decode(ctx context.Context, r Request, v any) error {
+	data, err := t.Do(ctx, r)
 	if err != nil {
 		return err
 	}
@@ -174,9 +193,9 @@
 	return nil
 }
 
-func lost(ctx context.Context, r request, sent bool, cause error) error {
-	e := fault.Newf(fault.Unavailable, "no answer of the platform to %s %s", r.method, r.path)
-	if sent && r.effect {
+func lost(ctx context.Context, r Request, sent bool, cause error) error {
+	e := fault.Newf(fault.Unavailable, "no answer of the platform to %s %s", r.Method, r.Path)
+	if sent && r.Effect {
 		e = e.WithOutcome(fault.Unknown)
 	}
 	if sent && context.Cause(ctx) == context.DeadlineExceeded {
@@ -186,9 +205,9 @@
 	return e.WithCause(cause)
 }
 
-func refused(r request, resp *http.Response) error {
+func refused(r Request, resp *http.Response) error {
 	e := fault.ReadBody(resp.StatusCode, resp.Body)
-	if !r.effect {
+	if !r.Effect {
 		return e.WithOutcome(fault.NotRun)
 	}
 	return e
@@ -205,7 +224,7 @@
 // Read implements Table.
 func (c table) Read(ctx context.Context, key string) (Row, error) {
 	var row Row
-	err := c.t.decode(ctx, request{method: http.MethodGet, path: "/table/row", query: url.Values{"Key": {key}}}, &row)
+	err := c.t.decode(ctx, Request{Method: http.MethodGet, Path: "/table/row", Query: url.Values{"Key": {key}}}, &row)
 	return row, err
 }
 
@@ -213,7 +232,7 @@
 func (c table) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	var rows []Row
 	q := url.Values{"Prefix": {prefix}, "After": {after}, "Limit": {strconv.Itoa(limit)}}
-	err := c.t.decode(ctx, request{method: http.MethodGet, path: "/table/rows", query: q}, &rows)
+	err := c.t.decode(ctx, Request{Method: http.MethodGet, Path: "/table/rows", Query: q}, &rows)
 	return rows, err
 }
 
@@ -223,26 +242,26 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.t.do(ctx, request{method: http.MethodPost, path: "/table/commit", body: b, effect: true})
+	_, err = c.t.Do(ctx, Request{Method: http.MethodPost, Path: "/table/commit", Body: b, Effect: true})
 	return err
 }
 
 // Get implements Objects.
 func (c objects) Get(ctx context.Context, name string) ([]byte, error) {
-	return c.t.do(ctx, request{method: http.MethodGet, path: "/object", query: url.Values{"Name": {name}}})
+	return c.t.Do(ctx, Request{Method: http.MethodGet, Path: "/object", Query: url.Values{"Name": {name}}})
 }
 
 // Put implements Objects.
 func (c objects) Put(ctx context.Context, name string, data []byte) error {
 	q := url.Values{"Name": {name}}
-	_, err := c.t.do(ctx, request{method: http.MethodPut, path: "/object", query: q, body: data, effect: true})
+	_, err := c.t.Do(ctx, Request{Method: http.MethodPut, Path: "/object", Query: q, Body: data, Effect: true})
 	return err
 }
 
 // List implements Instances.
 func (c instances) List(ctx context.Context) ([]Instance, error) {
 	var list []Instance
-	err := c.t.decode(ctx, request{method: http.MethodGet, path: "/instances"}, &list)
+	err := c.t.decode(ctx, Request{Method: http.MethodGet, Path: "/instances"}, &list)
 	return list, err
 }
 
@@ -255,6 +274,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.t.do(ctx, request{method: http.MethodPost, path: "/weights/reserve", body: b, effect: true})
+	_, err = c.t.Do(ctx, Request{Method: http.MethodPost, Path: "/weights/reserve", Body: b, Effect: true})
 	return err
 }
