--- /dev/null
+++ b/internal/chain/chain.go
@@ -0,0 +1,274 @@
+// Package chain chooses the targets that a model request passes through. It is
+// pure: the same view gives the same chain.
+package chain
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/topo"
+)
+
+const (
+	// MostHops is the longest chain that targets accept.
+	MostHops = 32
+	// fillLimit is the share of a target's memory for requests that new work
+	// may fill; the rest takes answers that grow beyond their estimate.
+	fillLimit = 0.92
+	// busyWeight makes a target with full memory cost this many times its
+	// time when it is empty, so that load spreads before targets are full.
+	busyWeight = 2.0
+	// hopDelay is the time that a token takes between two targets of one data
+	// centre.
+	hopDelay = 200 * time.Microsecond
+)
+
+type (
+	// Load is the work that a target has in flight.
+	Load struct {
+		// TokenLayers is the memory in use, in tokens times layers.
+		TokenLayers float64
+		// Running counts the requests that pass through the target, and First
+		// those that it received from entries.
+		Running, First int
+	}
+
+	// Candidate is a target with what is known of its load.
+	Candidate struct {
+		topo.Target
+		Load Load
+		// Slow multiplies the target's time; 1 is the pace of its card.
+		Slow float64
+	}
+
+	// Hop is one target of a chain and the layers that it runs.
+	Hop struct {
+		Target topo.Target
+		Layers topo.Layers
+	}
+
+	// Ask describes the request.
+	Ask struct {
+		// Tokens is the estimate of prompt and answer together.
+		Tokens int
+		// DataCentre is where the entry stands.
+		DataCentre string
+		// Cross is what a hop between data centres costs, on top of its delay.
+		Cross time.Duration
+		// Layers is the range to cover.
+		Layers topo.Layers
+		// Used holds targets that must not appear again.
+		Used map[string]bool
+		// Forced ignores how full targets are, for requests that have started.
+		Forced bool
+	}
+
+	// state is the cheapest way to a layer that ends in one target.
+	state struct {
+		cost time.Duration
+		// last indexes the candidates; -1 at the start.
+		last int
+		// from is the layer at which the last hop starts, and prev the
+		// candidate before it.
+		from, prev int
+		hops       int
+	}
+)
+
+// Choose returns the cheapest chain that covers the asked layers. A NoTarget
+// failure says that some layer is held by no target, Overloaded that the
+// targets that hold it have no memory left.
+func Choose(m *topo.Model, candidates []Candidate, ask Ask) ([]Hop, error) {
+	usable := make([]Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if c.State == topo.Ready && c.Held.Len() > 0 && !ask.Used[c.ID] {
+			usable = append(usable, c)
+		}
+	}
+	if hole := uncovered(usable, ask.Layers); hole.Len() > 0 {
+		return nil, fault.Newf(fault.NoTarget, "no target holds layers %d to %d", hole.From, hole.To)
+	}
+	hops := search(m, usable, ask)
+	if hops == nil {
+		return nil, fault.New(fault.Overloaded, "the targets have no memory for the request")
+	}
+	return hops, nil
+}
+
+// Uncovered returns the first range of layers that no target holds.
+func Uncovered(candidates []Candidate, l topo.Layers) topo.Layers { return uncovered(candidates, l) }
+
+func uncovered(candidates []Candidate, l topo.Layers) topo.Layers {
+	held := make([]bool, max(0, l.To))
+	for _, c := range candidates {
+		for i := max(l.From, c.Held.From); i < min(l.To, c.Held.To); i++ {
+			held[i] = true
+		}
+	}
+	for i := l.From; i < l.To; i++ {
+		if held[i] {
+			continue
+		}
+		end := i
+		for end < l.To && !held[end] {
+			end++
+		}
+		return topo.Layers{From: i, To: end}
+	}
+	return topo.Layers{}
+}
+
+// search walks the layers at which ranges begin or end. At each it keeps the
+// cheapest way per last target, since the next hop depends on where that one
+// stands.
+func search(m *topo.Model, cs []Candidate, ask Ask) []Hop {
+	cuts := cutPoints(cs, ask.Layers)
+	// ways[i][c] is the cheapest way to cuts[i] that ends in candidate c.
+	ways := make([]map[int]state, len(cuts))
+	for i := range ways {
+		ways[i] = map[int]state{}
+	}
+	ways[0][-1] = state{last: -1, prev: -1}
+	for i := 0; i < len(cuts)-1; i++ {
+		for _, w := range cheapest(ways[i], cs) {
+			extend(m, cs, ask, cuts, ways, i, w)
+		}
+	}
+	return walkBack(cs, cuts, ways)
+}
+
+// extend tries every hop that starts at a cut.
+func extend(m *topo.Model, cs []Candidate, ask Ask, cuts []int, ways []map[int]state, i int, w state) {
+	at := cuts[i]
+	if w.hops >= MostHops {
+		return
+	}
+	for c := range cs {
+		t := &cs[c]
+		if t.Held.From > at || t.Held.To <= at || c == w.last || onWay(cs, cuts, ways, i, w, c) {
+			continue
+		}
+		enter := crossing(cs, ask, w.last, c)
+		for j := len(cuts) - 1; j > i; j-- {
+			if cuts[j] > t.Held.To {
+				continue
+			}
+			n := cuts[j] - at
+			time, ok := hopTime(m, t, n, ask)
+			if !ok {
+				continue
+			}
+			cost := w.cost + enter + time
+			if old, seen := ways[j][c]; !seen || cost < old.cost {
+				ways[j][c] = state{cost: cost, last: c, from: i, prev: w.last, hops: w.hops + 1}
+			}
+		}
+	}
+}
+
+// cheapest returns the best ways to a cut, one for each data centre: another
+// way into the same data centre cannot end in a cheaper chain.
+func cheapest(ways map[int]state, cs []Candidate) []state {
+	best := map[string]state{}
+	for _, w := range ways {
+		dc := ""
+		if w.last >= 0 {
+			dc = cs[w.last].DataCentre
+		}
+		if old, ok := best[dc]; !ok || w.cost < old.cost || w.cost == old.cost && w.last < old.last {
+			best[dc] = w
+		}
+	}
+	out := make([]state, 0, len(best))
+	for _, w := range best {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b state) int { return a.last - b.last })
+	return out
+}
+
+// onWay reports whether a candidate is part of a way already.
+func onWay(_ []Candidate, _ []int, ways []map[int]state, i int, w state, c int) bool {
+	for w.last >= 0 {
+		if w.last == c {
+			return true
+		}
+		i = w.from
+		w = ways[i][w.prev]
+	}
+	return false
+}
+
+// crossing is the cost of the step from one target to the next. The first
+// target costs as much as its distance from the entry.
+func crossing(cs []Candidate, ask Ask, from, to int) time.Duration {
+	dc := ask.DataCentre
+	if from >= 0 {
+		dc = cs[from].DataCentre
+	}
+	if dc == cs[to].DataCentre || dc == "" {
+		return hopDelay
+	}
+	return hopDelay + ask.Cross
+}
+
+// hopTime is the time of one token in n layers of a target, weighted by how
+// full its memory is, or false if the request does not fit.
+func hopTime(m *topo.Model, t *Candidate, n int, ask Ask) (time.Duration, bool) {
+	capacity := m.RoomMegabytes(t.Card, t.Held.Len()) / m.TokenMegabytes
+	used := t.Load.TokenLayers + float64(ask.Tokens*n)
+	fill := 1.0
+	if capacity > 0 {
+		fill = used / capacity
+	}
+	if !ask.Forced && fill > fillLimit {
+		return 0, false
+	}
+	pace := m.Cards[t.Card].Pace
+	if pace <= 0 {
+		pace = 1
+	}
+	step := float64(m.Step) + float64(m.StepPerRequest)*float64(t.Load.Running)
+	base := step * pace * max(1, t.Slow) * float64(n) / float64(m.Layers)
+	return time.Duration(base * (1 + busyWeight*math.Pow(min(fill, 4), 2))), true
+}
+
+func cutPoints(cs []Candidate, l topo.Layers) []int {
+	cuts := []int{l.From, l.To}
+	for _, c := range cs {
+		for _, p := range []int{c.Held.From, c.Held.To} {
+			if p > l.From && p < l.To {
+				cuts = append(cuts, p)
+			}
+		}
+	}
+	slices.Sort(cuts)
+	return slices.Compact(cuts)
+}
+
+func walkBack(cs []Candidate, cuts []int, ways []map[int]state) []Hop {
+	end := cheapestOf(ways[len(cuts)-1])
+	if end == nil {
+		return nil
+	}
+	var hops []Hop
+	to, w := len(cuts)-1, *end
+	for w.last >= 0 {
+		hops = append(hops, Hop{Target: cs[w.last].Target, Layers: topo.Layers{From: cuts[w.from], To: cuts[to]}})
+		to, w = w.from, ways[w.from][w.prev]
+	}
+	slices.Reverse(hops)
+	return hops
+}
+
+func cheapestOf(ways map[int]state) *state {
+	var best *state
+	for _, w := range ways {
+		if best == nil || w.cost < best.cost || w.cost == best.cost && w.last < best.last {
+			best = &w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/topo/config.go
@@ -0,0 +1,121 @@
+package topo
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config is one version of what the operator declares. It is immutable.
+type Config struct {
+	// Version grows with each accepted change; 0 is no configuration.
+	Version uint64
+	Limits  Limits
+
+	services map[string]Service
+	// byHost holds the routes of each host, longest prefix first.
+	byHost map[string][]Route
+	// byKey holds the accounts under the hash of each key.
+	byKey map[uint64]keyed
+	// keyless says that no account is declared, so that no key is asked for.
+	keyless bool
+}
+
+type keyed struct {
+	key     string
+	account Account
+}
+
+// NewConfig returns a configuration. Keys holds the keys of each account.
+func NewConfig(version uint64, limits Limits, routes []Route, services []Service, accounts []Account, keys map[string][]string) Config {
+	c := Config{
+		Version: version, Limits: limits, services: map[string]Service{}, byHost: map[string][]Route{},
+		byKey: map[uint64]keyed{}, keyless: len(accounts) == 0,
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	for _, r := range routes {
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+	for _, rs := range c.byHost {
+		slices.SortStableFunc(rs, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, a := range accounts {
+		for _, key := range keys[a.Name] {
+			c.byKey[xxhash.Sum64String(key)] = keyed{key, a}
+		}
+	}
+	return c
+}
+
+// Match returns the route of a host and path.
+func (c Config) Match(host, path string) (Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Account returns the account that holds a key.
+func (c Config) Account(key string) (Account, bool) {
+	k, ok := c.byKey[xxhash.Sum64String(key)]
+	return k.account, ok && k.key == key
+}
+
+// Keyless reports whether callers need no keys at all.
+func (c Config) Keyless() bool { return c.keyless }
+
+// Service returns a service by name.
+func (c Config) Service(name string) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Services returns all services in the order of their names.
+func (c Config) Services() []Service {
+	out := make([]Service, 0, len(c.services))
+	for _, s := range c.services {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Routes returns all routes in the order of host and prefix.
+func (c Config) Routes() []Route {
+	var out []Route
+	for _, rs := range c.byHost {
+		out = append(out, rs...)
+	}
+	slices.SortFunc(out, func(a, b Route) int {
+		return strings.Compare(a.Host+a.Prefix, b.Host+b.Prefix)
+	})
+	return out
+}
+
+// Pick returns the service that a request of the route goes to. The same
+// request always goes to the same service of one configuration.
+func (r Route) Pick(request string) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Service
+	}
+	n := int(xxhash.Sum64String(request) % uint64(total))
+	for _, s := range r.Shares {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
