--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -28,7 +28,7 @@
 		Hello{}, Heartbeat{}, Pull{}, Changes{}, Snapshot{}, Leaving{}, Load{},
 		Open{}, Opened{}, Refused{}, Start{}, Step{}, Token{}, Cancel{},
 		Finished{}, StageFailed{}, Stale{}, Resync{}, Call{}, Query{},
-		Outcome{}, QuotaRequest{}, QuotaGrant{},
+		Outcome{}, QuotaRequest{}, QuotaGrant{}, Pulse{}, Vouch{}, Vouched{},
 	}
 
 	// readers decode the contents of the types, in the same order.
@@ -36,7 +36,7 @@
 		read[Hello], read[Heartbeat], read[Pull], read[Changes], read[Snapshot], read[Leaving], read[Load],
 		read[Open], read[Opened], read[Refused], read[Start], read[Step], read[Token], read[Cancel],
 		read[Finished], read[StageFailed], read[Stale], read[Resync], read[Call], read[Query], read[Outcome],
-		read[QuotaRequest], read[QuotaGrant],
+		read[QuotaRequest], read[QuotaGrant], read[Pulse], read[Vouch], read[Vouched],
 	}
 
 	encoder, decoder = modes()
--- a/internal/wire/msg.go
+++ b/internal/wire/msg.go
@@ -18,6 +18,8 @@
 	RoleEntry Role = "Entry"
 	// RoleAgent is the role of an agent process.
 	RoleAgent Role = "Agent"
+	// RoleGateway is the role of a gateway process.
+	RoleGateway Role = "Gateway"
 )
 
 const (
