platform, proxy, cmds: run a gateway on the users' platform

Cause: the product has no HTTP data path for routed requests and no adapter to the platform. Change: platform/ translates configuration, list of targets, headers, rows and engine calls; internal/proxy forwards plain calls and event streams, replaces failing targets of a path in a running stream and resumes at another; the command gateway ties it together; deploy/ has the role and the template of its settings.

--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -38,7 +38,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&role, "role", "", "entry or agent; by default the role is told from the setting Target")
+	c.Flags().StringVar(&role, "role", "", "entry, agent or gateway; by default the role is told from the settings Target and Store")
 	return c
 }
 
@@ -52,8 +52,10 @@
 		_, err = conf.ParseEntry(text)
 	case "agent", string(wire.RoleAgent):
 		_, err = conf.ParseAgent(text)
+	case "gateway", string(wire.RoleGateway):
+		_, err = conf.ParseGateway(text)
 	default:
-		err = fault.Invalid("--role", role, "entry, agent")
+		err = fault.Invalid("--role", role, "entry, agent, gateway")
 	}
 	return err
 }
--- /dev/null
+++ b/internal/cmds/gateway_status.go
@@ -0,0 +1,56 @@
+package cmds
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"shallotcourse/internal/chain"
+	"shallotcourse/internal/plan"
+	"shallotcourse/internal/topo"
+)
+
+// status shows operators the routes, the placement and the load.
+func (g *gatewayDaemon) status(w http.ResponseWriter, _ *http.Request) {
+	type target struct {
+		topo.Target
+		Load    chain.Load
+		Doubted bool
+		// Placed is why and since when the target holds its layers, as far as
+		// this gateway decided it.
+		Placed *plan.Placement `json:",omitempty"`
+	}
+	config, fleet := g.configs.Section().Value(), g.fleets.Section().Value()
+	out := struct {
+		Instance      string
+		Version       uint64
+		ConfigAge     string
+		FleetAge      string
+		Gateways      int64
+		Open          int
+		Routes        []topo.Route
+		Targets       []target
+		PlannerTerm   uint64
+		PlannerSilent string
+	}{
+		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
+		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gateways.Load(), Open: g.server.Open(),
+		Routes: config.Routes(),
+	}
+	loads, history := g.ledger.Loads(), g.planner.History()
+	for _, t := range fleet.All() {
+		row := target{Target: t, Load: loads[t.ID], Doubted: g.ledger.Doubted(t)}
+		if h, ok := history[t.ID]; ok && h.Layers == t.Held {
+			row.Placed = &h
+		}
+		out.Targets = append(out.Targets, row)
+	}
+	term, ago := g.peers.Planner()
+	out.PlannerTerm, out.PlannerSilent = term, ago.Round(time.Millisecond).String()
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		_ = level.Info(g.logger).Log("event", "StatusNotWritten", "err", err)
+	}
+}
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -18,7 +18,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(entryCommand(), agentCommand(), configCommand())
+	root.AddCommand(entryCommand(), agentCommand(), gatewayCommand(), configCommand())
 	root.AddCommand(OperatorCommands()...)
 	return root
 }
--- a/internal/conf/agent.go
+++ b/internal/conf/agent.go
@@ -105,12 +105,15 @@
 }
 
 // RoleOf tells which process a file of settings is for: only an agent has a
-// Target.
+// Target, and only a gateway a Store.
 func RoleOf(text []byte) wire.Role {
-	var head struct{ Target any }
+	var head struct{ Target, Store any }
 	_ = toml.Unmarshal(text, &head)
-	if head.Target != nil {
+	switch {
+	case head.Target != nil:
 		return wire.RoleAgent
+	case head.Store != nil:
+		return wire.RoleGateway
 	}
 	return wire.RoleEntry
 }
--- /dev/null
+++ b/internal/proxy/repath.go
@@ -0,0 +1,182 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"shallotcourse/internal/chain"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/topo"
+)
+
+const (
+	// reportLife is how long a report serves all streams of its target.
+	reportLife = 100 * time.Millisecond
+	// reportLimit bounds a report; a target answers it without a slot.
+	reportLimit = 350 * time.Millisecond
+	// repathLimit bounds the order for a new path.
+	repathLimit = 500 * time.Millisecond
+)
+
+type (
+	// reports shares the reports of targets between streams.
+	reports struct {
+		mu    sync.Mutex
+		calls map[string]*reportCall
+	}
+
+	reportCall struct {
+		at     time.Time
+		done   chan struct{}
+		report Report
+		err    error
+	}
+)
+
+func (r *reports) init() { r.calls = map[string]*reportCall{} }
+
+// report returns what a target says of itself, at most reportLife old.
+func (s *Server) report(ctx context.Context, t topo.Target) (Report, error) {
+	s.reports.mu.Lock()
+	c := s.reports.calls[t.ID]
+	if c != nil && s.Clock.Now().Sub(c.at) < reportLife {
+		s.reports.mu.Unlock()
+		select {
+		case <-c.done:
+			return c.report, c.err
+		case <-ctx.Done():
+			return Report{}, fault.New(fault.Canceled, "the caller left").WithCause(ctx.Err())
+		}
+	}
+	c = &reportCall{at: s.Clock.Now(), done: make(chan struct{})}
+	s.reports.calls[t.ID] = c
+	s.reports.mu.Unlock()
+	// The report serves other streams too, so it outlives this one.
+	call, cancel := timer.WithTimeout(context.Background(), s.Clock, reportLimit)
+	defer cancel()
+	c.report, c.err = s.Engines.Report(call, t)
+	close(c.done)
+	return c.report, c.err
+}
+
+// throughDoubted reports whether a target of the path is avoided by now.
+func (s *stream) throughDoubted() bool {
+	for _, h := range s.hops {
+		if s.Ledger.Doubted(h.Target) {
+			return true
+		}
+	}
+	return false
+}
+
+// unstall looks for the reason of a silence. It returns how long to wait for
+// the next look, or the failure that ends the stream at its first target.
+func (s *stream) unstall(lastMove time.Time) (time.Duration, *fault.Error) {
+	first := s.hops[0].Target
+	if s.Ledger.Doubted(first) {
+		return 0, fault.Newf(fault.TargetLost, "the first target %s fails", first.ID).WithOutcome(s.outcome())
+	}
+	if !s.throughDoubted() {
+		if wait, failure := s.blame(first); wait > 0 || failure != nil {
+			return wait, failure
+		}
+	}
+	return s.repath(s.Clock.Now().Sub(lastMove))
+}
+
+// blame asks the first target which other the request waits for. It returns a
+// wait if the request is not stalled.
+func (s *stream) blame(first topo.Target) (time.Duration, *fault.Error) {
+	r, err := s.report(s.r.Context(), first)
+	if err != nil {
+		s.doubtIf(s.r.Context().Err() == nil, first, err)
+		return 0, fault.Newf(fault.TargetLost, "the first target %s does not answer", first.ID).WithOutcome(s.outcome()).WithCause(err)
+	}
+	address, stalled := r.Stalled[s.ask.ID]
+	if !stalled {
+		return laterQuiet, nil
+	}
+	for _, h := range s.hops {
+		if h.Target.Address == address {
+			s.doubtIf(true, h.Target, fault.Newf(fault.TargetLost, "target %s waits for it", first.ID))
+			s.avoid[h.Target.ID] = true
+			return 0, nil
+		}
+	}
+	return laterQuiet, nil
+}
+
+// repath replaces the targets of the path that fail, and keeps the others
+// with what they have read.
+func (s *stream) repath(silent time.Duration) (time.Duration, *fault.Error) {
+	if s.repaths++; s.repaths > maxRepaths {
+		return 0, fault.New(fault.TargetLost, "no new path is left to try").WithOutcome(s.outcome())
+	}
+	hops, err := s.replaced()
+	if err != nil {
+		_ = level.Warn(s.Log).Log("event", "NoNewPath", "request", s.ask.ID, "silent", silent, "err", err)
+		return laterQuiet, nil
+	}
+	ctx, cancel := timer.WithTimeout(s.r.Context(), s.Clock, repathLimit)
+	defer cancel()
+	err = s.Engines.Repath(ctx, s.hops[0].Target, s.ask.ID, HopsOf(hops))
+	f := fault.As(err)
+	switch {
+	case err == nil:
+		_ = level.Info(s.Log).Log("event", "Repath", "request", s.ask.ID, "silent", silent.Round(time.Millisecond),
+			"events", s.events, "before", pathText(s.hops), "after", pathText(hops))
+		s.Metrics.GetOrCreateCounter("shallotcourse_repaths_total").Inc()
+		s.hops = hops
+		s.ticket.Move(hops)
+		s.path += " >" + pathText(hops)
+		return repathQuiet, nil
+	case f.Code == fault.Conflict:
+		for _, h := range hops {
+			if h.Target.Address == f.Field {
+				s.avoid[h.Target.ID] = true
+			}
+		}
+		_ = level.Info(s.Log).Log("event", "RepathRefused", "request", s.ask.ID, "at", f.Field, "err", err)
+		return time.Millisecond, nil
+	case f.Code == fault.NotFound:
+		_ = level.Info(s.Log).Log("event", "RepathTooLate", "request", s.ask.ID, "err", err)
+		return laterQuiet, nil
+	}
+	s.doubtIf(s.r.Context().Err() == nil && f.Code == fault.Unavailable, s.hops[0].Target, err)
+	return 0, fault.Newf(fault.TargetLost, "the first target %s takes no new path", s.hops[0].Target.ID).WithOutcome(s.outcome()).WithCause(err)
+}
+
+// replaced returns the path with other targets in place of those that fail.
+func (s *stream) replaced() ([]chain.Hop, error) {
+	used := map[string]bool{}
+	bad := func(h chain.Hop) bool { return s.avoid[h.Target.ID] || s.Ledger.Doubted(h.Target) }
+	for _, h := range s.hops {
+		if !bad(h) {
+			used[h.Target.ID] = true
+		}
+	}
+	candidates := s.candidates()
+	var out []chain.Hop
+	for i, h := range s.hops {
+		if i == 0 || !bad(h) {
+			out = append(out, h)
+			continue
+		}
+		dc := out[len(out)-1].Target.DataCentre
+		part, err := chain.Choose(s.service.Model, candidates, chain.Ask{
+			Tokens: s.tokens, DataCentre: dc, Cross: s.Settings.CrossCost, Layers: h.Layers, Used: used, Forced: true,
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, p := range part {
+			used[p.Target.ID] = true
+		}
+		out = append(out, part...)
+	}
+	return out, nil
+}
