--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,9 +16,15 @@
 	// keepRoom is the share of a card's memory that stays free for requests
 	// when a target takes over more layers than its share.
 	keepRoom = 0.25
-	// easyRoom is the share from which taking over more layers is preferred to
-	// moving a target that others stand in for.
+	// easyRoom is the share that stays free when a target takes over layers so
+	// that another can move.
 	easyRoom = 0.4
+	// trimAbove is the fill of the fullest layer from which targets give up
+	// layers that others hold too.
+	trimAbove = 0.7
+	// leastTrim is the number of layers from which a trimming is worth an
+	// order.
+	leastTrim = 2
 )
 
 type (
@@ -30,13 +36,16 @@
 		Next topo.Layers
 		// Busy targets take no order.
 		Busy bool
+		// UsedMegabytes is the memory that requests take.
+		UsedMegabytes float64
 	}
 
 	// Order tells a target to hold a range of layers.
 	Order struct {
 		Target topo.Target
 		Layers topo.Layers
-		// Why is one of "hole", "takeover", "move" and "spare".
+		// Why is one of "hole", "takeover", "move", "release", "spare" and
+		// "trim".
 		Why string
 	}
 
@@ -138,6 +147,17 @@
 	return count
 }
 
+// solid counts the targets that hold each layer now and go on doing so.
+func (g group) solid() []int {
+	count := make([]int, g.m.Layers)
+	for _, t := range g.targets {
+		for i := max(0, t.Next.From, t.Held.From); i < min(g.m.Layers, t.Next.To, t.Held.To); i++ {
+			count[i]++
+		}
+	}
+	return count
+}
+
 func holes(cover []int) []topo.Layers {
 	var out []topo.Layers
 	for i := 0; i < len(cover); i++ {
@@ -172,9 +192,13 @@
 		out = append(out, g.fill(hs)...)
 	}
 	if len(holes(g.cover())) > 0 {
-		out = append(out, g.takeOver()...)
+		return append(out, g.takeOver()...)
+	}
+	out = append(out, g.spare()...)
+	if g.fullest() > trimAbove {
+		out = append(out, g.trim()...)
 	}
-	return append(out, g.spare()...)
+	return out
 }
 
 // order records an order in the group's view.
@@ -186,6 +210,9 @@
 
 // fill gives holes to targets that hold nothing.
 func (g group) fill(hs []topo.Layers) []Order {
+	if g.missing() == g.m.Layers {
+		return g.first()
+	}
 	var empty []int
 	for i, t := range g.targets {
 		if !t.Busy && t.Next.Len() == 0 {
@@ -197,6 +224,11 @@
 		missing += h.Len()
 	}
 	chosen, counts := g.counts(empty, missing)
+	return g.assign(hs, chosen, counts)
+}
+
+// assign gives the chosen targets their counts of layers, one after another.
+func (g group) assign(hs []topo.Layers, chosen, counts []int) []Order {
 	var out []Order
 	next := 0
 	for _, h := range hs {
@@ -256,11 +288,12 @@
 
 // takeOver closes holes with targets that hold layers already: those whose
 // range ends at the hole hold more, or a target that others stand in for
-// moves there.
+// moves there. If there is none, the neighbours of a target take its layers
+// over first, so that it can move.
 func (g group) takeOver() []Order {
 	var out []Order
 	for _, h := range holes(g.cover()) {
-		if grown := g.grow(h, easyRoom); grown != nil {
+		if grown := g.grow(h, keepRoom); grown != nil {
 			out = append(out, grown...)
 			continue
 		}
@@ -268,11 +301,83 @@
 			out = append(out, moved...)
 			continue
 		}
-		out = append(out, g.grow(h, keepRoom)...)
+		if g.releasing() {
+			continue
+		}
+		out = append(out, g.release(h)...)
 	}
 	return out
 }
 
+// releasing reports whether neighbours are taking over the layers of a target
+// that can move then.
+func (g group) releasing() bool {
+	cover, solid := g.cover(), g.solid()
+	for _, t := range g.targets {
+		if !t.Busy && t.Next.Len() > 0 && slices.Min(cover[t.Next.From:t.Next.To]) > 1 && slices.Min(solid[t.Next.From:t.Next.To]) < 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// release lets the neighbours of one target take over its layers. It picks the
+// target that can take most of the hole and leaves its neighbours most room.
+func (g group) release(h topo.Layers) []Order {
+	best, bestTakes, bestRoom := -1, 0, 0.0
+	for i, t := range g.targets {
+		takes := min(h.Len(), g.mostOf(t, easyRoom))
+		if t.Busy || t.Next.Len() == 0 || takes < bestTakes {
+			continue
+		}
+		trial := group{g.m, slices.Clone(g.targets)}
+		trial.targets[i].Next, trial.targets[i].Busy = topo.Layers{}, true
+		grown := trial.grow(t.Next, easyRoom)
+		if grown == nil {
+			continue
+		}
+		room := trial.leastRoom()
+		if takes > bestTakes || room > bestRoom {
+			best, bestTakes, bestRoom = i, takes, room
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	// The target keeps its layers until the neighbours hold them.
+	old := g.targets[best]
+	g.targets[best].Next, g.targets[best].Busy = topo.Layers{}, true
+	out := g.grow(old.Next, easyRoom)
+	g.targets[best].Next = old.Next
+	for i := range out {
+		out[i].Why = "release"
+	}
+	return out
+}
+
+// leastRoom is the room for requests of the layer that has least of it.
+func (g group) leastRoom() float64 {
+	room := g.roomOf()
+	least := room[0]
+	for i, r := range room {
+		if g.cover()[i] > 0 && (r < least || least == 0) {
+			least = r
+		}
+	}
+	return least
+}
+
+// roomOf is the room for requests of each layer.
+func (g group) roomOf() []float64 {
+	room := make([]float64, g.m.Layers)
+	for k, t := range g.targets {
+		for l := t.Next.From; l < t.Next.To; l++ {
+			room[l] += g.density(k, t.Next.Len())
+		}
+	}
+	return room
+}
+
 // grow lets the targets on both sides of a hole take it over layer by layer,
 // each time the one with more room left. It returns nil if they can't close
 // the hole.
@@ -347,7 +452,7 @@
 // redundant returns the target that can leave its layers without a new hole
 // and takes most of h, or -1.
 func (g group) redundant(h topo.Layers) int {
-	cover := g.cover()
+	cover := g.solid()
 	best := -1
 	for i, t := range g.targets {
 		if t.Busy || t.Next.Len() == 0 || slices.Min(cover[t.Next.From:t.Next.To]) < 2 {
@@ -372,19 +477,13 @@
 		if t.Busy || t.Next.Len() > 0 {
 			continue
 		}
-		room := make([]float64, g.m.Layers)
-		for k, o := range g.targets {
-			for l := o.Next.From; l < o.Next.To; l++ {
-				room[l] += g.density(k, o.Next.Len())
-			}
-		}
-		out = append(out, g.order(i, leastRoom(room, min(g.fair(t), g.m.Layers)), "spare"))
+		out = append(out, g.order(i, poorest(g.need(), min(g.spareLayers(t), g.m.Layers)), "spare"))
 	}
 	return out
 }
 
-// leastRoom returns the n layers with the least room together.
-func leastRoom(room []float64, n int) topo.Layers {
+// poorest returns the n layers with the least room together.
+func poorest(room []float64, n int) topo.Layers {
 	sum := 0.0
 	for _, r := range room[:n] {
 		sum += r
--- /dev/null
+++ b/internal/place/spare.go
@@ -0,0 +1,83 @@
+package place
+
+import "shallotcourse/internal/topo"
+
+// onceFactor makes the room of a layer that one target alone holds count for
+// less when a place for a spare target is looked for.
+const onceFactor = 0.5
+
+// spareLayers is the number of layers of a target that stands in for others.
+func (g group) spareLayers(t Target) int { return max(1, g.mostOf(t, easyRoom)) }
+
+// need is the room for requests of each layer, less where one target alone
+// holds it.
+func (g group) need() []float64 {
+	room, cover := g.roomOf(), g.cover()
+	for i := range room {
+		if cover[i] < 2 {
+			room[i] *= onceFactor
+		}
+	}
+	return room
+}
+
+// fullest is the share of the room in use at the layer that has least left.
+func (g group) fullest() float64 {
+	used := make([]float64, g.m.Layers)
+	for _, t := range g.targets {
+		for l := t.Next.From; l < t.Next.To; l++ {
+			used[l] += t.UsedMegabytes / float64(t.Next.Len())
+		}
+	}
+	most := 0.0
+	for l, r := range g.roomOf() {
+		if r > 0 {
+			most = max(most, used[l]/r)
+		}
+	}
+	return most
+}
+
+// trim lets one target give up layers that others hold too, so that the layer
+// with the least room left gets more.
+func (g group) trim() []Order {
+	room := g.roomOf()
+	poor, least := 0, room[0]
+	for l, r := range room {
+		if r < least {
+			poor, least = l, r
+		}
+	}
+	best, grown, gain := -1, topo.Layers{}, 0.0
+	for i, t := range g.targets {
+		if t.Busy || t.Next.From > poor || t.Next.To <= poor {
+			continue
+		}
+		l := t.Next
+		for l.From < poor && g.backed(i, l.From) {
+			l.From++
+		}
+		for l.To-1 > poor && g.backed(i, l.To-1) {
+			l.To--
+		}
+		more := g.density(i, l.Len()) - g.density(i, t.Next.Len())
+		if t.Next.Len()-l.Len() >= leastTrim && (best < 0 || more > gain) {
+			best, grown, gain = i, l, more
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return []Order{g.order(best, grown, "trim")}
+}
+
+// backed reports whether a target that is no slower holds a layer too.
+func (g group) backed(i, layer int) bool {
+	for k, t := range g.targets {
+		holds := t.Next.From <= layer && layer < t.Next.To && t.Held.From <= layer && layer < t.Held.To
+		if k != i && holds && g.m.Cards[t.Card].Pace <= g.m.Cards[g.targets[i].Card].Pace {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -88,6 +88,13 @@
 		// Step is the time of one token step through all layers on a card of
 		// pace 1, and StepPerRequest what each request in the batch adds.
 		Step, StepPerRequest time.Duration
+		// StepPerThousand is what each thousand tokens of context of those
+		// requests add.
+		StepPerThousand time.Duration
+		// Stride is the number of steps that a target runs at once.
+		Stride int
+		// Chunk bounds the tokens of a step, prompts and answers together.
+		Chunk int
 		// ReadPerSecond is the rate of prompt tokens through all layers.
 		ReadPerSecond float64
 		// Load is the time to load all layers alone.
@@ -166,6 +173,18 @@
 	return t
 }
 
+// StepOf is the time of a step through all layers on a card of pace 1 while n
+// requests of usual size write.
+func (m *Model) StepOf(n float64) time.Duration {
+	thousands := (float64(m.UsualPrompt) + float64(m.UsualAnswer)/2) / 1000
+	return m.Step + time.Duration(n*(float64(m.StepPerRequest)+thousands*float64(m.StepPerThousand)))
+}
+
+// UsualMegabytes is the memory of a request of usual size in one layer.
+func (m *Model) UsualMegabytes() float64 {
+	return float64(m.UsualPrompt+m.UsualAnswer) * m.TokenMegabytes
+}
+
 // RoomMegabytes is the memory that a card has for requests beside n layers.
 func (m *Model) RoomMegabytes(card string, n int) float64 {
 	return m.Cards[card].Megabytes - float64(n)*m.LayerMegabytes
