chain: keep chains in one data centre, refuse before prompts queue

Cause: with one data centre short of a range, prompts crossed the pipes between data centres twice (16 ms of the pipe for each, 30 a second), and all chains became late; a chain that is full of writers was still given prompts. Change: a chain crosses only where no data centre holds all layers, and a chain whose slowest stage has no time left for prompts counts as overloaded.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -3,6 +3,7 @@
 package chain
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -23,6 +24,14 @@
 	// hopDelay is the time that a token takes between two targets of one data
 	// centre.
 	hopDelay = 200 * time.Microsecond
+	// readLimit is the share of the slowest stage's time up to which new prompts
+	// are sent to a chain; near 1 the time to the first token has no bound.
+	readLimit = 0.92
+	// maxDetours bounds the searches that leave out an overloaded target.
+	maxDetours = 4
+	// enterCross is what a first target in another data centre costs; only the
+	// request and its events cross then.
+	enterCross = 2 * time.Millisecond
 )
 
 type (
@@ -55,6 +64,9 @@
 		Tokens int
 		// DataCentre is where the entry stands.
 		DataCentre string
+		// After is where the target before the asked layers stands; empty if
+		// they are the first.
+		After string
 		// Cross is what a hop between data centres costs, on top of its delay.
 		Cross time.Duration
 		// Layers is the range to cover.
@@ -65,6 +77,12 @@
 		Forced bool
 	}
 
+	// found is a chain with its cost.
+	found struct {
+		hops []Hop
+		cost time.Duration
+	}
+
 	// state is the cheapest way to a layer that ends in one target.
 	state struct {
 		cost time.Duration
@@ -77,24 +95,68 @@
 	}
 )
 
-// Choose returns the cheapest chain that covers the asked layers. A NoTarget
-// failure says that some layer is held by no target, Overloaded that the
-// targets that hold it have no memory left.
+// Choose returns the cheapest chain that covers the asked layers. A chain stays
+// in one data centre where one holds all layers, since prompts would fill the
+// pipes between them. A NoTarget failure says that some layer is held by no
+// target, Overloaded that the targets that hold it have no memory or time left.
 func Choose(m *topo.Model, candidates []Candidate, ask Ask) ([]Hop, error) {
 	usable := make([]Candidate, 0, len(candidates))
+	byDC := map[string][]Candidate{}
 	for _, c := range candidates {
 		if c.State == topo.Ready && c.Held.Len() > 0 && !ask.Used[c.ID] {
 			usable = append(usable, c)
+			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
 		}
 	}
 	if hole := uncovered(usable, ask.Layers); hole.Len() > 0 {
 		return nil, fault.Newf(fault.NoTarget, "no target holds layers %d to %d", hole.From, hole.To)
 	}
-	hops := search(m, usable, ask)
-	if hops == nil {
-		return nil, fault.New(fault.Overloaded, "the targets have no memory for the request")
+	var best *found
+	whole := false
+	for _, dc := range slices.Sorted(maps.Keys(byDC)) {
+		if uncovered(byDC[dc], ask.Layers).Len() > 0 {
+			continue
+		}
+		whole = true
+		if f := detour(m, byDC[dc], ask); f != nil && (best == nil || f.cost < best.cost) {
+			best = f
+		}
+	}
+	if !whole {
+		best = detour(m, usable, ask)
 	}
-	return hops, nil
+	if best == nil {
+		return nil, fault.New(fault.Overloaded, "the targets have no memory or time for the request")
+	}
+	return best.hops, nil
+}
+
+// detour returns the cheapest chain of some targets that does not pass through
+// an overloaded one.
+func detour(m *topo.Model, usable []Candidate, ask Ask) *found {
+	for range maxDetours {
+		f := search(m, usable, ask)
+		if f == nil {
+			return nil
+		}
+		slow, busy := overloaded(m, f.hops, usable)
+		if ask.Forced || !busy {
+			return f
+		}
+		usable = slices.DeleteFunc(slices.Clone(usable), func(c Candidate) bool { return c.ID == slow.Target.ID })
+	}
+	return nil
+}
+
+// overloaded reports whether prompts would queue at the slowest stage.
+func overloaded(m *topo.Model, hops []Hop, cs []Candidate) (Hop, bool) {
+	byID := make(map[string]*Candidate, len(cs))
+	for i := range cs {
+		byID[cs[i].ID] = &cs[i]
+	}
+	stages, n := stagesOf(hops, byID)
+	_, reading := Throughput(m, stages, n)
+	return slowestOf(m, hops, byID), reading > readLimit
 }
 
 // Uncovered returns the first range of layers that no target holds.
@@ -123,7 +185,7 @@
 // search walks the layers at which ranges begin or end. At each it keeps the
 // cheapest way per last target, since the next hop depends on where that one
 // stands.
-func search(m *topo.Model, cs []Candidate, ask Ask) []Hop {
+func search(m *topo.Model, cs []Candidate, ask Ask) *found {
 	cuts := cutPoints(cs, ask.Layers)
 	// ways[i][c] is the cheapest way to cuts[i] that ends in candidate c.
 	ways := make([]map[int]state, len(cuts))
@@ -201,17 +263,16 @@
 	return false
 }
 
-// crossing is the cost of the step from one target to the next. The first
-// target costs as much as its distance from the entry.
+// crossing is the cost of the step from one target to the next, or from the
+// entry to the first.
 func crossing(cs []Candidate, ask Ask, from, to int) time.Duration {
-	dc := ask.DataCentre
-	if from >= 0 {
-		dc = cs[from].DataCentre
-	}
-	if dc == cs[to].DataCentre || dc == "" {
-		return hopDelay
+	switch {
+	case from >= 0 && cs[from].DataCentre != cs[to].DataCentre, from < 0 && ask.After != "" && ask.After != cs[to].DataCentre:
+		return hopDelay + ask.Cross
+	case from < 0 && ask.After == "" && ask.DataCentre != cs[to].DataCentre:
+		return hopDelay + enterCross
 	}
-	return hopDelay + ask.Cross
+	return hopDelay
 }
 
 // hopTime is the time of one token in n layers of a target, weighted by how
@@ -230,8 +291,7 @@
 	if pace <= 0 {
 		pace = 1
 	}
-	step := float64(m.Step) + float64(m.StepPerRequest)*float64(t.Load.Running)
-	base := step * pace * max(1, t.Slow) * float64(n) / float64(m.Layers)
+	base := float64(m.StepOf(float64(t.Load.Running))) * pace * max(1, t.Slow) * float64(n) / float64(m.Layers)
 	return time.Duration(base * (1 + busyWeight*math.Pow(min(fill, 4), 2))), true
 }
 
@@ -248,7 +308,7 @@
 	return slices.Compact(cuts)
 }
 
-func walkBack(cs []Candidate, cuts []int, ways []map[int]state) []Hop {
+func walkBack(cs []Candidate, cuts []int, ways []map[int]state) *found {
 	end := cheapestOf(ways[len(cuts)-1])
 	if end == nil {
 		return nil
@@ -260,7 +320,7 @@
 		to, w = w.from, ways[w.from][w.prev]
 	}
 	slices.Reverse(hops)
-	return hops
+	return &found{hops, end.cost}
 }
 
 func cheapestOf(ways map[int]state) *state {
--- /dev/null
+++ b/internal/chain/model.go
@@ -0,0 +1,65 @@
+package chain
+
+import (
+	"time"
+
+	"shallotcourse/internal/topo"
+)
+
+// Stage is the part of a chain that one target runs.
+type Stage struct {
+	Card   string
+	Layers int
+	// Slow multiplies the target's time; 0 counts as 1.
+	Slow float64
+}
+
+// Throughput estimates a chain in which n requests of usual size write: the
+// requests per second that it finishes, and the share of the time of its
+// slowest stage that reading their prompts takes. Prompts get what the writers
+// leave of a step's tokens; from a share of 1 on they queue without end.
+func Throughput(m *topo.Model, stages []Stage, n float64) (rate, reading float64) {
+	sum, slowest, read := 0.0, 0.0, 0.0
+	for _, s := range stages {
+		card := m.Cards[s.Card]
+		share := float64(s.Layers) / float64(max(1, m.Layers)) * max(1, s.Slow)
+		sum += card.Pace * share
+		slowest = max(slowest, card.Pace*share)
+		read = max(read, card.ReadPace*share)
+	}
+	stride := float64(max(1, m.Stride))
+	step := m.StepOf(n).Seconds() * stride
+	round := step*sum + hopDelay.Seconds()*float64(len(stages))
+	rate = n / max(round*float64(m.UsualAnswer)/stride, time.Microsecond.Seconds())
+	if m.Chunk <= 0 || m.ReadPerSecond <= 0 {
+		return rate, 0
+	}
+	tokens := max(1, float64(m.Chunk)-n)
+	pass := step*slowest + tokens*read/m.ReadPerSecond
+	return rate, rate * float64(m.UsualPrompt) * pass / tokens
+}
+
+// stagesOf returns the stages of a chain and the number of requests that pass
+// through its busiest target, the new one included.
+func stagesOf(hops []Hop, byID map[string]*Candidate) ([]Stage, float64) {
+	stages := make([]Stage, len(hops))
+	running := 0
+	for i, h := range hops {
+		c := byID[h.Target.ID]
+		stages[i] = Stage{Card: c.Card, Layers: h.Layers.Len(), Slow: c.Slow}
+		running = max(running, c.Load.Running)
+	}
+	return stages, float64(running + 1)
+}
+
+// slowestOf returns the hop whose stage takes longest.
+func slowestOf(m *topo.Model, hops []Hop, byID map[string]*Candidate) Hop {
+	best, most := hops[0], 0.0
+	for _, h := range hops {
+		c := byID[h.Target.ID]
+		if t := m.Cards[c.Card].Pace * float64(h.Layers.Len()) * max(1, c.Slow); t > most {
+			best, most = h, t
+		}
+	}
+	return best
+}
