proxy, plan, limit: recover streams without moving prompts between data centres

Cause: after the loss of a target all its streams took a new path through another data centre, which read all their tokens across the pipes; doubts ran out and dead targets were tried again; retry budgets were split into equal parts although one data centre's entries need most; a gateway in its stop was killed at the end of its time. Ruled out: doubting a target for one broken stream; answers that are lost or garbled come from live targets, so it is asked for a report first. Change: a stream resumes in another data centre where the path has no substitute in its own; the planner looks at doubted targets until they report and names the dead to all; repeats are counted over all entries; the stop closes at once.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -59,9 +59,9 @@
 	// leaveLimit bounds the calls to the store at a stop.
 	leaveLimit = 500 * time.Millisecond
 	// crossCost is what a hop between data centres counts when paths are
-	// compared: several tokens' time, so that paths leave a data centre for
-	// relief and repair only.
-	crossCost = 20 * time.Millisecond
+	// compared: some tokens' time, since a prompt holds up the pipe between
+	// data centres for about as long. Paths cross for relief and repair only.
+	crossCost = 60 * time.Millisecond
 	// gatewayBodyBytes bounds a body where the configuration sets no bound.
 	gatewayBodyBytes = 4 << 20
 )
@@ -121,8 +121,7 @@
 	g := newGateway(file, settings, lines)
 	_ = level.Info(g.logger).Log("event", "Start", "incarnation", g.incarnation, "dataCentre", settings.DataCentre,
 		"store", settings.Store, "firstStart", settings.FirstStart)
-	defer g.shutdown()
-	defer g.links.Stop()
+	defer g.close()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -156,13 +155,15 @@
 	engines := platform.Engines{Client: client}
 	handlers := &lateHandlers{}
 	g.links = d.links(linkSettings{times: settings.Links, hello: g.hello, handler: handlers})
+	bounds := limit.RepeatBounds{Window: settings.Repeats.Window.Duration, Ratio: settings.Repeats.Ratio, Slack: settings.Repeats.Slack}
+	repeats := limit.NewRepeats(d.clock, bounds, func() int { return int(g.gateways.Load()) })
 	g.peers = peers.New(peers.Options{
 		Links: g.links, Clock: d.clock, Steady: bootTime, Log: d.logger, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
+		Repeats: repeats,
 	})
 	handlers.set(g.peers)
 	self := peers.Member{Instance: settings.Instance, Address: settings.Advertise, DataCentre: settings.DataCentre}
 	g.members = peers.NewMembers(self, g.store, g.links, d.clock, d.logger, func(n int) { g.gateways.Store(int64(n)) })
-	bounds := limit.RepeatBounds{Window: settings.Repeats.Window.Duration, Ratio: settings.Repeats.Ratio, Slack: settings.Repeats.Slack}
 	g.server = proxy.New(proxy.Options{
 		Settings: proxy.Settings{
 			Instance: settings.Instance, DataCentre: settings.DataCentre, BodyBytes: gatewayBodyBytes,
@@ -170,7 +171,7 @@
 			StallLimit: settings.StallLimit.Duration, CrossCost: crossCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
-		Repeats: limit.NewRepeats(d.clock, bounds, func() int { return int(g.gateways.Load()) }),
+		Repeats: repeats,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
@@ -284,5 +285,17 @@
 	}
 }
 
+// close ends what is left at once: callers were told to go elsewhere, and the
+// platform kills the process when its time is over.
+func (g *gatewayDaemon) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		// Its connections are all idle or cut.
+		_ = s.Close()
+	}
+	_ = level.Info(g.logger).Log("event", "Stopped", "open", g.server.Open())
+}
+
 // drainPoll is the pause between two looks at the open requests of a stop.
 const drainPoll = 50 * time.Millisecond
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -49,8 +49,6 @@
 		// The fields below belong to the section's writers and are guarded by
 		// its lock.
 		listed map[string]topo.Target
-		// seen is when an entry last changed.
-		seen map[string]time.Duration
 		// lapsed holds entries that vanished around an outage, with the time
 		// at which they are taken as gone.
 		lapsed map[string]time.Duration
@@ -69,7 +67,7 @@
 func NewFleets(source Source, clock timer.Service, steady Clock, logger log.Logger) *Fleets {
 	return &Fleets{
 		source: source, clock: clock, steady: steady, log: logger, section: board.New(Fleet{}),
-		listed: map[string]topo.Target{}, seen: map[string]time.Duration{}, lapsed: map[string]time.Duration{},
+		listed: map[string]topo.Target{}, lapsed: map[string]time.Duration{},
 		overlays: map[string]overlay{},
 	}
 }
@@ -132,18 +130,6 @@
 	})
 }
 
-// Silent returns how long a target's entry has not changed.
-func (f *Fleets) Silent(id string) time.Duration {
-	silent := time.Hour
-	f.section.Update(func(v Fleet) (Fleet, bool) {
-		if at, ok := f.seen[id]; ok {
-			silent = f.steady() - at
-		}
-		return v, false
-	})
-	return silent
-}
-
 func (f *Fleets) apply(page TargetPage, asked time.Duration) {
 	for _, m := range page.Malformed {
 		_ = level.Error(f.log).Log("event", "TargetMalformed", "err", m)
@@ -169,7 +155,7 @@
 			f.remove(id, now)
 		}
 		for _, t := range page.Targets {
-			f.put(t, now)
+			f.put(t)
 		}
 		for id, due := range f.lapsed {
 			if now >= due {
@@ -181,7 +167,7 @@
 	})
 }
 
-func (f *Fleets) put(t topo.Target, now time.Duration) {
+func (f *Fleets) put(t topo.Target) {
 	old, known := f.listed[t.ID]
 	switch {
 	case !known:
@@ -192,7 +178,6 @@
 			"from", t.Held.From, "to", t.Held.To)
 	}
 	f.listed[t.ID] = t
-	f.seen[t.ID] = now
 	delete(f.lapsed, t.ID)
 }
 
@@ -215,7 +200,6 @@
 
 func (f *Fleets) forget(id string) {
 	delete(f.listed, id)
-	delete(f.seen, id)
 	delete(f.lapsed, id)
 	delete(f.overlays, id)
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -50,6 +50,8 @@
 		own    map[string]Use
 		peers  map[string]peer
 		doubts map[string]doubt
+		// dead holds the targets that the planner has found dead.
+		dead map[string]doubt
 		// changed is closed and replaced when a new doubt is entered.
 		changed chan struct{}
 	}
@@ -79,7 +81,7 @@
 // New returns an empty ledger.
 func New(clock timer.Service) *Ledger {
 	return &Ledger{
-		clock: clock, own: map[string]Use{}, peers: map[string]peer{}, doubts: map[string]doubt{},
+		clock: clock, own: map[string]Use{}, peers: map[string]peer{}, doubts: map[string]doubt{}, dead: map[string]doubt{},
 		changed: make(chan struct{}),
 	}
 }
@@ -210,8 +212,35 @@
 func (l *Ledger) Doubted(t topo.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock.Now()
 	d, ok := l.doubts[t.ID]
-	return ok && d.born == t.Born && l.clock.Now().Before(d.until)
+	if ok && d.born == t.Born && now.Before(d.until) {
+		return true
+	}
+	d, ok = l.dead[t.ID]
+	return ok && d.born == t.Born && now.Before(d.until)
+}
+
+// HearDead enters the targets that the planner has found dead.
+func (l *Ledger) HearDead(dead []Doubt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	changed := false
+	for _, h := range dead {
+		d := l.dead[h.ID]
+		changed = changed || d.born != h.Born || now.After(d.until)
+		l.dead[h.ID] = doubt{born: h.Born, until: now.Add(h.Left)}
+	}
+	for id, d := range l.dead {
+		if now.Sub(d.until) > forgive {
+			delete(l.dead, id)
+		}
+	}
+	if changed {
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
 }
 
 // Doubts returns the targets that are avoided.
--- a/internal/limit/repeat.go
+++ b/internal/limit/repeat.go
@@ -11,10 +11,15 @@
 	// repeatParts divides the window of Repeats; counts leave it one part at a
 	// time.
 	repeatParts = 10
-	// repeatShare is the part of the allowance that entries use together. The
-	// rest covers entries that start anew and repeats of the last moments that
-	// other entries count later.
+	// repeatShare is the part of the allowance that entries use. The rest
+	// covers entries that start anew, and repeats that the others do not know
+	// of yet.
 	repeatShare = 0.8
+	// repeatLag is the time in which entries hear of one another's repeats,
+	// with one report lost.
+	repeatLag = 500 * time.Millisecond
+	// repeatSilence is how long the counts of another entry hold.
+	repeatSilence = 2 * time.Second
 )
 
 type (
@@ -28,8 +33,14 @@
 		Slack int
 	}
 
-	// Repeats bounds the requests of each service that this entry sends to a
-	// target more than once. The slack is shared by the number of entries.
+	// RepeatCount is what an entry has counted within the window.
+	RepeatCount struct{ Requests, Repeats int }
+
+	// Repeats bounds the requests of each service that are sent to a target
+	// more than once. Entries tell one another their counts; what is left is
+	// divided among them anew in each repeatLag, so that all together stay
+	// within it although they hear late. An entry that does not hear the
+	// others keeps to its equal part.
 	Repeats struct {
 		clock   timer.Service
 		bounds  RepeatBounds
@@ -39,6 +50,7 @@
 
 		mu       sync.Mutex
 		services map[string]*repeatWindow
+		others   map[string]otherCount
 	}
 
 	repeatWindow struct {
@@ -46,12 +58,23 @@
 		part     int64
 		requests [repeatParts]int
 		repeats  [repeatParts]int
+		// lag is the index of the newest repeatLag, and taken the repeats in it.
+		lag   int64
+		taken int
+	}
+
+	otherCount struct {
+		at     time.Time
+		counts map[string]RepeatCount
 	}
 )
 
 // NewRepeats returns a bound. Entries returns how many entries share it.
 func NewRepeats(clock timer.Service, b RepeatBounds, entries func() int) *Repeats {
-	return &Repeats{clock: clock, bounds: b, entries: entries, start: clock.Now(), services: map[string]*repeatWindow{}}
+	return &Repeats{
+		clock: clock, bounds: b, entries: entries, start: clock.Now(), services: map[string]*repeatWindow{},
+		others: map[string]otherCount{},
+	}
 }
 
 // Request counts a request of a caller.
@@ -62,31 +85,83 @@
 	w.requests[w.part%repeatParts]++
 }
 
+// Own returns the counts of this entry, for the others.
+func (r *Repeats) Own() map[string]RepeatCount {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]RepeatCount, len(r.services))
+	for name := range r.services {
+		out[name] = r.window(name).count()
+	}
+	return out
+}
+
+// Hear replaces the counts of another entry.
+func (r *Repeats) Hear(instance string, counts map[string]RepeatCount) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.others[instance] = otherCount{r.clock.Now(), counts}
+}
+
 // Take counts a repeat and reports whether it is allowed.
 func (r *Repeats) Take(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	requests, repeats := 0, 0
-	for i := range w.requests {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
+	own := w.count()
+	entries := max(1, r.entries())
+	part := repeatShare * (r.bounds.Ratio*float64(own.Requests) + float64(r.bounds.Slack)/float64(entries))
+	allowed := float64(own.Repeats+1) <= part
+	if sum, all := r.sum(service, own, entries); all {
+		left := repeatShare*(r.bounds.Ratio*float64(sum.Requests)+float64(r.bounds.Slack)) - float64(sum.Repeats-w.taken)
+		allowed = float64(w.taken+1) <= max(1, left/float64(2*entries)) && left >= 1
 	}
-	allowed := repeatShare * (r.bounds.Ratio*float64(requests) + float64(r.bounds.Slack)/float64(max(1, r.entries())))
-	if float64(repeats+1) > allowed {
+	if !allowed {
 		return false
 	}
 	w.repeats[w.part%repeatParts]++
+	w.taken++
 	return true
 }
 
+// sum adds the counts of the others, and reports whether all were heard.
+func (r *Repeats) sum(service string, own RepeatCount, entries int) (RepeatCount, bool) {
+	heard := 1
+	now := r.clock.Now()
+	for instance, o := range r.others {
+		if now.Sub(o.at) > r.bounds.Window {
+			delete(r.others, instance)
+			continue
+		}
+		own.Requests += o.counts[service].Requests
+		own.Repeats += o.counts[service].Repeats
+		if now.Sub(o.at) <= repeatSilence {
+			heard++
+		}
+	}
+	return own, heard >= entries
+}
+
+func (w *repeatWindow) count() RepeatCount {
+	var c RepeatCount
+	for i := range w.requests {
+		c.Requests += w.requests[i]
+		c.Repeats += w.repeats[i]
+	}
+	return c
+}
+
 func (r *Repeats) window(service string) *repeatWindow {
 	w := r.services[service]
 	if w == nil {
 		w = &repeatWindow{}
 		r.services[service] = w
 	}
-	part := int64(r.clock.Now().Sub(r.start)/max(1, r.bounds.Window/repeatParts)) + 1
+	since := r.clock.Now().Sub(r.start)
+	if lag := int64(since / repeatLag); lag != w.lag {
+		w.lag, w.taken = lag, 0
+	}
+	part := int64(since/max(1, r.bounds.Window/repeatParts)) + 1
 	for steps := 0; w.part < part && steps < repeatParts; steps++ {
 		w.part++
 		if steps == 0 && part-w.part >= repeatParts {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,7 @@
 
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
@@ -43,6 +44,7 @@
 		Configs *follow.Configs
 		Fleets  *follow.Fleets
 		Ledger  *ledger.Ledger
+		Repeats *limit.Repeats
 	}
 
 	// Peers exchanges messages with the other gateways. It is a link.Handler.
@@ -57,6 +59,7 @@
 		term uint64
 		// targets are told with the next pulses.
 		targets []topo.Target
+		deaths  []ledger.Doubt
 		// heard is the newest lease that another gateway plans under, and when
 		// it said so last.
 		heard   uint64
@@ -82,11 +85,12 @@
 	}
 }
 
-// Plans sets the lease that this gateway plans under and what targets told it.
-func (p *Peers) Plans(term uint64, targets []topo.Target) {
+// Plans sets the lease that this gateway plans under, what targets told it and
+// which of them are dead.
+func (p *Peers) Plans(term uint64, targets []topo.Target, deaths []ledger.Doubt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.term, p.targets = term, targets
+	p.term, p.targets, p.deaths = term, targets, deaths
 }
 
 // Planner returns the newest lease that another gateway plans under and the
@@ -108,9 +112,16 @@
 	for _, d := range p.Ledger.Doubts() {
 		out.Doubts = append(out.Doubts, wire.Doubt(d))
 	}
+	out.Repeats = map[string]wire.RepeatCount{}
+	for service, c := range p.Repeats.Own() {
+		out.Repeats[service] = wire.RepeatCount(c)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out.Term, out.Targets = p.term, p.targets
+	for _, d := range p.deaths {
+		out.Dead = append(out.Dead, wire.Doubt(d))
+	}
 	return out
 }
 
@@ -173,6 +184,11 @@
 		use[id] = ledger.Use(u)
 	}
 	p.Ledger.Hear(instance, use)
+	counts := make(map[string]limit.RepeatCount, len(m.Repeats))
+	for service, c := range m.Repeats {
+		counts[service] = limit.RepeatCount(c)
+	}
+	p.Repeats.Hear(instance, counts)
 	for _, d := range m.Doubts {
 		if p.Ledger.HearDoubt(ledger.Doubt(d)) {
 			_ = level.Info(p.Log).Log("event", "TargetDoubted", "target", d.ID, "from", instance, "left", d.Left)
@@ -184,6 +200,11 @@
 	if m.Term == 0 {
 		return
 	}
+	dead := make([]ledger.Doubt, len(m.Dead))
+	for i, d := range m.Dead {
+		dead[i] = ledger.Doubt(d)
+	}
+	p.Ledger.HearDead(dead)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m.Term >= p.heard {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -31,9 +31,16 @@
 	settle = 1200 * time.Millisecond
 	// settleMost bounds the wait for settle.
 	settleMost = 6 * time.Second
-	// deadAfter is the silence after which a target that fails counts as dead:
-	// two heartbeats.
-	deadAfter = 2500 * time.Millisecond
+	// deadLooks is the number of reports in a row that a doubted target must
+	// fail to give before its layers are placed elsewhere.
+	deadLooks = 2
+	// lookEvery is the interval between reports of a doubted target, lookLimit
+	// the bound of one.
+	lookEvery = 300 * time.Millisecond
+	lookLimit = 250 * time.Millisecond
+	// deadLife is how long the gateways avoid a dead target after the planner
+	// has last named it.
+	deadLife = time.Second
 	// orderLimit bounds one order, reportLimit one report.
 	orderLimit  = time.Second
 	reportLimit = 500 * time.Millisecond
@@ -83,6 +90,8 @@
 		mu sync.Mutex
 		// orders holds what was ordered and is not seen done.
 		orders map[string]order
+		// looks holds the doubted targets that are asked for reports.
+		looks map[string]looks
 		// told holds what targets said, for the other gateways.
 		told map[string]told
 		// history explains the placement to operators.
@@ -96,6 +105,14 @@
 		accepted bool
 	}
 
+	// looks is what came of asking a doubted target for reports.
+	looks struct {
+		born int64
+		// failed counts the reports in a row that it did not give.
+		failed int
+		last   time.Duration
+	}
+
 	told struct {
 		target topo.Target
 		until  time.Duration
@@ -112,7 +129,7 @@
 // New returns a planner; Run starts it.
 func New(o Options) *Planner {
 	return &Planner{
-		Options: o, orders: map[string]order{}, told: map[string]told{}, history: map[string]Placement{},
+		Options: o, orders: map[string]order{}, told: map[string]told{}, looks: map[string]looks{}, history: map[string]Placement{},
 		delay: rand.N(claimSpread),
 		lease: lease{source: o.Source, steady: o.Steady, log: o.Log, instance: o.Instance, incarnation: o.Incarnation},
 	}
@@ -157,9 +174,12 @@
 		return
 	}
 	planning := p.lease.hold(ctx, heard, ago)
-	p.Peers.Plans(p.lease.term, p.telling())
+	deaths := p.deaths()
+	p.Ledger.HearDead(deaths)
+	p.Peers.Plans(p.lease.term, p.telling(), deaths)
 	if !planning {
 		p.settled = false
+		p.forget()
 		return
 	}
 	for _, s := range config.Services() {
@@ -169,9 +189,17 @@
 	}
 }
 
+// forget drops what only a planner keeps up to date.
+func (p *Planner) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.orders)
+	clear(p.looks)
+}
+
 // service plans the targets of one model.
 func (p *Planner) service(ctx context.Context, s topo.Service) {
-	targets, busy := p.view(s)
+	targets, busy := p.view(ctx, s)
 	p.follow(ctx, targets)
 	if !p.ready(targets) {
 		return
@@ -187,17 +215,20 @@
 
 // view returns the targets that count for the placement, and the number of
 // loads in progress.
-func (p *Planner) view(s topo.Service) ([]place.Target, int) {
+func (p *Planner) view(ctx context.Context, s topo.Service) ([]place.Target, int) {
 	now := p.Steady()
 	var out []place.Target
 	busy := 0
+	loads := p.Ledger.Loads()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.Fleets.Section().Value().Of(s.Name) {
-		if t.State != topo.Ready || p.Ledger.Doubted(t) && p.Fleets.Silent(t.ID) > deadAfter {
+		if t.State != topo.Ready || p.dead(ctx, t) {
 			continue
 		}
-		v := place.Target{Target: t, Next: t.Held, Busy: t.Loading}
+		v := place.Target{
+			Target: t, Next: t.Held, Busy: t.Loading, UsedMegabytes: loads[t.ID].TokenLayers * s.Model.TokenMegabytes,
+		}
 		if o, ok := p.orders[t.ID]; ok {
 			switch {
 			case o.born != t.Born || now > o.until:
@@ -214,6 +245,69 @@
 	return out, busy
 }
 
+// dead reports whether a doubted target gives no reports. It is asked until it
+// gives one or leaves the list, so that it stays dead when doubts run out. The
+// caller holds the lock.
+func (p *Planner) dead(ctx context.Context, t topo.Target) bool {
+	now := p.Steady()
+	l, known := p.looks[t.ID]
+	if known && l.born != t.Born {
+		delete(p.looks, t.ID)
+		l, known = looks{}, false
+	}
+	if !known && !p.Ledger.Doubted(t) {
+		return false
+	}
+	if !known || now-l.last >= lookEvery {
+		l.born, l.last = t.Born, now
+		p.looks[t.ID] = l
+		go p.lookAtDoubted(ctx, t)
+	}
+	return l.failed >= deadLooks
+}
+
+func (p *Planner) lookAtDoubted(ctx context.Context, t topo.Target) {
+	call, cancel := timer.WithTimeout(ctx, p.Clock, lookLimit)
+	defer cancel()
+	_, err := p.Engines.Report(call, t)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, known := p.looks[t.ID]
+	switch {
+	case !known || l.born != t.Born || ctx.Err() != nil:
+		return
+	case err == nil:
+		if l.failed >= deadLooks {
+			_ = level.Info(p.Log).Log("event", "TargetAlive", "target", t.ID, "born", t.Born, "looks", l.failed)
+		}
+		delete(p.looks, t.ID)
+		p.Ledger.Worked(t)
+		return
+	}
+	if l.failed++; l.failed == deadLooks {
+		_ = level.Warn(p.Log).Log("event", "TargetDead", "target", t.ID, "born", t.Born, "from", t.Held.From, "to", t.Held.To, "err", err)
+	}
+	p.looks[t.ID] = l
+}
+
+// deaths returns the targets that are dead, for all gateways.
+func (p *Planner) deaths() []ledger.Doubt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []ledger.Doubt
+	for id, l := range p.looks {
+		if _, listed := p.Fleets.Section().Value().Target(id); !listed {
+			delete(p.looks, id)
+			continue
+		}
+		if l.failed >= deadLooks {
+			out = append(out, ledger.Doubt{ID: id, Born: l.born, Left: deadLife})
+		}
+	}
+	slices.SortFunc(out, func(a, b ledger.Doubt) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
 // ready reports whether the first layers may be placed.
 func (p *Planner) ready(targets []place.Target) bool {
 	if p.settled {
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -73,6 +73,14 @@
 	return false
 }
 
+// suspect asks a target whose stream broke off whether it still lives; one
+// broken answer alone is no reason to avoid it.
+func (s *stream) suspect(t topo.Target, cause error) {
+	if _, err := s.report(context.Background(), t); err != nil {
+		s.doubtIf(true, t, fault.New(fault.TargetLost, "a stream broke off and the target does not answer").WithCause(cause))
+	}
+}
+
 // unstall looks for the reason of a silence. It returns how long to wait for
 // the next look, or the failure that ends the stream at its first target.
 func (s *stream) unstall(lastMove time.Time) (time.Duration, *fault.Error) {
@@ -117,6 +125,9 @@
 		return 0, fault.New(fault.TargetLost, "no new path is left to try").WithOutcome(s.outcome())
 	}
 	hops, err := s.replaced()
+	if (err != nil || crossings(hops) > crossings(s.hops)) && s.betterElsewhere() {
+		return 0, fault.New(fault.TargetLost, "the path has no substitute in its data centre").WithOutcome(s.outcome())
+	}
 	if err != nil {
 		_ = level.Warn(s.Log).Log("event", "NoNewPath", "request", s.ask.ID, "silent", silent, "err", err)
 		return laterQuiet, nil
@@ -150,6 +161,28 @@
 	return 0, fault.Newf(fault.TargetLost, "the first target %s takes no new path", s.hops[0].Target.ID).WithOutcome(s.outcome()).WithCause(err)
 }
 
+// crossings counts the hops from one data centre to another.
+func crossings(hops []chain.Hop) int {
+	n := 0
+	for i := 1; i < len(hops); i++ {
+		if hops[i].Target.DataCentre != hops[i-1].Target.DataCentre {
+			n++
+		}
+	}
+	return n
+}
+
+// betterElsewhere reports whether the stream can go on in another data centre
+// from its last event. That reads its tokens again, but moves none of them
+// between data centres, as substitutes in another one would.
+func (s *stream) betterElsewhere() bool {
+	if !s.mayResume() {
+		return false
+	}
+	hops, err := s.choose(false)
+	return err == nil && crossings(hops) == 0
+}
+
 // replaced returns the path with other targets in place of those that fail.
 func (s *stream) replaced() ([]chain.Hop, error) {
 	used := map[string]bool{}
@@ -168,7 +201,7 @@
 		}
 		dc := out[len(out)-1].Target.DataCentre
 		part, err := chain.Choose(s.service.Model, candidates, chain.Ask{
-			Tokens: s.tokens, DataCentre: dc, Cross: s.Settings.CrossCost, Layers: h.Layers, Used: used, Forced: true,
+			Tokens: s.tokens, After: dc, Cross: s.Settings.CrossCost, Layers: h.Layers, Used: used, Forced: true,
 		})
 		if err != nil {
 			return nil, err
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -23,9 +23,9 @@
 	roomShare = 0.4
 	// firstQuiet is the silence before the first event after which the first
 	// target is asked whether the request is stalled.
-	firstQuiet = 500 * time.Millisecond
+	firstQuiet = 300 * time.Millisecond
 	// laterQuiet is the same between events.
-	laterQuiet = 250 * time.Millisecond
+	laterQuiet = 180 * time.Millisecond
 	// repathQuiet is the silence that a new path may take, to read what the
 	// request has so far.
 	repathQuiet = 600 * time.Millisecond
@@ -56,7 +56,9 @@
 		lastEvent string
 		events    int
 		repaths   int
-		control   *http.ResponseController
+		// ran holds the first targets that may have run the request.
+		ran     []topo.Target
+		control *http.ResponseController
 	}
 
 	// upstream is one request of a stream to a first target.
@@ -129,7 +131,19 @@
 	if failure.Outcome == fault.NotRun {
 		return s.sends < maxSends+maxResumes
 	}
-	return s.route.Resumable && s.runs < max(s.route.Attempts, 1+maxResumes)
+	return s.mayResume()
+}
+
+// mayResume reports whether another target may run the request too. Those that
+// have ended do not count.
+func (s *stream) mayResume() bool {
+	alive := 0
+	for _, t := range s.ran {
+		if !s.Ledger.Doubted(t) {
+			alive++
+		}
+	}
+	return s.route.Resumable && alive < s.route.Attempts && len(s.ran) <= maxResumes
 }
 
 // fail ends the request without the rest of its answer.
@@ -161,17 +175,21 @@
 	return out
 }
 
+// choose returns a path through all layers; forced ones need no room.
+func (s *stream) choose(forced bool) ([]chain.Hop, error) {
+	m := s.service.Model
+	return chain.Choose(m, s.candidates(), chain.Ask{
+		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost,
+		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
+	})
+}
+
 // findPath returns a path with room for the request. It waits for room for a
 // part of the objective; layers that no target holds are not waited for.
 func (s *stream) findPath() ([]chain.Hop, *fault.Error) {
-	m := s.service.Model
 	until := s.arrived.Add(time.Duration(roomShare * float64(s.route.Objective)))
 	for {
-		ask := chain.Ask{
-			Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost,
-			Layers: topo.Layers{From: 0, To: m.Layers}, Forced: s.begun,
-		}
-		hops, err := chain.Choose(m, s.candidates(), ask)
+		hops, err := s.choose(s.begun)
 		if err == nil {
 			return hops, nil
 		}
@@ -191,13 +209,13 @@
 	s.ticket = s.Ledger.Open(s.tokens, hops)
 	defer func() { s.ticket.Close() }()
 	s.sends++
-	s.runs++
+	s.ran = append(s.ran, hops[0].Target)
 	s.path += " " + pathText(hops)
 	u := s.open(hops)
 	defer u.cancel()
 	failure := s.pass(u)
 	if failure != nil && failure.Outcome == fault.NotRun {
-		s.runs--
+		s.ran = s.ran[:len(s.ran)-1]
 	}
 	return failure
 }
@@ -325,8 +343,7 @@
 
 func (s *stream) doubtIf(doubt bool, t topo.Target, cause error) {
 	if doubt && s.Ledger.Failed(t) {
-		_ = level.Warn(s.Log).Log("event", "TargetDoubted", "target", t.ID, "born", t.Born, "request", s.ask.ID,
-			"silent", s.Fleets.Silent(t.ID).Round(time.Millisecond), "err", cause)
+		_ = level.Warn(s.Log).Log("event", "TargetDoubted", "target", t.ID, "born", t.Born, "request", s.ask.ID, "err", cause)
 	}
 }
 
@@ -348,7 +365,8 @@
 // ended judges the end of a target's stream.
 func (s *stream) ended(failure *fault.Error) *fault.Error {
 	if failure != nil && s.r.Context().Err() == nil {
-		s.doubtIf(true, s.hops[0].Target, failure)
+		s.avoid[s.hops[0].Target.ID] = true
+		go s.suspect(s.hops[0].Target, failure)
 	}
 	return failure
 }
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -12,12 +12,16 @@
 	Pulse struct {
 		Use    map[string]Use `cbor:",omitempty"`
 		Doubts []Doubt        `cbor:",omitempty"`
+		// Repeats counts the sender's requests and repeats of each service.
+		Repeats map[string]RepeatCount `cbor:",omitempty"`
 		// Term is the version of the lease if the sender plans the placement;
 		// 0 if it does not.
 		Term uint64
 		// Targets holds what targets said of themselves to the planner and
 		// their entries in the list do not show yet.
 		Targets []topo.Target `cbor:",omitempty"`
+		// Dead holds the targets that give the planner no reports.
+		Dead []Doubt `cbor:",omitempty"`
 	}
 
 	// Use is the sender's work at one target.
@@ -26,6 +30,9 @@
 		Running, First int
 	}
 
+	// RepeatCount is what the sender counts within the window of the bound.
+	RepeatCount struct{ Requests, Repeats int }
+
 	// Doubt is a target that the sender avoids.
 	Doubt struct {
 		ID   string
