place: close holes with slow spares, give fast spares the slowest layers

Ruled out: memory (none preempted) and the planner's lease (held all the time). Change: among the targets that others stand in for, the slowest move, several to one hole; a spare target goes where all holders are slower than it.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -19,6 +19,8 @@
 	// easyRoom is the share that stays free when a target takes over layers so
 	// that another can move.
 	easyRoom = 0.4
+	// leastPart is the number of layers from which a hole is shared.
+	leastPart = 3
 	// trimAbove is the fill of the fullest layer from which targets give up
 	// layers that others hold too.
 	trimAbove = 0.7
@@ -434,36 +436,49 @@
 	return left, right
 }
 
-// move sends targets whose layers others hold too to a hole.
+// move sends targets whose layers others hold too to a hole. Slow ones go
+// first, since chains hardly pass through them, and share the hole, so that
+// none becomes the slowest stage of all.
 func (g group) move(h topo.Layers) []Order {
 	var out []Order
+	parts := max(1, h.Len()/leastPart)
 	for h.Len() > 0 {
-		i := g.redundant(h)
+		i, equals := g.redundant()
 		if i < 0 {
 			return out
 		}
-		n := min(h.Len(), g.mostOf(g.targets[i], keepRoom))
+		share := (h.Len() + min(parts, equals) - 1) / min(parts, equals)
+		n := min(h.Len(), share, g.mostOf(g.targets[i], keepRoom))
+		if n <= 0 {
+			return out
+		}
 		out = append(out, g.order(i, topo.Layers{From: h.From, To: h.From + n}, "move"))
 		h.From += n
+		parts = max(1, parts-1)
 	}
 	return out
 }
 
-// redundant returns the target that can leave its layers without a new hole
-// and takes most of h, or -1.
-func (g group) redundant(h topo.Layers) int {
+// redundant returns the slowest target that can leave its layers without a new
+// hole, or -1, and the number of such targets with the same card.
+func (g group) redundant() (best, equals int) {
 	cover := g.solid()
-	best := -1
+	best = -1
 	for i, t := range g.targets {
-		if t.Busy || t.Next.Len() == 0 || slices.Min(cover[t.Next.From:t.Next.To]) < 2 {
+		if t.Busy || t.Next.Len() == 0 || g.mostOf(t, keepRoom) < 1 || slices.Min(cover[t.Next.From:t.Next.To]) < 2 {
 			continue
 		}
-		n := min(h.Len(), g.mostOf(t, keepRoom))
-		if n > 0 && (best < 0 || n > min(h.Len(), g.mostOf(g.targets[best], keepRoom))) {
-			best = i
+		switch {
+		case best < 0 || g.m.Cards[t.Card].Pace > g.m.Cards[g.targets[best].Card].Pace:
+			best, equals = i, 1
+		case t.Card == g.targets[best].Card:
+			equals++
+			if t.UsedMegabytes < g.targets[best].UsedMegabytes {
+				best = i
+			}
 		}
 	}
-	return best
+	return best, equals
 }
 
 // spare gives targets that still hold nothing the layers with the least room
@@ -477,7 +492,7 @@
 		if t.Busy || t.Next.Len() > 0 {
 			continue
 		}
-		out = append(out, g.order(i, poorest(g.need(), min(g.spareLayers(t), g.m.Layers)), "spare"))
+		out = append(out, g.order(i, poorest(g.need(t), min(g.spareLayers(t), g.m.Layers)), "spare"))
 	}
 	return out
 }
--- a/internal/place/spare.go
+++ b/internal/place/spare.go
@@ -9,18 +9,34 @@
 // spareLayers is the number of layers of a target that stands in for others.
 func (g group) spareLayers(t Target) int { return max(1, g.mostOf(t, easyRoom)) }
 
-// need is the room for requests of each layer, less where one target alone
-// holds it.
-func (g group) need() []float64 {
+// need is the room for requests of each layer as it counts for a spare target:
+// less where one target alone holds the layer, and less where all that hold it
+// are slower than the spare one.
+func (g group) need(spare Target) []float64 {
 	room, cover := g.roomOf(), g.cover()
-	for i := range room {
-		if cover[i] < 2 {
-			room[i] *= onceFactor
+	pace := g.m.Cards[spare.Card].Pace
+	for l := range room {
+		if cover[l] < 2 {
+			room[l] *= onceFactor
+		}
+		if fastest := g.fastest(l); fastest > pace {
+			room[l] *= pace / fastest
 		}
 	}
 	return room
 }
 
+// fastest is the pace of the fastest card that holds a layer.
+func (g group) fastest(layer int) float64 {
+	best := 0.0
+	for _, t := range g.targets {
+		if pace := g.m.Cards[t.Card].Pace; t.Next.From <= layer && layer < t.Next.To && (best == 0 || pace < best) {
+			best = pace
+		}
+	}
+	return best
+}
+
 // fullest is the share of the room in use at the layer that has least left.
 func (g group) fullest() float64 {
 	used := make([]float64, g.m.Layers)
