follow: wait at the store for changes of the list of targets

Cause: the list was read every 0.9 s by each gateway; the store's feed reports an entry only when more than its heartbeat changes, so most answers were empty. Ruled out: one reader for all gateways; it delays what leaving targets say by a link and a pulse, for the same saving. Change: the feed of targets is held for 2 s, that of the configuration for 1.5 s; other gateways are asked from the ages that follow.

--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -18,7 +18,7 @@
 	// configWait is how long the store may hold an answer about the
 	// configuration. With the request's timeout it stays below the time in
 	// which a new configuration must be in force.
-	configWait = 1200 * time.Millisecond
+	configWait = 1500 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -16,12 +16,16 @@
 )
 
 const (
-	// targetsEvery is the pause between two readings of the list. A target
-	// that leaves may be sent work for twice that at least.
-	targetsEvery = 900 * time.Millisecond
+	// targetsWait is how long the store may hold an answer about the list. The
+	// list changes a few times a minute, so longer waits save calls.
+	targetsWait = 2 * time.Second
+	// targetsLeast is the least time between two readings, for lists that
+	// change all the time. With a call it stays below the time in which a
+	// leaving target must get no more work.
+	targetsLeast = 600 * time.Millisecond
 	// outage is the time without an answer after which the store counts as
 	// having been away, so that heartbeats may have lapsed meanwhile.
-	outage = 2500 * time.Millisecond
+	outage = 5 * time.Second
 	// lapseGrace is how long entries that vanished during an outage may take
 	// to come back.
 	lapseGrace = 2200 * time.Millisecond
@@ -90,8 +94,8 @@
 	failing := false
 	for ctx.Err() == nil {
 		asked := f.steady()
-		page, err := f.source.Targets(ctx, after)
-		pause := targetsEvery - (f.steady() - asked)
+		page, err := f.source.Targets(ctx, after, targetsWait)
+		pause := targetsLeast - (f.steady() - asked)
 		switch {
 		case fault.Is(err, fault.HistoryLost):
 			_ = level.Info(f.log).Log("event", "TargetHistoryLost", "version", after)
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -56,8 +56,9 @@
 		Config(ctx context.Context, after uint64, wait time.Duration) (ConfigPage, error)
 		// Decode returns the configuration in the raw form.
 		Decode(raw []byte) (topo.Config, error)
-		// Targets returns all targets if after is 0, otherwise the changes.
-		Targets(ctx context.Context, after uint64) (TargetPage, error)
+		// Targets returns all targets if after is 0, otherwise the changes as
+		// soon as there are any, or none when the wait is over.
+		Targets(ctx context.Context, after uint64, wait time.Duration) (TargetPage, error)
 		// Rows returns a table of the product's own.
 		Rows(ctx context.Context, table string) ([]Row, error)
 		// Commit writes one row and returns its new version.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -25,9 +25,12 @@
 	// pulseEvery is the interval of Pulse. Work in flight lasts seconds, and a
 	// failing target costs its streams a pause within tenths of one.
 	pulseEvery = 200 * time.Millisecond
-	// vouchFrom is the age of the configuration or the list from which other
-	// gateways are asked; the store answers well before it.
-	vouchFrom = 1800 * time.Millisecond
+	// vouchFrom is the age of the configuration from which other gateways are
+	// asked: two waits at the store and a little more. It leaves them a second
+	// to answer before keys are refused.
+	vouchFrom = 3300 * time.Millisecond
+	// vouchTargetsFrom is the same for the list of targets.
+	vouchTargetsFrom = 4500 * time.Millisecond
 	// vouchPeers is how many gateways are asked at once.
 	vouchPeers = 3
 	// vouchLife bounds the wait for an answer.
@@ -127,7 +130,7 @@
 
 // ask sends a question to some gateways if the store does not answer.
 func (p *Peers) ask() {
-	configOld, fleetOld := p.Configs.Age() > vouchFrom, p.Fleets.Age() > vouchFrom
+	configOld, fleetOld := p.Configs.Age() > vouchFrom, p.Fleets.Age() > vouchTargetsFrom
 	if !configOld && !fleetOld {
 		return
 	}
