--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -155,8 +155,7 @@
 		byID[cs[i].ID] = &cs[i]
 	}
 	stages, n := stagesOf(hops, byID)
-	_, reading := Throughput(m, stages, n)
-	return slowestOf(m, hops, byID), reading > readLimit
+	return slowestOf(m, hops, byID), Throughput(m, stages, n).Reading > readLimit
 }
 
 // Uncovered returns the first range of layers that no target holds.
@@ -209,7 +208,10 @@
 	}
 	for c := range cs {
 		t := &cs[c]
-		if t.Held.From > at || t.Held.To <= at || c == w.last || onWay(cs, cuts, ways, i, w, c) {
+		if t.Held.From > at || t.Held.To <= at || c == w.last || onWay(ways, i, w, c) {
+			continue
+		}
+		if w.last < 0 && !ask.Forced && t.Slots > 0 && t.Load.First >= t.Slots {
 			continue
 		}
 		enter := crossing(cs, ask, w.last, c)
@@ -252,7 +254,7 @@
 }
 
 // onWay reports whether a candidate is part of a way already.
-func onWay(_ []Candidate, _ []int, ways []map[int]state, i int, w state, c int) bool {
+func onWay(ways []map[int]state, i int, w state, c int) bool {
 	for w.last >= 0 {
 		if w.last == c {
 			return true
--- a/internal/chain/model.go
+++ b/internal/chain/model.go
@@ -6,19 +6,30 @@
 	"shallotcourse/internal/topo"
 )
 
-// Stage is the part of a chain that one target runs.
-type Stage struct {
-	Card   string
-	Layers int
-	// Slow multiplies the target's time; 0 counts as 1.
-	Slow float64
-}
+type (
+	// Stage is the part of a chain that one target runs.
+	Stage struct {
+		Card   string
+		Layers int
+		// Slow multiplies the target's time; 0 counts as 1.
+		Slow float64
+	}
+
+	// Estimate is what a chain does with a number of requests in it.
+	Estimate struct {
+		// Rate is the number of requests that it finishes per second.
+		Rate float64
+		// Reading is the share of the time of the slowest stage that the
+		// prompts of these requests take; from 1 on they queue without end.
+		Reading float64
+		// Round is the time between two events of a stream.
+		Round time.Duration
+	}
+)
 
-// Throughput estimates a chain in which n requests of usual size write: the
-// requests per second that it finishes, and the share of the time of its
-// slowest stage that reading their prompts takes. Prompts get what the writers
-// leave of a step's tokens; from a share of 1 on they queue without end.
-func Throughput(m *topo.Model, stages []Stage, n float64) (rate, reading float64) {
+// Throughput estimates a chain in which n requests of usual size write. Prompts
+// get what the writers leave of a step's tokens.
+func Throughput(m *topo.Model, stages []Stage, n float64) Estimate {
 	sum, slowest, read := 0.0, 0.0, 0.0
 	for _, s := range stages {
 		card := m.Cards[s.Card]
@@ -30,13 +41,17 @@
 	stride := float64(max(1, m.Stride))
 	step := m.StepOf(n).Seconds() * stride
 	round := step*sum + hopDelay.Seconds()*float64(len(stages))
-	rate = n / max(round*float64(m.UsualAnswer)/stride, time.Microsecond.Seconds())
+	out := Estimate{
+		Rate:  n / max(round*float64(m.UsualAnswer)/stride, time.Microsecond.Seconds()),
+		Round: time.Duration(round * float64(time.Second)),
+	}
 	if m.Chunk <= 0 || m.ReadPerSecond <= 0 {
-		return rate, 0
+		return out
 	}
 	tokens := max(1, float64(m.Chunk)-n)
 	pass := step*slowest + tokens*read/m.ReadPerSecond
-	return rate, rate * float64(m.UsualPrompt) * pass / tokens
+	out.Reading = out.Rate * float64(m.UsualPrompt) * pass / tokens
+	return out
 }
 
 // stagesOf returns the stages of a chain and the number of requests that pass
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -59,17 +59,29 @@
 )
 
 // Plan returns the orders that bring the targets closer to a whole copy of the
-// model in each group of data centres. Targets must be ready and alive. At
-// most loads orders are returned; the copy that is nearest to whole goes
-// first.
-func Plan(m *topo.Model, targets []Target, loads int) []Order {
+// model in each group of data centres, the most urgent first: the copy that is
+// nearest to whole, then the others, then what stands in. Targets must be ready
+// and alive.
+func Plan(m *topo.Model, targets []Target) []Order {
 	groups := split(m, targets)
 	slices.SortStableFunc(groups, func(a, b group) int { return cmp.Compare(a.missing(), b.missing()) })
 	var out []Order
 	for _, g := range groups {
 		out = append(out, g.plan()...)
 	}
-	return out[:min(len(out), max(0, loads))]
+	slices.SortStableFunc(out, func(a, b Order) int { return cmp.Compare(a.urgency(), b.urgency()) })
+	return out
+}
+
+// urgency is lower for orders that close a hole.
+func (o Order) urgency() int {
+	switch o.Why {
+	case "spare":
+		return 1
+	case "trim":
+		return 2
+	}
+	return 0
 }
 
 // split groups targets by data centre. Data centres with too little memory
--- a/internal/place/spare.go
+++ b/internal/place/spare.go
@@ -1,6 +1,10 @@
 package place
 
-import "shallotcourse/internal/topo"
+import (
+	"slices"
+
+	"shallotcourse/internal/topo"
+)
 
 // onceFactor makes the room of a layer that one target alone holds count for
 // less when a place for a spare target is looked for.
@@ -76,8 +80,12 @@
 		for l.To-1 > poor && g.backed(i, l.To-1) {
 			l.To--
 		}
-		more := g.density(i, l.Len()) - g.density(i, t.Next.Len())
-		if t.Next.Len()-l.Len() >= leastTrim && (best < 0 || more > gain) {
+		if t.Next.Len()-l.Len() < leastTrim {
+			continue
+		}
+		trial := group{g.m, slices.Clone(g.targets)}
+		trial.targets[i].Next = l
+		if more := slices.Min(trial.roomOf()) - least; more > gain {
 			best, grown, gain = i, l, more
 		}
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -87,6 +87,10 @@
 		stable  time.Duration
 		noticed time.Duration
 
+		// queue holds the orders of each service that wait for loads to end;
+		// the rest of a plan is only good with its beginning.
+		queue map[string][]place.Order
+
 		mu sync.Mutex
 		// orders holds what was ordered and is not seen done.
 		orders map[string]order
@@ -129,7 +133,7 @@
 // New returns a planner; Run starts it.
 func New(o Options) *Planner {
 	return &Planner{
-		Options: o, orders: map[string]order{}, told: map[string]told{}, looks: map[string]looks{}, history: map[string]Placement{},
+		Options: o, queue: map[string][]place.Order{}, orders: map[string]order{}, told: map[string]told{}, looks: map[string]looks{}, history: map[string]Placement{},
 		delay: rand.N(claimSpread),
 		lease: lease{source: o.Source, steady: o.Steady, log: o.Log, instance: o.Instance, incarnation: o.Incarnation},
 	}
@@ -194,6 +198,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.orders)
+	clear(p.queue)
 	clear(p.looks)
 }
 
@@ -208,9 +213,28 @@
 	if p.FirstStart && p.Quiet() {
 		loads = len(targets)
 	}
-	for _, o := range place.Plan(s.Model, targets, loads) {
-		p.send(ctx, s.Model, o)
+	if len(p.queue[s.Name]) == 0 {
+		p.queue[s.Name] = place.Plan(s.Model, targets)
+	}
+	for loads > 0 && len(p.queue[s.Name]) > 0 {
+		o := p.queue[s.Name][0]
+		p.queue[s.Name] = p.queue[s.Name][1:]
+		if current(o, targets) {
+			p.send(ctx, s.Model, o)
+			loads--
+		}
+	}
+}
+
+// current reports whether the target of an order is as it was when the order
+// was planned.
+func current(o place.Order, targets []place.Target) bool {
+	for _, t := range targets {
+		if t.ID == o.Target.ID {
+			return !t.Busy && t.Born == o.Target.Born && t.Held == o.Target.Held
+		}
 	}
+	return false
 }
 
 // view returns the targets that count for the placement, and the number of
