--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -208,7 +208,7 @@
 	}
 	for c := range cs {
 		t := &cs[c]
-		if t.Held.From > at || t.Held.To <= at || c == w.last || onWay(ways, i, w, c) {
+		if t.Held.From > at || t.Held.To <= at || c == w.last || onWay(ways, w, c) {
 			continue
 		}
 		if w.last < 0 && !ask.Forced && t.Slots > 0 && t.Load.First >= t.Slots {
@@ -254,13 +254,12 @@
 }
 
 // onWay reports whether a candidate is part of a way already.
-func onWay(ways []map[int]state, i int, w state, c int) bool {
+func onWay(ways []map[int]state, w state, c int) bool {
 	for w.last >= 0 {
 		if w.last == c {
 			return true
 		}
-		i = w.from
-		w = ways[i][w.prev]
+		w = ways[w.from][w.prev]
 	}
 	return false
 }
--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -71,7 +71,7 @@
 			if err != nil {
 				return err
 			}
-			return runAgent(c.Context(), settings, c.ErrOrStderr())
+			return runAgent(c.Context(), settings, c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&file, "config", "", "file of settings")
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -64,7 +64,7 @@
 			if err != nil {
 				return err
 			}
-			return runEntry(c.Context(), settings, c.ErrOrStderr())
+			return runEntry(c.Context(), settings, c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&file, "config", "", "file of settings")
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-kit/log/level"
 
@@ -91,7 +92,7 @@
 	h := w.Header()
 	h.Set("Content-Type", contentJSON)
 	h.Set(fault.Header, string(f.Outcome))
-	if f.Outcome == fault.NotRun {
+	if f.Outcome == fault.NotRun && f.WaitHelps() {
 		h.Set("Retry-After", strconv.Itoa(wholeSeconds(f.RetryAfter, rand.Float64())))
 	}
 	w.WriteHeader(f.Status())
@@ -140,6 +141,11 @@
 	if err != nil {
 		return err
 	}
+	if !utf8.Valid(b) {
+		// The decoder would replace the bytes, and the answer would be to
+		// another prompt.
+		return fault.New(fault.BadInput, "body is not valid UTF-8")
+	}
 	if err := json.Unmarshal(b, v); err != nil {
 		var f *fault.Error
 		if errors.As(err, &f) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -124,9 +124,22 @@
 	return &c
 }
 
-// WithRetryAfter returns a copy with a retry hint.
+// WaitHelps reports whether the same request may succeed later.
+func (e *Error) WaitHelps() bool {
+	switch e.Code {
+	case Overloaded, LimitReached, NoTarget, Leaving, Unavailable, Deadline, TargetLost:
+		return true
+	}
+	return false
+}
+
+// WithRetryAfter returns a copy with a retry hint, or without one where
+// waiting does not help.
 func (e *Error) WithRetryAfter(d time.Duration) *Error {
 	c := *e
+	if !e.WaitHelps() {
+		d = 0
+	}
 	c.RetryAfter = d
 	return &c
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -107,10 +107,9 @@
 	}
 
 	order struct {
-		layers   topo.Layers
-		born     int64
-		until    time.Duration
-		accepted bool
+		layers topo.Layers
+		born   int64
+		until  time.Duration
 	}
 
 	// looks is what came of asking a doubted target for reports.
