proxy, plan: wait for the budget of repeats, ask targets for their pace

Cause: streams that lost their target in the first seconds of a gateway were cut though the budget had room: it is handed out in parts every half second, and all streams of a target ask at once. Slow targets were only known by their card. Ruled out: larger parts; all gateways may ask in the same half second. Change: a stream waits up to 1.2 s for the budget, less than its caller does; while callers see late pauses the planner asks the targets for their pace and tells all, so that paths count slow ones at their real time.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -54,6 +54,8 @@
 		dead map[string]doubt
 		// changed is closed and replaced when a new doubt is entered.
 		changed chan struct{}
+		// late counts pauses of streams since it was last taken.
+		late int
 	}
 
 	peer struct {
@@ -278,3 +280,19 @@
 		delete(l.doubts, t.ID)
 	}
 }
+
+// Late counts a pause of a stream that its caller finds too long.
+func (l *Ledger) Late() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.late++
+}
+
+// TakeLate returns the number of such pauses since the last call.
+func (l *Ledger) TakeLate() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.late
+	l.late = 0
+	return n
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -67,6 +67,8 @@
 		// it said so last.
 		heard   uint64
 		heardAt time.Duration
+		// late counts the late pauses of all gateways since it was last taken.
+		late int
 	}
 )
 
@@ -96,6 +98,16 @@
 	p.term, p.targets, p.deaths = term, targets, deaths
 }
 
+// TakeLate returns the number of late pauses of streams, at all gateways, since
+// the last call.
+func (p *Peers) TakeLate() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.late
+	p.late = 0
+	return n
+}
+
 // Planner returns the newest lease that another gateway plans under and the
 // time since it said so.
 func (p *Peers) Planner() (term uint64, ago time.Duration) {
@@ -119,8 +131,10 @@
 	for service, c := range p.Repeats.Own() {
 		out.Repeats[service] = wire.RepeatCount(c)
 	}
+	out.Late = p.Ledger.TakeLate()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.late += out.Late
 	out.Term, out.Targets = p.term, p.targets
 	for _, d := range p.deaths {
 		out.Dead = append(out.Dead, wire.Doubt(d))
@@ -192,6 +206,9 @@
 		counts[service] = limit.RepeatCount(c)
 	}
 	p.Repeats.Hear(from.Incarnation, counts)
+	p.mu.Lock()
+	p.late += m.Late
+	p.mu.Unlock()
 	for _, d := range m.Doubts {
 		if p.Ledger.HearDoubt(ledger.Doubt(d)) {
 			_ = level.Info(p.Log).Log("event", "TargetDoubted", "target", d.ID, "from", from.Instance, "left", d.Left)
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -41,6 +41,12 @@
 	// deadLife is how long the gateways avoid a dead target after the planner
 	// has last named it.
 	deadLife = time.Second
+	// lateLeast is the number of late pauses of streams, at all gateways, from
+	// which the targets are asked for their pace, surveyEvery the least time
+	// between two surveys, and slowPace what counts as slow.
+	lateLeast   = 3
+	surveyEvery = 700 * time.Millisecond
+	slowPace    = 1.2
 	// orderLimit bounds one order, reportLimit one report.
 	orderLimit  = time.Second
 	reportLimit = 500 * time.Millisecond
@@ -83,6 +89,9 @@
 		// rounds is held by a round, and by the release.
 		rounds   sync.Mutex
 		released bool
+		// late counts late pauses since the last survey, surveyed is its time.
+		late     int
+		surveyed time.Duration
 
 		// settled says that the first placement was decided; count is the
 		// number of targets, which has not changed since stable.
@@ -220,6 +229,7 @@
 func (p *Planner) service(ctx context.Context, s topo.Service) {
 	targets, busy := p.view(ctx, s)
 	p.follow(ctx, targets)
+	p.survey(ctx, targets)
 	if !p.ready(targets) {
 		return
 	}
@@ -416,6 +426,43 @@
 	}
 }
 
+// survey asks the targets for their pace while streams pause, and goes on with
+// those that are slow until they are not.
+func (p *Planner) survey(ctx context.Context, targets []place.Target) {
+	now := p.Steady()
+	p.late += p.Peers.TakeLate()
+	if now-p.surveyed < surveyEvery {
+		return
+	}
+	all := p.late >= lateLeast
+	p.late = 0
+	for _, t := range targets {
+		if all && t.Next.Len() > 0 || t.Pace > slowPace {
+			p.surveyed = now
+			go p.lookAtPace(ctx, t.Target)
+		}
+	}
+}
+
+// lookAtPace tells all gateways when the pace of a target has changed.
+func (p *Planner) lookAtPace(ctx context.Context, t topo.Target) {
+	call, cancel := timer.WithTimeout(ctx, p.Clock, lookLimit)
+	defer cancel()
+	r, err := p.Engines.Report(call, t)
+	if err != nil {
+		// The streams that wait for the target find out whether it is lost.
+		_ = level.Debug(p.Log).Log("event", "ReportFailed", "target", t.ID, "err", err)
+		return
+	}
+	slow, was := r.Pace > slowPace, t.Pace > slowPace
+	if slow != was {
+		_ = level.Info(p.Log).Log("event", "TargetPace", "target", t.ID, "pace", r.Pace, "before", t.Pace)
+	}
+	if slow || was {
+		p.hear(t, r)
+	}
+}
+
 // look takes over what a target with an order says of itself.
 func (p *Planner) look(ctx context.Context, t topo.Target, o order) {
 	call, cancel := timer.WithTimeout(ctx, p.Clock, reportLimit)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -36,6 +36,8 @@
 	maxRepaths = 8
 	// maxResumes bounds the targets that one stream goes on at.
 	maxResumes = 3
+	// repeatWait is how long a stream waits for the budget of repeats.
+	repeatWait = 1200 * time.Millisecond
 	// eventQueue is the number of events that may wait for the caller.
 	eventQueue = 16
 	// writeLimit bounds one write to a caller that does not read.
@@ -89,7 +91,7 @@
 			s.fail(worse(last, err))
 			return
 		}
-		if s.sends > 0 && !q.Repeats.Take(q.service.Name) {
+		if s.sends > 0 && !s.takeRepeat() {
 			s.fail(worse(last, fault.New(fault.Overloaded, "the retry budget of the service is used up")))
 			return
 		}
@@ -108,6 +110,20 @@
 	}
 }
 
+// takeRepeat takes a repeat from the budget. Many streams that lose the same
+// target share what is free, which is divided anew every half second, and their
+// callers bear a pause of two.
+func (s *stream) takeRepeat() bool {
+	for until := s.Clock.Now().Add(repeatWait); ; {
+		if s.Repeats.Take(s.service.Name) {
+			return true
+		}
+		if s.cut.Err() != nil || !s.Clock.Now().Before(until) || timer.Sleep(s.r.Context(), s.Clock, roomPoll) != nil {
+			return false
+		}
+	}
+}
+
 // expectedTokens estimates the memory that a request needs at its end.
 func expectedTokens(a Ask, m *topo.Model) int {
 	prompt, answer := a.Prompt, a.AnswerHint
@@ -295,7 +311,11 @@
 			if err := s.forward(ev, events); err != nil {
 				return err
 			}
-			lastMove = s.Clock.Now()
+			now := s.Clock.Now()
+			if s.events > 1 && s.route.Pause > 0 && now.Sub(lastMove) > s.route.Pause {
+				s.Ledger.Late()
+			}
+			lastMove = now
 			quiet.Reset(laterQuiet)
 		case <-quiet.C:
 			wait, failure := s.unstall(lastMove)
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -14,6 +14,9 @@
 		Doubts []Doubt        `cbor:",omitempty"`
 		// Repeats counts the sender's requests and repeats of each service.
 		Repeats map[string]RepeatCount `cbor:",omitempty"`
+		// Late counts pauses of streams that callers find too long, since the
+		// last pulse.
+		Late int
 		// Term is the version of the lease if the sender plans the placement;
 		// 0 if it does not.
 		Term uint64
