proxy: count doubted targets of a stream as alive

A target that only breaks its answers off, or cannot be reached for a moment, is doubted, and a doubted one was taken for one that has ended. Ruled out: plain calls (their runs are counted) and the budget of all gateways (the rule broken is the one of a single request). Change: a target counts as ended only when it has left the list, is in another lifetime, or the planner has found it dead. A gateway that has not read the list of targets waits for it as for the configuration, instead of saying that no target holds the layers.

--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -300,6 +300,38 @@
 	}
 }
 
+// Guards against a stream that runs at more targets than its route allows,
+// because one that only breaks its answers off is taken for one that has ended.
+func TestGatewayCountsTargetsOfAStream(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	engines := make([]*sims.Engine, 5)
+	for i := range engines {
+		engines[i] = site.Engine(fmt.Sprintf("e%d", i), "x", sims.Model{Layers: 8, Token: 40 * time.Millisecond}).Hold(0, 8)
+		engines[i].SetFaults(sims.EngineFaults{BreakAfter: 1})
+	}
+	g := startGateway(t, "g1", store, nil).started(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		// Those that run the stream are doubted for another reason, but alive.
+		for ; ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+			for _, e := range engines {
+				if target, ok := g.fleets.Section().Value().Target(e.ID); ok && e.Running() > 0 {
+					g.ledger.Failed(target)
+				}
+			}
+		}
+	}()
+	a := g.get("/draft/x?events=9")
+	is.True(a.err != nil) // cut, and does not look complete
+	served := 0
+	for _, e := range engines {
+		served += e.Served()
+	}
+	is.True(served <= 2)
+}
+
 // Guards against refusals of streams that hide that something ran, and against
 // callers that are kept waiting for layers that nobody holds.
 func TestGatewayRefusesStreams(t *testing.T) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -219,7 +219,18 @@
 	if ok && d.born == t.Born && now.Before(d.until) {
 		return true
 	}
-	d, ok = l.dead[t.ID]
+	return l.isDead(t, now)
+}
+
+// Dead reports whether the planner has found a target dead.
+func (l *Ledger) Dead(t topo.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isDead(t, l.clock.Now())
+}
+
+func (l *Ledger) isDead(t topo.Target, now time.Time) bool {
+	d, ok := l.dead[t.ID]
 	return ok && d.born == t.Born && now.Before(d.until)
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -174,7 +174,11 @@
 
 // admit checks what the configuration says of the request and reads its body.
 func (q *request) admit() error {
+	if err := q.waitFor(func() bool { return q.Fleets.Section().Value().Read > 0 }); err != nil {
+		return fault.New(fault.Unavailable, "the list of targets is not read yet").WithCause(err)
+	}
 	config := q.Configs.Section().Value()
+	q.version = config.Version
 	route, ok := config.Match(q.r.Host, q.r.URL.Path)
 	if keyed := !route.Public && !config.Keyless(); !ok || keyed {
 		// What is refused or needs a key must not rest on an old version.
@@ -214,20 +218,28 @@
 // to answer for keys. The proof is renewed all the time, so a stale one means
 // that the process or its way to the store stood still.
 func (q *request) freshConfig() (follow.Config, error) {
-	for start := q.arrived; ; {
-		config := q.Configs.Section().Value()
-		age := q.Configs.Age()
-		if config.Version > 0 && age < q.Settings.ConfigLife {
-			return config, nil
-		}
-		if q.Clock.Now().Sub(start) > freshWait {
-			q.Metrics.GetOrCreateCounter("shallotcourse_config_stale_refusals_total").Inc()
-			return config, fault.Newf(fault.Unavailable, "the configuration was last proved %s ago", age.Round(time.Millisecond))
+	err := q.waitFor(func() bool {
+		return q.Configs.Section().Value().Version > 0 && q.Configs.Age() < q.Settings.ConfigLife
+	})
+	if err != nil {
+		q.Metrics.GetOrCreateCounter("shallotcourse_config_stale_refusals_total").Inc()
+		e := fault.Newf(fault.Unavailable, "the configuration was last proved %s ago", q.Configs.Age().Round(time.Millisecond))
+		return follow.Config{}, e.WithCause(err)
+	}
+	return q.Configs.Section().Value(), nil
+}
+
+// waitFor waits until something is known that one call to the store renews.
+func (q *request) waitFor(known func() bool) error {
+	for !known() {
+		if q.Clock.Now().Sub(q.arrived) > freshWait {
+			return fault.Newf(fault.Deadline, "not known within %s", freshWait)
 		}
 		if err := timer.Sleep(q.r.Context(), q.Clock, freshPoll); err != nil {
-			return config, fault.New(fault.Canceled, "the caller left").WithCause(err)
+			return fault.New(fault.Canceled, "the caller left").WithCause(err)
 		}
 	}
+	return nil
 }
 
 func (q *request) readBody(bound int64) error {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -151,11 +151,13 @@
 }
 
 // mayResume reports whether another target may run the request too. Those that
-// have ended do not count.
+// are known to have ended do not count; a doubted one may still run it.
 func (s *stream) mayResume() bool {
 	alive := 0
+	fleet := s.Fleets.Section().Value()
 	for _, t := range s.ran {
-		if !s.Ledger.Doubted(t) {
+		listed, ok := fleet.Target(t.ID)
+		if ok && listed.Born == t.Born && !s.Ledger.Dead(t) {
 			alive++
 		}
 	}
