chain: count a chunk of prompt tokens for each step of a pass

Ruled out: memory (no refusal for it), the planner (all layers placed 4 s before traffic). Change: the estimate counts stride times what writers leave of a chunk. Refusals say whether memory or time was missing.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -112,40 +112,45 @@
 		return nil, fault.Newf(fault.NoTarget, "no target holds layers %d to %d", hole.From, hole.To)
 	}
 	var best *found
-	whole := false
+	whole, late := false, false
 	for _, dc := range slices.Sorted(maps.Keys(byDC)) {
 		if uncovered(byDC[dc], ask.Layers).Len() > 0 {
 			continue
 		}
 		whole = true
-		if f := detour(m, byDC[dc], ask); f != nil && (best == nil || f.cost < best.cost) {
+		f, busy := detour(m, byDC[dc], ask)
+		late = late || busy
+		if f != nil && (best == nil || f.cost < best.cost) {
 			best = f
 		}
 	}
 	if !whole {
-		best = detour(m, usable, ask)
+		best, late = detour(m, usable, ask)
 	}
-	if best == nil {
-		return nil, fault.New(fault.Overloaded, "the targets have no memory or time for the request")
+	switch {
+	case best != nil:
+		return best.hops, nil
+	case late:
+		return nil, fault.New(fault.Overloaded, "the targets have no time for the prompt")
 	}
-	return best.hops, nil
+	return nil, fault.New(fault.Overloaded, "the targets have no memory for the request")
 }
 
 // detour returns the cheapest chain of some targets that does not pass through
-// an overloaded one.
-func detour(m *topo.Model, usable []Candidate, ask Ask) *found {
+// an overloaded one, and whether it found overloaded ones.
+func detour(m *topo.Model, usable []Candidate, ask Ask) (f *found, late bool) {
 	for range maxDetours {
-		f := search(m, usable, ask)
-		if f == nil {
-			return nil
+		if f = search(m, usable, ask); f == nil {
+			return nil, late
 		}
 		slow, busy := overloaded(m, f.hops, usable)
 		if ask.Forced || !busy {
-			return f
+			return f, late
 		}
+		late = true
 		usable = slices.DeleteFunc(slices.Clone(usable), func(c Candidate) bool { return c.ID == slow.Target.ID })
 	}
-	return nil
+	return nil, late
 }
 
 // overloaded reports whether prompts would queue at the slowest stage.
--- a/internal/chain/model.go
+++ b/internal/chain/model.go
@@ -28,7 +28,8 @@
 )
 
 // Throughput estimates a chain in which n requests of usual size write. Prompts
-// get what the writers leave of a step's tokens.
+// get what the writers leave of the tokens of each step, and a pass has a stride
+// of steps.
 func Throughput(m *topo.Model, stages []Stage, n float64) Estimate {
 	sum, slowest, read := 0.0, 0.0, 0.0
 	for _, s := range stages {
@@ -48,7 +49,7 @@
 	if m.Chunk <= 0 || m.ReadPerSecond <= 0 {
 		return out
 	}
-	tokens := max(1, float64(m.Chunk)-n)
+	tokens := max(1, stride*(float64(m.Chunk)-n))
 	pass := step*slowest + tokens*read/m.ReadPerSecond
 	out.Reading = out.Rate * float64(m.UsualPrompt) * pass / tokens
 	return out
