--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"shallotcourse/internal/board"
-	"shallotcourse/internal/fault"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
@@ -19,9 +17,6 @@
 	// configuration. With the request's timeout it stays below the time in
 	// which a new configuration must be in force.
 	configWait = 1500 * time.Millisecond
-	// retryLeast and retryMost bound the pause after a failed call.
-	retryLeast = 50 * time.Millisecond
-	retryMost  = 400 * time.Millisecond
 )
 
 type (
@@ -66,35 +61,20 @@
 
 // Run follows the store until the context ends.
 func (c *Configs) Run(ctx context.Context) {
-	after := uint64(0)
-	failing := false
-	for ctx.Err() == nil {
+	poll(ctx, poller{clock: c.clock, log: c.log, source: "Config", age: c.Age}, func(after uint64) (uint64, time.Duration, error) {
 		// The proof counts from before the request, because the answer may be
 		// as old as that.
 		asked := c.steady()
 		page, err := c.source.Config(ctx, after, configWait)
-		if err != nil {
-			if fault.Is(err, fault.HistoryLost) {
-				after = 0
-			}
-			if !failing && ctx.Err() == nil {
-				_ = level.Warn(c.log).Log("event", "ConfigSourceLost", "age", c.Age(), "version", c.section.Value().Version, "err", err)
-			}
-			failing = true
-			_ = timer.Sleep(ctx, c.clock, retryLeast+rand.N(retryMost-retryLeast))
-			continue
-		}
-		if failing {
-			_ = level.Info(c.log).Log("event", "ConfigSourceBack", "version", c.section.Value().Version)
-		}
-		failing = false
-		after = max(after, page.Version)
-		if page.Raw != nil {
+		switch {
+		case err != nil:
+		case page.Raw != nil:
 			c.adopt(page.Raw, asked, "store")
-			continue
+		default:
+			c.prove(asked)
 		}
-		c.prove(asked)
-	}
+		return page.Version, 0, err
+	})
 }
 
 // Vouched takes over what another entry knows: the configuration was the
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,7 +9,6 @@
 	"github.com/go-kit/log/level"
 
 	"shallotcourse/internal/board"
-	"shallotcourse/internal/fault"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
@@ -90,31 +88,14 @@
 
 // Run reads the list until the context ends.
 func (f *Fleets) Run(ctx context.Context) {
-	after := uint64(0)
-	failing := false
-	for ctx.Err() == nil {
+	poll(ctx, poller{clock: f.clock, log: f.log, source: "Target", age: f.Age}, func(after uint64) (uint64, time.Duration, error) {
 		asked := f.steady()
 		page, err := f.source.Targets(ctx, after, targetsWait)
-		pause := targetsLeast - (f.steady() - asked)
-		switch {
-		case fault.Is(err, fault.HistoryLost):
-			_ = level.Info(f.log).Log("event", "TargetHistoryLost", "version", after)
-			after, pause = 0, 0
-		case err != nil:
-			if !failing && ctx.Err() == nil {
-				_ = level.Warn(f.log).Log("event", "TargetSourceLost", "age", f.Age(), "err", err)
-			}
-			failing, pause = true, retryLeast+rand.N(retryMost)
-		default:
-			if failing {
-				_ = level.Info(f.log).Log("event", "TargetSourceBack", "version", page.Version)
-			}
-			failing = false
-			after = max(after, page.Version)
+		if err == nil {
 			f.apply(page, asked)
 		}
-		_ = timer.Sleep(ctx, f.clock, max(0, pause))
-	}
+		return page.Version, targetsLeast - (f.steady() - asked), err
+	})
 }
 
 // Vouched takes over the list of another entry, read at a moment.
