proxy: derive the wait for the budget from the stall limit

Cause: reading the change as a newcomer: the setting StallLimit was passed on and not used, while the wait for the budget of repeats had a figure of its own that rests on the same limit; the data path had a field that nobody read. Change: the wait is 0.6 of StallLimit, 1.2 s as before where it is 2 s; the field is gone. Ruled out: dropping the setting; deployments differ in it.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -166,7 +166,7 @@
 	g.members = peers.NewMembers(self, g.store, g.links, d.clock, d.logger, func(n int) { g.gateways.Store(int64(n)) })
 	g.server = proxy.New(proxy.Options{
 		Settings: proxy.Settings{
-			Instance: settings.Instance, DataCentre: settings.DataCentre, BodyBytes: gatewayBodyBytes,
+			DataCentre: settings.DataCentre, BodyBytes: gatewayBodyBytes,
 			ConfigLife: time.Duration((1 - keyMargin) * float64(settings.KeyLife.Duration)),
 			StallLimit: settings.StallLimit.Duration, CrossCost: crossCost,
 		},
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -38,7 +38,6 @@
 type (
 	// Settings bounds the data path.
 	Settings struct {
-		Instance   string
 		DataCentre string
 		// ConfigLife is the age from which the configuration no longer proves
 		// that a key is valid.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -35,8 +35,9 @@
 	maxRepaths = 8
 	// maxResumes bounds the targets that one stream goes on at.
 	maxResumes = 3
-	// repeatWait is how long a stream waits for the budget of repeats.
-	repeatWait = 1200 * time.Millisecond
+	// repeatShare is the part of Settings.StallLimit that a stream waits for
+	// the budget of repeats; callers leave after a pause of about that limit.
+	repeatShare = 0.6
 	// eventQueue is the number of events that may wait for the caller.
 	eventQueue = 16
 	// writeLimit bounds one write to a caller that does not read.
@@ -110,10 +111,10 @@
 }
 
 // takeRepeat takes a repeat from the budget. Many streams that lose the same
-// target share what is free, which is divided anew every half second, and their
-// callers bear a pause of two.
+// target share what is free, which is divided anew every half second.
 func (s *stream) takeRepeat() bool {
-	for until := s.Clock.Now().Add(repeatWait); ; {
+	wait := time.Duration(repeatShare * float64(s.Settings.StallLimit))
+	for until := s.Clock.Now().Add(wait); ; {
 		if s.Repeats.Take(s.service.Name) {
 			return true
 		}
