--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -108,6 +108,7 @@
 		},
 	}
 	c.Flags().StringVar(&file, "config", "", "file of settings; by default the one that $"+settingsVariable+" names")
+	c.AddCommand(gatewayStatusCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/cmds/gateway_show.go
@@ -0,0 +1,112 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/topo"
+)
+
+const (
+	// statusLimit bounds the wait for a gateway's status.
+	statusLimit = 5 * time.Second
+	// maxStatusBytes bounds a gateway's status.
+	maxStatusBytes = 64 << 20
+)
+
+// semanticsNames are the words for what may be repeated.
+var semanticsNames = map[topo.Semantics]string{topo.Repeatable: "repeatable", topo.Once: "once", topo.Stream: "stream"}
+
+func gatewayStatusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status ADDRESS",
+		Short: "Show routes, placement and load as a gateway sees them",
+		Long:  "Show routes, placement and load as the gateway with the given OpsListen address sees them.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			status, err := fetchGatewayStatus(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			return status.write(c.OutOrStdout())
+		},
+	}
+}
+
+func fetchGatewayStatus(ctx context.Context, address string) (gatewayStatus, error) {
+	var status gatewayStatus
+	ctx, cancel := timer.WithTimeout(ctx, timer.System{}, statusLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return status, fault.Invalid("ADDRESS", address, "ip:port").WithCause(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return status, fault.Newf(fault.Unavailable, "gateway %s does not answer", address).WithCause(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return status, fault.Newf(fault.Unavailable, "gateway %s answered with status %d", address, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status); err != nil {
+		return status, fault.Newf(fault.Malformed, "the status of gateway %s does not decode", address).WithCause(err)
+	}
+	return status, nil
+}
+
+func (s gatewayStatus) write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(cells ...any) {
+		text := make([]string, len(cells))
+		for i, cell := range cells {
+			text[i] = fmt.Sprint(cell)
+		}
+		// Errors of the table's writer come back from Flush.
+		_, _ = io.WriteString(t, strings.Join(text, "\t")+"\n")
+	}
+	row("INSTANCE", "CONFIGURATION", "PROVED", "LIST", "GATEWAYS", "OPEN")
+	row(s.Instance, s.Version, s.ConfigAge+" ago", s.FleetAge+" old", s.Gateways, s.Open)
+	row()
+	row("ROUTE", "HOST", "PREFIX", "KIND", "SERVICES", "TIMEOUT", "PUBLIC")
+	for _, r := range s.Routes {
+		var shares []string
+		for _, share := range r.Shares {
+			shares = append(shares, fmt.Sprintf("%s:%d", share.Service, share.Weight))
+		}
+		row(r.Name, r.Host, r.Prefix, semanticsNames[r.Semantics], strings.Join(shares, ","), r.Timeout, r.Public)
+	}
+	row()
+	row("TARGET", "SERVICE", "DATACENTRE", "CARD", "LAYERS", "WHY", "SINCE", "RUNNING", "STATE")
+	for _, target := range s.Targets {
+		why, since := "-", "-"
+		if target.Placed != nil {
+			why, since = target.Placed.Why, target.Placed.Since.UTC().Format(time.RFC3339)
+		}
+		row(target.ID, target.Service, target.DataCentre, target.Card, fmt.Sprintf("%d-%d", target.Held.From, target.Held.To),
+			why, since, target.Load.Running, target.state())
+	}
+	return writeFailure(t.Flush())
+}
+
+func (t targetStatus) state() string {
+	switch {
+	case t.State == topo.Draining:
+		return "draining"
+	case t.Doubted:
+		return "doubted"
+	case t.Loading:
+		return "loading"
+	}
+	return "ready"
+}
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -12,9 +12,25 @@
 	"shallotcourse/internal/topo"
 )
 
-// status shows operators the routes, the placement and the load.
-func (g *gatewayDaemon) status(w http.ResponseWriter, _ *http.Request) {
-	type target struct {
+type (
+	// gatewayStatus is what a gateway shows to operators.
+	gatewayStatus struct {
+		Instance string
+		// Version is the configuration in force; ConfigAge is how long ago it
+		// was proved to be the newest, FleetAge the age of the list of targets.
+		Version   uint64
+		ConfigAge string
+		FleetAge  string
+		Gateways  int64
+		Open      int
+		Routes    []topo.Route
+		Targets   []targetStatus
+		// PlannerTerm is the lease of the planner that was heard last.
+		PlannerTerm   uint64
+		PlannerSilent string
+	}
+
+	targetStatus struct {
 		topo.Target
 		Load    chain.Load
 		Doubted bool
@@ -22,26 +38,19 @@
 		// this gateway decided it.
 		Placed *plan.Placement `json:",omitempty"`
 	}
+)
+
+// status shows operators the routes, the placement and the load.
+func (g *gatewayDaemon) status(w http.ResponseWriter, _ *http.Request) {
 	config, fleet := g.configs.Section().Value(), g.fleets.Section().Value()
-	out := struct {
-		Instance      string
-		Version       uint64
-		ConfigAge     string
-		FleetAge      string
-		Gateways      int64
-		Open          int
-		Routes        []topo.Route
-		Targets       []target
-		PlannerTerm   uint64
-		PlannerSilent string
-	}{
+	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gateways.Load(), Open: g.server.Open(),
 		Routes: config.Routes(),
 	}
 	loads, history := g.ledger.Loads(), g.planner.History()
 	for _, t := range fleet.All() {
-		row := target{Target: t, Load: loads[t.ID], Doubted: g.ledger.Doubted(t)}
+		row := targetStatus{Target: t, Load: loads[t.ID], Doubted: g.ledger.Doubted(t)}
 		if h, ok := history[t.ID]; ok && h.Layers == t.Held {
 			row.Placed = &h
 		}
--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -194,6 +195,30 @@
 	is.Equal(g.get("/look/x").status, http.StatusOK)
 }
 
+// Guards against an overview that hides routes, placement or load.
+func TestGatewayStatus(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	e := site.Engine("e1", "x", testModel)
+	g := startGateway(t, "g1", store, nil).started(t)
+	eventually(t, "the layers are listed", func() bool {
+		target, _ := g.fleets.Section().Value().Target("e1")
+		from, to := e.Held()
+		return to-from == 8 && target.Held.Len() == 8
+	})
+	server := httptest.NewServer(http.HandlerFunc(g.status))
+	defer server.Close()
+	root, out := NewRoot(), &strings.Builder{}
+	root.SetArgs([]string{"gateway", "status", server.Listener.Addr().String()})
+	root.SetOut(out)
+	is.NoErr(root.Execute())
+	for _, want := range []string{"/register/", "once", "plain:1", "e1", "0-8", "hole", "ready"} {
+		is.True(strings.Contains(out.String(), want)) // want
+	}
+	root.SetArgs([]string{"gateway", "status", "127.0.0.1:1"})
+	is.True(root.Execute() != nil)
+}
+
 // Guards against work that runs twice, and against failures that promise what
 // is not so.
 func TestGatewayRunsOnce(t *testing.T) {
