proxy: type the failure of an event without end, prove the guards

Cause: trials with one guard off each showed that no test noticed a status that promises too much, or a stream that ends inside an event without a reset. The test for the latter found that an event over the bound gave an untyped failure. Ruled out: the guard of GONE as redundant; either of its two ends is enough.

--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -39,14 +39,14 @@
 		line, err := e.r.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(ev.raw) <= maxEventBytes:
+		case len(ev.raw) > maxEventBytes:
+			return ev, fault.Newf(fault.TooLarge, "an event has more than %d bytes", maxEventBytes).WithOutcome(fault.Partial)
+		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(ev.raw) > 0:
 			return ev, fault.New(fault.TargetLost, "the stream ended inside an event").WithOutcome(fault.Partial)
 		case err != nil:
 			return ev, err
-		case len(ev.raw) > maxEventBytes:
-			return ev, fault.Newf(fault.TooLarge, "an event has more than %d bytes", maxEventBytes).WithOutcome(fault.Partial)
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/follow"
+	"shallotcourse/internal/timer"
+)
+
+// Guards against a stream that ends inside an event and looks complete, and
+// against events that are split or joined.
+func TestEventReader(t *testing.T) {
+	is := is.New(t)
+	r := newEventReader(strings.NewReader("id: 1\ndata: a\n\nid:2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: 3\nda"))
+	for _, want := range []event{
+		{[]byte("id: 1\ndata: a\n\n"), "1"}, {[]byte("id:2\r\ndata: b\r\ndata: c\r\n\r\n"), "2"}, {[]byte(": note\n\n"), ""},
+	} {
+		got, err := r.next()
+		is.NoErr(err)
+		is.Equal(string(got.raw), string(want.raw))
+		is.Equal(got.id, want.id)
+	}
+	_, err := r.next()
+	is.Equal(fault.As(err).Outcome, fault.Partial)
+	_, err = newEventReader(strings.NewReader("")).next()
+	is.Equal(err, io.EOF)
+	_, err = newEventReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEventBytes))).next()
+	is.True(fault.Is(err, fault.TooLarge))
+}
+
+// Guards against a status that promises that a request has not run where that
+// is not certain, and against a hint that waiting helps where it does not.
+func TestRefusalsAreTruthful(t *testing.T) {
+	is := is.New(t)
+	clock, logger := timer.System{}, log.NewNopLogger()
+	steady := func() time.Duration { return time.Minute }
+	s := New(Options{
+		Clock: clock, Log: logger, Metrics: metrics.NewSet(), Configs: follow.NewConfigs(nil, clock, steady, logger),
+		Fleets: follow.NewFleets(nil, clock, steady, logger),
+	})
+	for _, code := range []fault.Code{
+		fault.Overloaded, fault.LimitReached, fault.NoTarget, fault.Leaving, fault.Unavailable, fault.Deadline, fault.TargetLost,
+		fault.Unauthorized, fault.NotFound, fault.TooLarge, fault.BadInput, fault.Internal,
+	} {
+		for _, outcome := range []fault.Outcome{fault.NotRun, fault.Unknown, fault.Partial} {
+			w := httptest.NewRecorder()
+			q := &request{Server: s, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), arrived: clock.Now()}
+			q.refuse(fault.New(code, "").WithOutcome(outcome))
+			is.True(outcome == fault.NotRun || !promisesNotRun(w.Code))
+			is.True(w.Header().Get("Retry-After") == "" || promisesNotRun(w.Code))
+		}
+	}
+}
