chain, topo, place, proxy: drop what the change left dead or wrote again

Cause: reading the whole change again: four functions without a caller, a list search that the standard library has, the longest chain named twice, and the cover of a group counted again for each layer. Change: slices.Contains and chain.MostHops serve; the cover is counted once; the rest is gone. No behaviour changes and no test asserts less. Ruled out: one function for cover and solid, and one set of options for peers and plan; they are alike in shape and differ in what they mean.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -163,9 +163,7 @@
 	return slowestOf(m, hops, byID), Throughput(m, stages, n).Reading > readLimit
 }
 
-// Uncovered returns the first range of layers that no target holds.
-func Uncovered(candidates []Candidate, l topo.Layers) topo.Layers { return uncovered(candidates, l) }
-
+// uncovered returns the first range of layers that no target holds.
 func uncovered(candidates []Candidate, l topo.Layers) topo.Layers {
 	held := make([]bool, max(0, l.To))
 	for _, c := range candidates {
--- a/internal/place/layout.go
+++ b/internal/place/layout.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// mostStages is the longest chain that targets accept.
-	mostStages = 32
 	// loadLimit is the share of the time of the slowest stage that prompts may
 	// take; above it they queue.
 	loadLimit = 0.85
@@ -179,7 +177,7 @@
 // each calls f with all mixes of one target or more that are part of m.
 func (ls *layouts) each(m, head mix, f func(mix)) {
 	if len(head) == len(m) {
-		if n := head.sum(); n > 0 && n <= mostStages {
+		if n := head.sum(); n > 0 && n <= chain.MostHops {
 			f(head)
 		}
 		return
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -229,10 +229,10 @@
 
 // leastRoom is the room for requests of the layer that has least of it.
 func (g group) leastRoom() float64 {
-	room := g.roomOf()
+	room, cover := g.roomOf(), g.cover()
 	least := room[0]
 	for i, r := range room {
-		if g.cover()[i] > 0 && (r < least || least == 0) {
+		if cover[i] > 0 && (r < least || least == 0) {
 			least = r
 		}
 	}
--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -135,12 +135,11 @@
 					continue
 				}
 				l.hold(ctx, heard[i], now-heardAt[i])
-				for j, other := range leases {
+				for j := range leases {
 					if j != i && l.term > 0 && rapid.Bool().Draw(t, "linked") {
 						if l.term >= heard[j] {
 							heard[j], heardAt[j] = l.term, now
 						}
-						_ = other
 					}
 				}
 			}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -155,7 +156,7 @@
 	targets := q.Fleets.Section().Value().Of(q.service.Name)
 	for i := range targets {
 		t := &targets[i]
-		if t.State != topo.Ready || contains(used, t.ID) {
+		if t.State != topo.Ready || slices.Contains(used, t.ID) {
 			continue
 		}
 		score := q.plain.expected(t.ID).Seconds() * (1 + float64(loads[t.ID].Running)/float64(max(1, t.Slots)))
@@ -176,15 +177,6 @@
 	return *best, nil
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 // tryPlain sends the request to one target and reads the whole answer.
 func (q *request) tryPlain(ctx context.Context, t topo.Target) try {
 	start := q.Clock.Now()
--- a/internal/topo/fleet.go
+++ b/internal/topo/fleet.go
@@ -23,21 +23,6 @@
 	return f.indexed()
 }
 
-// With returns a fleet with targets added or replaced and others removed.
-func (f Fleet) With(version uint64, put []Target, gone []string) Fleet {
-	next := Fleet{Version: version, targets: maps.Clone(f.targets)}
-	if next.targets == nil {
-		next.targets = map[string]Target{}
-	}
-	for _, id := range gone {
-		delete(next.targets, id)
-	}
-	for _, t := range put {
-		next.targets[t.ID] = t
-	}
-	return next.indexed()
-}
-
 func (f Fleet) indexed() Fleet {
 	f.byName = map[string][]Target{}
 	for _, t := range f.targets {
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -158,21 +158,12 @@
 // Len returns the number of layers.
 func (l Layers) Len() int { return max(0, l.To-l.From) }
 
-// Covers reports whether all of o lies in l.
-func (l Layers) Covers(o Layers) bool { return l.From <= o.From && o.To <= l.To }
-
 // WithHeld returns a copy that holds other layers.
 func (t Target) WithHeld(l Layers) Target {
 	t.Held = l
 	return t
 }
 
-// WithState returns a copy with another state.
-func (t Target) WithState(s State) Target {
-	t.State = s
-	return t
-}
-
 // StepOf is the time of a step through all layers on a card of pace 1 while n
 // requests of usual size write.
 func (m *Model) StepOf(n float64) time.Duration {
