limit: bound the repeats that entries take without word from the others

Cause: an entry divided what is left of the bound anew every half second, from counts of the others that may be two seconds old, and kept to its equal part beyond that, whatever all had used before. When all stop hearing one another at once, 2 to 60 entries together exceed the bound.

Ruled out: a shorter time for which counts hold (600 ms): one lost pulse would put all entries on their equal parts, and those also forgot the shared past.

Change: repeats since the others were heard last count against one division of what is left. TestRepeatsWhenAllAreCutOff (2 to 60 entries) and TestRepeatsUnderAllCuts (three entries, 4,096 ways to cut them off) failed first.

--- a/internal/limit/repeat.go
+++ b/internal/limit/repeat.go
@@ -43,8 +43,9 @@
 	// Repeats bounds the requests of each service that are sent to a target
 	// more than once. Entries tell one another their counts; what is left is
 	// divided among them anew in each repeatLag, so that all together stay
-	// within it although they hear late. An entry that does not hear the
-	// others keeps to its equal part.
+	// within it although they hear late. What an entry takes before it has
+	// heard all others again comes out of one such division. An entry that
+	// misses some of the others keeps to its equal part besides.
 	Repeats struct {
 		clock   timer.Service
 		bounds  RepeatBounds
@@ -62,14 +63,19 @@
 		part     int64
 		requests [repeatParts]int
 		repeats  [repeatParts]int
-		// lag is the index of the newest repeatLag, and taken the repeats in it.
-		lag   int64
-		taken int
+		// total is the number of repeats in this lifetime. lag is the index of
+		// the newest repeatLag, and before the total at its start.
+		total, before int
+		lag           int64
+		// together is the total when all entries were heard last.
+		together int
 	}
 
 	otherCount struct {
 		at     time.Time
 		counts map[string]RepeatCount
+		// totals holds the own totals at that time.
+		totals map[string]int
 	}
 )
 
@@ -105,7 +111,11 @@
 func (r *Repeats) Hear(incarnation string, counts map[string]RepeatCount) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.others[incarnation] = otherCount{r.clock.Now(), counts}
+	totals := make(map[string]int, len(r.services))
+	for name, w := range r.services {
+		totals[name] = w.total
+	}
+	r.others[incarnation] = otherCount{r.clock.Now(), counts, totals}
 }
 
 // Take counts a repeat and reports whether it is allowed.
@@ -119,36 +129,54 @@
 	if r.clock.Now().Sub(r.start) < r.bounds.Window {
 		alone, shared = freshAlone, freshShared
 	}
-	part := repeatShare * (r.bounds.Ratio*float64(own.Requests) + float64(r.bounds.Slack)/float64(entries))
-	allowed := float64(own.Repeats+1) <= alone*part
-	if sum, all := r.sum(service, own, entries); all {
-		left := shared*repeatShare*(r.bounds.Ratio*float64(sum.Requests)+float64(r.bounds.Slack)) - float64(sum.Repeats-w.taken)
-		allowed = float64(w.taken+1) <= left/float64(2*entries)
+	k := r.known(service, own)
+	if k.entries >= entries {
+		w.together = k.together
+	}
+	// Repeats since the others were heard last are counted apart from those
+	// that they know of.
+	taken := min(own.Repeats, w.total-min(w.before, w.together))
+	left := shared*repeatShare*(r.bounds.Ratio*float64(k.sum.Requests)+float64(r.bounds.Slack)) - float64(k.sum.Repeats-taken)
+	allowed := float64(taken+1) <= left/float64(2*entries)
+	if k.entries < entries {
+		part := repeatShare * (r.bounds.Ratio*float64(own.Requests) + float64(r.bounds.Slack)/float64(entries))
+		allowed = float64(own.Repeats+1) <= alone*part && (allowed || !k.others)
 	}
 	if !allowed {
 		return false
 	}
 	w.repeats[w.part%repeatParts]++
-	w.taken++
+	w.total++
 	return true
 }
 
-// sum adds the counts of the others, and reports whether all were heard.
-func (r *Repeats) sum(service string, own RepeatCount, entries int) (RepeatCount, bool) {
-	heard := 1
+// knownCounts is what an entry knows of all entries.
+type knownCounts struct {
+	sum RepeatCount
+	// others says that the sum is not only of this entry.
+	others bool
+	// entries is the number of those heard of late, this one included, and
+	// together the own total when the first of them was heard last.
+	entries, together int
+}
+
+func (r *Repeats) known(service string, own RepeatCount) knownCounts {
+	k := knownCounts{sum: own, entries: 1, together: r.services[service].total}
 	now := r.clock.Now()
 	for incarnation, o := range r.others {
 		if now.Sub(o.at) > r.bounds.Window {
 			delete(r.others, incarnation)
 			continue
 		}
-		own.Requests += o.counts[service].Requests
-		own.Repeats += o.counts[service].Repeats
+		k.sum.Requests += o.counts[service].Requests
+		k.sum.Repeats += o.counts[service].Repeats
+		k.others = true
 		if now.Sub(o.at) <= repeatSilence {
-			heard++
+			k.entries++
+			k.together = min(k.together, o.totals[service])
 		}
 	}
-	return own, heard >= entries
+	return k
 }
 
 func (w *repeatWindow) count() RepeatCount {
@@ -168,7 +196,7 @@
 	}
 	since := r.clock.Now().Sub(r.start)
 	if lag := int64(since / repeatLag); lag != w.lag {
-		w.lag, w.taken = lag, 0
+		w.lag, w.before = lag, w.total
 	}
 	part := int64(since/max(1, r.bounds.Window/repeatParts)) + 1
 	for steps := 0; w.part < part && steps < repeatParts; steps++ {
--- a/internal/limit/repeat_test.go
+++ b/internal/limit/repeat_test.go
@@ -96,3 +96,95 @@
 		}
 	})
 }
+
+// exchange is a set of entries that hear one another, but for those cut off.
+type exchange struct {
+	clock   *timer.Manual
+	entries []*limit.Repeats
+	taken   []int
+}
+
+const exchangeTick = 200 * time.Millisecond
+
+// newExchange returns n entries that are past their first window.
+func newExchange(n int) *exchange {
+	e := &exchange{clock: timer.NewManual(time.Unix(1000, 0))}
+	for range n {
+		e.entries = append(e.entries, limit.NewRepeats(e.clock, repeatBounds, func() int { return n }))
+	}
+	for range int(repeatBounds.Window/exchangeTick) + 1 {
+		e.tick(0, false)
+	}
+	return e
+}
+
+// tick lets the entries that are not in cut hear one another and, in a storm,
+// take all repeats that they may.
+func (e *exchange) tick(cut uint, storm bool) {
+	for i, r := range e.entries {
+		for j, other := range e.entries {
+			if i != j && cut&(1<<i|1<<j) == 0 {
+				r.Hear(strconv.Itoa(j), other.Own())
+			}
+		}
+	}
+	taken := 0
+	for _, r := range e.entries {
+		for storm && r.Take("s") {
+			taken++
+		}
+	}
+	e.taken = append(e.taken, taken)
+	e.clock.Advance(exchangeTick)
+}
+
+// worst returns the most repeats in any window.
+func (e *exchange) worst() int {
+	most, sum := 0, 0
+	for i, n := range e.taken {
+		sum += n
+		if past := i - int(repeatBounds.Window/exchangeTick); past >= 0 {
+			sum -= e.taken[past]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Guards against many entries that all stop hearing one another, and each go
+// on from counts that grow old.
+func TestRepeatsWhenAllAreCutOff(t *testing.T) {
+	for _, n := range []int{2, 6, 30, 60} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			is := is.New(t)
+			e := newExchange(n)
+			for range 60 {
+				e.tick(1<<n-1, true)
+			}
+			is.True(e.worst() <= repeatBounds.Slack)
+		})
+	}
+}
+
+// Explores every way to cut three entries off, step by step, while each takes
+// all that it may.
+func TestRepeatsUnderAllCuts(t *testing.T) {
+	const (
+		entries = 3
+		steps   = 4
+		ticks   = 4
+	)
+	worst, paths := 0, 0
+	for path := range uint(1) << (entries * steps) {
+		e := newExchange(entries)
+		for step := range steps {
+			for range ticks {
+				e.tick(path>>(entries*step)&(1<<entries-1), true)
+			}
+		}
+		paths++
+		worst = max(worst, e.worst())
+	}
+	t.Logf("%d paths, at most %d of %d repeats", paths, worst, repeatBounds.Slack)
+	is.New(t).True(worst <= repeatBounds.Slack)
+}
