--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -160,3 +160,36 @@
 		}
 	})
 }
+
+// Guards against orders whose first copy of the model comes late: all targets
+// start empty at once, and only some loads run at full speed together.
+func TestFirstCopyIsInTime(t *testing.T) {
+	const (
+		// recovery is the bound of the deployments, and before the time until
+		// the planner holds its lease and the number of targets has settled.
+		recovery = 12 * time.Second
+		before   = 3 * time.Second
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		targets := fleet(t)
+		orders := place.Plan(large, targets)
+		ends := make([]time.Duration, large.LoadsAtOnce)
+		held := map[int]bool{}
+		for _, o := range orders {
+			slices.Sort(ends)
+			ends[0] += large.Load * time.Duration(o.Layers.Len()) / time.Duration(large.Layers)
+			if ends[0] > recovery-before {
+				break
+			}
+			for l := o.Layers.From; l < o.Layers.To; l++ {
+				held[l] = true
+			}
+		}
+		if wrong := carryOut(targets, orders); wrong != "" {
+			t.Fatal(wrong)
+		}
+		if covered(targets) == large.Layers && len(held) < large.Layers {
+			t.Fatalf("only %d layers are held %s after the start; first orders: %v", len(held), recovery, orders[:min(len(orders), 12)])
+		}
+	})
+}
