peers, follow: form groups of gateways, of which only the leaders read the store

Cause: on grown sites each of 32 gateways followed the store's feeds and pulsed to all others.

Ruled out: longer waits at the store (the proof of freshness would be too old for keys), fewer pulses (streams wait for word of failing targets).

Change: more than 8 gateways form groups. Followers tell their leader and ask it for configuration and list; leaders exchange sums. Up to 8 all stays as it was.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -158,13 +158,17 @@
 	g.links = d.links(linkSettings{times: settings.Links, hello: g.hello, handler: handlers})
 	bounds := limit.RepeatBounds{Window: settings.Repeats.Window.Duration, Ratio: settings.Repeats.Ratio, Slack: settings.Repeats.Slack}
 	repeats := limit.NewRepeats(d.clock, bounds, func() int { return int(g.gateways.Load()) })
+	self := peers.Member{
+		Instance: settings.Instance, Address: settings.Advertise, DataCentre: settings.DataCentre, Power: int(1000 * settings.Processor),
+	}
+	g.members = peers.NewMembers(self, g.store, g.links, d.clock, d.logger, func(n int) { g.gateways.Store(int64(n)) })
 	g.peers = peers.New(peers.Options{
-		Links: g.links, Clock: d.clock, Steady: bootTime, Log: d.logger, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
-		Repeats: repeats,
+		Self: self, Incarnation: d.incarnation, Members: g.members, Links: g.links, Clock: d.clock, Steady: bootTime, Log: d.logger,
+		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Repeats: repeats,
 	})
+	g.configs.PartBy(g.peers.Part)
+	g.fleets.PartBy(g.peers.Part)
 	handlers.set(g.peers)
-	self := peers.Member{Instance: settings.Instance, Address: settings.Advertise, DataCentre: settings.DataCentre}
-	g.members = peers.NewMembers(self, g.store, g.links, d.clock, d.logger, func(n int) { g.gateways.Store(int64(n)) })
 	g.server = proxy.New(proxy.Options{
 		Settings: proxy.Settings{
 			DataCentre: settings.DataCentre, BodyBytes: gatewayBodyBytes,
--- /dev/null
+++ b/internal/cmds/gateway_group_test.go
@@ -0,0 +1,89 @@
+package cmds
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"shallotcourse/internal/conf"
+)
+
+// startGroups runs gateways in two data centres, more than exchange all with
+// all.
+func startGroups(t *testing.T, store string) []*testGateway {
+	t.Helper()
+	var out []*testGateway
+	for i := range 12 {
+		g := startGateway(t, fmt.Sprintf("g%02d", i), store, func(s *conf.Gateway) {
+			s.DataCentre = []string{"x", "y"}[i%2]
+			s.Processor = 0.1 * float64(1+i/2)
+			s.KeyLife.Duration = 5 * time.Second
+		})
+		out = append(out, g)
+	}
+	for _, g := range out {
+		g.started(t)
+		eventually(t, g.settings.Instance+" follows or leads", func() bool {
+			a, leads := g.peers.Arrangement()
+			return !a.Mesh && (leads || g.peers.Follows())
+		})
+	}
+	return out
+}
+
+// Guards against many gateways that all read the store, against those that
+// learn of changes late, and against those whose leader is gone.
+func TestGatewaysInGroups(t *testing.T) {
+	site, store, _ := testSite(t)
+	all := startGroups(t, store)
+	leaders := func() string {
+		var names []string
+		for _, g := range all {
+			if _, leads := g.peers.Arrangement(); leads {
+				names = append(names, g.settings.Instance)
+			}
+		}
+		return strings.Join(names, " ")
+	}
+	eventually(t, "the strongest lead", func() bool { return leaders() == "g10 g11" })
+	time.Sleep(3 * time.Second) // readings under way end
+
+	before, _ := site.Store.Calls()
+	const calm = 5 * time.Second
+	time.Sleep(calm)
+	after, _ := site.Store.Calls()
+	// Each of two leaders reads the configuration every 0.7 s or less often,
+	// the list every second, the members every 5 s.
+	if bound := 2 * (8 + 6 + 2); after-before > bound {
+		t.Fatalf("%d readings of the store within %s; want at most %d", after-before, calm, bound)
+	}
+
+	accepted := func(g *testGateway, key string) bool {
+		return g.get("/look/x", "Authorization", "Bearer "+key).status == http.StatusOK
+	}
+	inForce := func(key string, bound time.Duration) {
+		t.Helper()
+		site.Config(testKey, key)
+		start := time.Now()
+		for _, g := range all {
+			if g == nil {
+				continue
+			}
+			eventually(t, g.settings.Instance+" has the new configuration", func() bool { return accepted(g, key) })
+		}
+		if took := time.Since(start); took > bound {
+			t.Fatalf("a new configuration took %s", took)
+		}
+	}
+	inForce("key-2", 2*time.Second)
+
+	all[10].links.Stop() // as if its machine had lost its links
+	all[10] = nil
+	eventually(t, "the followers turn to the next leader", func() bool {
+		a, _ := all[0].peers.Arrangement()
+		return a.Leader == "g08" && all[0].peers.Follows()
+	})
+	inForce("key-3", 2*time.Second)
+}
--- a/internal/conf/gate.go
+++ b/internal/conf/gate.go
@@ -24,6 +24,9 @@
 		FirstStart bool
 		// MemoryMegabytes bounds the memory of the process.
 		MemoryMegabytes int
+		// Processor is the processor time that the process may take, in cores.
+		// The gateways with most of it pass on what others tell.
+		Processor float64
 		// KeyLife is the age of the configuration from which keys are refused.
 		KeyLife Duration
 		// StallLimit is how long targets hold work that waits for a lost one.
@@ -50,6 +53,7 @@
 	return Gateway{
 		Listen: ":8080", ReadyListen: ":8081", LinkListen: ":8082", OpsListen: ":8083", ReadyPath: "/readyz",
 		MemoryMegabytes: 256,
+		Processor:       1,
 		KeyLife:         of(5 * time.Second),
 		StallLimit:      of(2 * time.Second),
 		StopTimeout:     of(8 * time.Second),
@@ -77,6 +81,7 @@
 	c.address("Advertise", g.Advertise)
 	c.address("Store", g.Store)
 	c.number("MemoryMegabytes", int64(g.MemoryMegabytes), 32, 1<<20)
+	c.that(g.Processor > 0 && g.Processor <= 1024, "Processor", g.Processor, "above 0, up to 1024")
 	c.duration("KeyLife", g.KeyLife, time.Second, time.Hour)
 	c.duration("StallLimit", g.StallLimit, 100*time.Millisecond, time.Minute)
 	c.duration("StopTimeout", g.StopTimeout, time.Second, time.Hour)
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -17,6 +17,12 @@
 	// configuration. With the request's timeout it stays below the time in
 	// which a new configuration must be in force.
 	configWait = 1500 * time.Millisecond
+	// configWaitReads is the same for a process that reads for others: what it
+	// tells them is as old as two waits.
+	configWaitReads = 700 * time.Millisecond
+	// configTold is the age up to which a process that is told leaves the store
+	// alone. A call then ends before others are asked or keys are refused.
+	configTold = 2800 * time.Millisecond
 )
 
 type (
@@ -38,14 +44,19 @@
 		steady  Clock
 		log     log.Logger
 		section *board.Section[Config]
+		part    func() Part
 	}
 )
 
 // NewConfigs returns a follower; Run starts it.
 func NewConfigs(source Source, clock timer.Service, steady Clock, logger log.Logger) *Configs {
-	return &Configs{source: source, clock: clock, steady: steady, log: logger, section: board.New(Config{})}
+	return &Configs{source: source, clock: clock, steady: steady, log: logger, section: board.New(Config{}), part: alone}
 }
 
+// PartBy sets what returns the part of this process in reading the store. It is
+// called before Run.
+func (c *Configs) PartBy(part func() Part) { c.part = part }
+
 // Section returns the section that holds the configuration.
 func (c *Configs) Section() *board.Section[Config] { return c.section }
 
@@ -61,11 +72,15 @@
 
 // Run follows the store until the context ends.
 func (c *Configs) Run(ctx context.Context) {
-	poll(ctx, poller{clock: c.clock, log: c.log, source: "Config", age: c.Age}, func(after uint64) (uint64, time.Duration, error) {
+	poll(ctx, poller{clock: c.clock, log: c.log, source: "Config", age: c.Age, part: c.part, toldLife: configTold}, func(after uint64) (uint64, time.Duration, error) {
 		// The proof counts from before the request, because the answer may be
 		// as old as that.
 		asked := c.steady()
-		page, err := c.source.Config(ctx, after, configWait)
+		wait := configWait
+		if c.part() == Reads {
+			wait = configWaitReads
+		}
+		page, err := c.source.Config(ctx, after, wait)
 		switch {
 		case err != nil:
 		case page.Raw != nil:
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -17,6 +17,10 @@
 	// targetsWait is how long the store may hold an answer about the list. The
 	// list changes a few times a minute, so longer waits save calls.
 	targetsWait = 2 * time.Second
+	// targetsWaitReads is the same for a process that reads for others, and
+	// targetsTold the age up to which one that is told leaves the store alone.
+	targetsWaitReads = time.Second
+	targetsTold      = 3500 * time.Millisecond
 	// targetsLeast is the least time between two readings, for lists that
 	// change all the time. With a call it stays below the time in which a
 	// leaving target must get no more work.
@@ -27,6 +31,8 @@
 	// lapseGrace is how long entries that vanished during an outage may take
 	// to come back.
 	lapseGrace = 2200 * time.Millisecond
+	// mostRemoved bounds the entries whose removal is remembered.
+	mostRemoved = 4096
 	// overlayLife bounds how long what a target said itself goes before its
 	// entry in the list, which lags by a heartbeat.
 	overlayLife = 4 * time.Second
@@ -47,6 +53,7 @@
 		steady  Clock
 		log     log.Logger
 		section *board.Section[Fleet]
+		part    func() Part
 
 		// The fields below belong to the section's writers and are guarded by
 		// its lock.
@@ -57,6 +64,11 @@
 		// overlays holds what targets said of themselves.
 		overlays map[string]overlay
 		grace    time.Duration
+		// stamps holds the version at which each entry was last seen to change,
+		// removed the version at which entries went. What changed before
+		// horizon is not known.
+		stamps, removed map[string]uint64
+		horizon         uint64
 	}
 
 	overlay struct {
@@ -68,12 +80,16 @@
 // NewFleets returns a follower; Run starts it.
 func NewFleets(source Source, clock timer.Service, steady Clock, logger log.Logger) *Fleets {
 	return &Fleets{
-		source: source, clock: clock, steady: steady, log: logger, section: board.New(Fleet{}),
+		source: source, clock: clock, steady: steady, log: logger, section: board.New(Fleet{}), part: alone,
 		listed: map[string]topo.Target{}, lapsed: map[string]time.Duration{},
-		overlays: map[string]overlay{},
+		overlays: map[string]overlay{}, stamps: map[string]uint64{}, removed: map[string]uint64{},
 	}
 }
 
+// PartBy sets what returns the part of this process in reading the store. It is
+// called before Run.
+func (f *Fleets) PartBy(part func() Part) { f.part = part }
+
 // Section returns the section that holds the list.
 func (f *Fleets) Section() *board.Section[Fleet] { return f.section }
 
@@ -88,9 +104,13 @@
 
 // Run reads the list until the context ends.
 func (f *Fleets) Run(ctx context.Context) {
-	poll(ctx, poller{clock: f.clock, log: f.log, source: "Target", age: f.Age}, func(after uint64) (uint64, time.Duration, error) {
+	poll(ctx, poller{clock: f.clock, log: f.log, source: "Target", age: f.Age, part: f.part, toldLife: targetsTold}, func(after uint64) (uint64, time.Duration, error) {
 		asked := f.steady()
-		page, err := f.source.Targets(ctx, after, targetsWait)
+		wait := targetsWait
+		if f.part() == Reads {
+			wait = targetsWaitReads
+		}
+		page, err := f.source.Targets(ctx, after, wait)
 		if err == nil {
 			f.apply(page, asked)
 		}
@@ -107,6 +127,53 @@
 	f.apply(TargetPage{Whole: true, Targets: targets, Version: version}, read)
 }
 
+// VouchedChanges takes over what has changed in the list of another entry, read
+// at a moment, since the version that this one has.
+func (f *Fleets) VouchedChanges(version uint64, targets []topo.Target, gone []string, read time.Duration, instance string) {
+	if v := f.section.Value(); read <= v.Read || version < v.Version {
+		return
+	}
+	if len(targets)+len(gone) > 0 {
+		_ = level.Debug(f.log).Log("event", "ChangesVouched", "version", version, "targets", len(targets), "gone", len(gone), "from", instance)
+	}
+	f.apply(TargetPage{Targets: targets, Gone: gone, Version: version}, read)
+}
+
+// Newest returns the version of the last change of the list.
+func (f *Fleets) Newest() uint64 {
+	newest := uint64(0)
+	f.section.Update(func(v Fleet) (Fleet, bool) {
+		for _, stamp := range f.stamps {
+			newest = max(newest, stamp)
+		}
+		for _, stamp := range f.removed {
+			newest = max(newest, stamp)
+		}
+		return v, false
+	})
+	return newest
+}
+
+// Since returns the version of the list and what has changed after another
+// version, or the whole list if that is not known.
+func (f *Fleets) Since(after uint64) (version uint64, targets []topo.Target, gone []string, changes bool) {
+	f.section.Update(func(v Fleet) (Fleet, bool) {
+		version, changes = v.Version, after > 0 && after >= f.horizon
+		for id, t := range f.listed {
+			if !changes || f.stamps[id] > after {
+				targets = append(targets, t)
+			}
+		}
+		for id, stamp := range f.removed {
+			if changes && stamp > after {
+				gone = append(gone, id)
+			}
+		}
+		return v, false
+	})
+	return version, targets, gone, changes
+}
+
 // Overlay records what a target said of itself, which is newer than the list.
 func (f *Fleets) Overlay(t topo.Target) {
 	f.section.Update(func(v Fleet) (Fleet, bool) {
@@ -136,23 +203,28 @@
 				}
 			}
 		}
+		if f.horizon == 0 || len(f.removed) > mostRemoved {
+			clear(f.removed)
+			f.horizon = page.Version
+		}
 		for _, id := range gone {
-			f.remove(id, now)
+			f.remove(id, now, page.Version)
 		}
 		for _, t := range page.Targets {
-			f.put(t)
+			f.put(t, page.Version)
 		}
 		for id, due := range f.lapsed {
 			if now >= due {
 				_ = level.Info(f.log).Log("event", "TargetGone", "target", id, "version", page.Version, "lapsed", true)
-				f.forget(id)
+				// Those who have this version have not heard of it yet.
+				f.forget(id, page.Version+1)
 			}
 		}
 		return f.merged(page.Version, max(v.Read, asked)), true
 	})
 }
 
-func (f *Fleets) put(t topo.Target) {
+func (f *Fleets) put(t topo.Target, version uint64) {
 	old, known := f.listed[t.ID]
 	switch {
 	case !known:
@@ -162,13 +234,17 @@
 		_ = level.Info(f.log).Log("event", "TargetChanged", "target", t.ID, "born", t.Born, "state", int(t.State),
 			"from", t.Held.From, "to", t.Held.To)
 	}
+	if !known || old != t {
+		f.stamps[t.ID] = version
+	}
 	f.listed[t.ID] = t
 	delete(f.lapsed, t.ID)
+	delete(f.removed, t.ID)
 }
 
 // remove takes an entry off the list. During the grace after an outage it may
 // still come back, and stays in use until then.
-func (f *Fleets) remove(id string, now time.Duration) {
+func (f *Fleets) remove(id string, now time.Duration, version uint64) {
 	t, ok := f.listed[id]
 	if !ok {
 		return
@@ -180,10 +256,12 @@
 		return
 	}
 	_ = level.Info(f.log).Log("event", "TargetGone", "target", id)
-	f.forget(id)
+	f.forget(id, version)
 }
 
-func (f *Fleets) forget(id string) {
+func (f *Fleets) forget(id string, version uint64) {
+	f.removed[id] = version
+	delete(f.stamps, id)
 	delete(f.listed, id)
 	delete(f.lapsed, id)
 	delete(f.overlays, id)
--- a/internal/follow/poll.go
+++ b/internal/follow/poll.go
@@ -13,11 +13,27 @@
 )
 
 const (
+	// toldPause is the pause between two looks at what others have told.
+	toldPause = 100 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 )
 
+// Part is the part of a process in reading the store.
+type Part int
+
+const (
+	// Alone reads for itself.
+	Alone Part = iota
+	// Told is kept up to date by another process, and reads only if that fails.
+	Told
+	// Reads reads for others too, which hear of it later.
+	Reads
+)
+
+func alone() Part { return Alone }
+
 // poller is what the followers of the store share.
 type poller struct {
 	clock timer.Service
@@ -25,6 +41,10 @@
 	// source names what is followed in log lines.
 	source string
 	age    func() time.Duration
+	// part is the part of this process in reading the store; one that others
+	// tell leaves it alone up to the age toldLife.
+	part     func() Part
+	toldLife time.Duration
 }
 
 // poll calls the store until the context ends. A call goes on after a version
@@ -34,6 +54,10 @@
 	after := uint64(0)
 	failing := false
 	for ctx.Err() == nil {
+		if p.part() == Told && p.age() < p.toldLife {
+			_ = timer.Sleep(ctx, p.clock, toldPause)
+			continue
+		}
 		version, pause, err := call(after)
 		switch {
 		case fault.Is(err, fault.HistoryLost):
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -143,6 +143,21 @@
 	l.peers[instance] = peer{l.clock.Now(), use}
 }
 
+// HearAll replaces what is known of the work of all other entries.
+func (l *Ledger) HearAll(instance string, use map[string]Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.peers)
+	l.peers[instance] = peer{l.clock.Now(), use}
+}
+
+// Forget drops the work of another entry, which others have taken into theirs.
+func (l *Ledger) Forget(instance string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.peers, instance)
+}
+
 // Loads returns the work of all entries at each target.
 func (l *Ledger) Loads() map[string]chain.Load {
 	l.mu.Lock()
--- a/internal/limit/repeat.go
+++ b/internal/limit/repeat.go
@@ -20,6 +20,9 @@
 	repeatLag = 500 * time.Millisecond
 	// repeatSilence is how long the counts of another entry hold.
 	repeatSilence = 2 * time.Second
+	// repeatLags is the number of starts of repeatLag whose totals are kept:
+	// as many as counts hold.
+	repeatLags = int64(repeatSilence/repeatLag) + 1
 	// freshAlone and freshShared are the parts that an entry uses in its first
 	// window, because it does not know what its last lifetime has used.
 	freshAlone  = 0.25
@@ -40,6 +43,12 @@
 	// RepeatCount is what an entry has counted within the window.
 	RepeatCount struct{ Requests, Repeats int }
 
+	// Life is the counts of a lifetime of an entry, of some time ago.
+	Life struct {
+		Age    time.Duration
+		Counts map[string]RepeatCount
+	}
+
 	// Repeats bounds the requests of each service that are sent to a target
 	// more than once. Entries tell one another their counts; what is left is
 	// divided among them anew in each repeatLag, so that all together stay
@@ -64,9 +73,11 @@
 		requests [repeatParts]int
 		repeats  [repeatParts]int
 		// total is the number of repeats in this lifetime. lag is the index of
-		// the newest repeatLag, and before the total at its start.
-		total, before int
-		lag           int64
+		// the newest repeatLag, and totals holds the total at the start of each
+		// of the last ones.
+		total  int
+		lag    int64
+		totals [repeatLags]int
 		// together is the total when all entries were heard last.
 		together int
 	}
@@ -106,16 +117,34 @@
 	return out
 }
 
-// Hear replaces the counts of a lifetime of another entry. Those of one that
-// has ended go on counting for a window.
-func (r *Repeats) Hear(incarnation string, counts map[string]RepeatCount) {
+// Hear replaces the counts of a lifetime of another entry, which are of some
+// time ago. Those of one that has ended go on counting for a window.
+func (r *Repeats) Hear(incarnation string, counts map[string]RepeatCount, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	at := r.clock.Now().Add(-max(0, age))
+	if !at.After(r.others[incarnation].at) {
+		return
+	}
 	totals := make(map[string]int, len(r.services))
-	for name, w := range r.services {
-		totals[name] = w.total
+	for name := range r.services {
+		totals[name] = r.window(name).totalAt(age)
+	}
+	r.others[incarnation] = otherCount{at, counts, totals}
+}
+
+// Lives returns the counts of all other lifetimes with their ages.
+func (r *Repeats) Lives() map[string]Life {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	out := make(map[string]Life, len(r.others))
+	for incarnation, o := range r.others {
+		if age := now.Sub(o.at); age <= r.bounds.Window {
+			out[incarnation] = Life{age, o.counts}
+		}
 	}
-	r.others[incarnation] = otherCount{r.clock.Now(), counts, totals}
+	return out
 }
 
 // Take counts a repeat and reports whether it is allowed.
@@ -135,7 +164,7 @@
 	}
 	// Repeats since the others were heard last are counted apart from those
 	// that they know of.
-	taken := min(own.Repeats, w.total-min(w.before, w.together))
+	taken := min(own.Repeats, w.total-min(w.totals[w.lag%repeatLags], w.together))
 	left := shared*repeatShare*(r.bounds.Ratio*float64(k.sum.Requests)+float64(r.bounds.Slack)) - float64(k.sum.Repeats-taken)
 	allowed := float64(taken+1) <= left/float64(2*entries)
 	if k.entries < entries {
@@ -179,6 +208,15 @@
 	return k
 }
 
+// totalAt returns the total of some time ago or before.
+func (w *repeatWindow) totalAt(age time.Duration) int {
+	if age <= 0 {
+		return w.total
+	}
+	back := min(int64(age/repeatLag)+1, repeatLags-1)
+	return w.totals[max(0, w.lag-back)%repeatLags]
+}
+
 func (w *repeatWindow) count() RepeatCount {
 	var c RepeatCount
 	for i := range w.requests {
@@ -195,8 +233,9 @@
 		r.services[service] = w
 	}
 	since := r.clock.Now().Sub(r.start)
-	if lag := int64(since / repeatLag); lag != w.lag {
-		w.lag, w.before = lag, w.total
+	for lag := int64(since / repeatLag); w.lag < lag; {
+		w.lag = max(w.lag+1, lag-repeatLags+1)
+		w.totals[w.lag%repeatLags] = w.total
 	}
 	part := int64(since/max(1, r.bounds.Window/repeatParts)) + 1
 	for steps := 0; w.part < part && steps < repeatParts; steps++ {
--- a/internal/limit/repeat_test.go
+++ b/internal/limit/repeat_test.go
@@ -73,7 +73,7 @@
 				for i, e := range entries {
 					for j, other := range entries {
 						if i != j {
-							e.Hear(strconv.Itoa(lives[j]), other.Own())
+							e.Hear(strconv.Itoa(lives[j]), other.Own(), 0)
 						}
 					}
 				}
@@ -124,7 +124,7 @@
 	for i, r := range e.entries {
 		for j, other := range e.entries {
 			if i != j && cut&(1<<i|1<<j) == 0 {
-				r.Hear(strconv.Itoa(j), other.Own())
+				r.Hear(strconv.Itoa(j), other.Own(), 0)
 			}
 		}
 	}
@@ -166,6 +166,34 @@
 	}
 }
 
+// Guards against counts that are passed on by others and arrive late.
+func TestRepeatsHeardLate(t *testing.T) {
+	for _, late := range []int{1, 3, 6, 9} {
+		t.Run(strconv.Itoa(late), func(t *testing.T) {
+			is := is.New(t)
+			e := newExchange(30)
+			said := make([][]map[string]limit.RepeatCount, 0, 100)
+			for tick := range 100 {
+				own := make([]map[string]limit.RepeatCount, len(e.entries))
+				for i, r := range e.entries {
+					own[i] = r.Own()
+				}
+				said = append(said, own)
+				for i, r := range e.entries {
+					for j := range e.entries {
+						if i != j && tick >= late {
+							r.Hear(strconv.Itoa(j), said[tick-late][j], time.Duration(late)*exchangeTick)
+						}
+					}
+				}
+				e.tick(1<<30-1, true)
+			}
+			t.Logf("at most %d of %d", e.worst(), repeatBounds.Slack)
+			is.True(e.worst() <= repeatBounds.Slack)
+		})
+	}
+}
+
 // Explores every way to cut three entries off, step by step, while each takes
 // all that it may.
 func TestRepeatsUnderAllCuts(t *testing.T) {
--- /dev/null
+++ b/internal/peers/group.go
@@ -0,0 +1,286 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"shallotcourse/internal/ledger"
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/wire"
+)
+
+// rearrange brings the links in line with the list of gateways and with which
+// of them answer.
+func (p *Peers) rearrange(links map[string]link.Peer) {
+	members, version := p.Members.List()
+	if version == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Steady()
+	p.watchLinks(links, now)
+	followed := false
+	for instance, h := range p.heard {
+		if now-h.at < followerLife {
+			followed = followed || h.pulse.Follow
+			continue
+		}
+		if h.pulse.Follow {
+			// It tells another leader now.
+			p.Ledger.Forget(instance)
+		}
+		delete(p.heard, instance)
+	}
+	before, led := p.at, p.leads
+	p.at = arrange(p.Self, members, func(instance string) bool { return p.down(instance, now) }, followed)
+	p.leads = !p.at.Mesh && (p.at.Leader == p.Self.Instance || followed)
+	p.relink(before.Links, p.at.Links)
+	if before.Mesh == p.at.Mesh && before.Leader == p.at.Leader && led == p.leads {
+		return
+	}
+	p.since = now
+	p.sent = [2]map[string]wire.Use{}
+	if !p.at.Mesh && !before.Mesh {
+		// A leader tells of all; what another one told would count twice.
+		p.Ledger.Forget(before.Leader)
+	}
+	_ = level.Info(p.Log).Log("event", "Arranged", "mesh", p.at.Mesh, "group", p.at.Group, "leader", p.at.Leader, "leads", p.leads,
+		"before", before.Leader, "gateways", 1+len(members), "links", len(p.at.Links))
+}
+
+// watchLinks notes which gateways of the arrangement have no link, and whether
+// the leader has fallen silent.
+func (p *Peers) watchLinks(links map[string]link.Peer, now time.Duration) {
+	wanted := map[string]bool{}
+	for _, m := range p.at.Links {
+		wanted[m.Instance] = true
+		if _, ok := links[m.Instance]; ok {
+			delete(p.unlinked, m.Instance)
+		} else if _, ok := p.unlinked[m.Instance]; !ok {
+			p.unlinked[m.Instance] = now
+		}
+	}
+	for instance := range p.unlinked {
+		if !wanted[instance] {
+			delete(p.unlinked, instance)
+		}
+	}
+	for instance, until := range p.shunned {
+		if now > until {
+			delete(p.shunned, instance)
+		}
+	}
+	if leader := p.at.Leader; !p.at.Mesh && !p.leads && now-max(p.since, p.heard[leader].at) > leaderSilent {
+		_ = level.Info(p.Log).Log("event", "LeaderSilent", "leader", leader, "silent", now-p.heard[leader].at)
+		p.shunned[leader] = now + leaderShunned
+	}
+}
+
+func (p *Peers) down(instance string, now time.Duration) bool {
+	since, ok := p.unlinked[instance]
+	_, shunned := p.shunned[instance]
+	return shunned || ok && now-since >= unlinkedFor
+}
+
+func (p *Peers) relink(before, after []Member) {
+	had := map[string]int{}
+	for _, m := range before {
+		had[m.Address]++
+	}
+	for _, m := range after {
+		if had[m.Address]--; had[m.Address] < 0 {
+			p.Links.Want(m.Address)
+		}
+	}
+	for address, n := range had {
+		for range n {
+			p.Links.Unwant(address)
+		}
+	}
+}
+
+// duty reports whether this gateway deletes the row of another one that is
+// gone: leaders do so for their groups and for leaders that they miss.
+func (p *Peers) duty(other Member) bool {
+	members, _ := p.Members.List()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at.Mesh {
+		return true
+	}
+	if !p.leads {
+		return false
+	}
+	for _, m := range p.at.Links {
+		if m == other {
+			return true
+		}
+	}
+	for _, m := range group(append(members, p.Self))[p.at.Group] {
+		if m == other {
+			return true
+		}
+	}
+	return false
+}
+
+// follow tells the leader what this gateway does.
+func (p *Peers) follow(links map[string]link.Peer) {
+	p.mu.Lock()
+	leader := p.at.Leader
+	p.mu.Unlock()
+	l, ok := links[leader]
+	if !ok {
+		return
+	}
+	m := p.pulse()
+	m.Follow = true
+	p.mu.Lock()
+	p.sent = [2]map[string]wire.Use{p.sent[1], m.Use}
+	p.mu.Unlock()
+	p.send(l, m)
+}
+
+// lead tells the other leaders of the group, and the followers of all.
+func (p *Peers) lead(links map[string]link.Peer) {
+	own := p.pulse()
+	lives := p.lives()
+	group, followers := p.digest(own, lives)
+	all := p.digestOfAll(group, lives)
+	for instance, l := range links {
+		switch {
+		case followers[instance]:
+			p.send(l, all)
+		case p.wants(instance) || p.isLeader(instance):
+			p.send(l, group)
+		}
+	}
+}
+
+// lives returns the counts of all known lifetimes, or nil if it is not time to
+// tell them.
+func (p *Peers) lives() map[string]wire.Life {
+	p.mu.Lock()
+	due := p.ticks%livesEvery == 0
+	p.mu.Unlock()
+	if !due {
+		return nil
+	}
+	out := map[string]wire.Life{p.Incarnation: {Counts: counts(p.Repeats.Own())}}
+	for incarnation, l := range p.Repeats.Lives() {
+		out[incarnation] = wire.Life{Age: l.Age, Counts: counts(l.Counts)}
+	}
+	return out
+}
+
+// digest returns the sum of the group, and its followers.
+func (p *Peers) digest(own wire.Pulse, lives map[string]wire.Life) (wire.Digest, map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := wire.Digest{
+		Group: p.at.Group, Use: own.Use, Doubts: own.Doubts, Late: own.Late + p.lateGroup, Term: own.Term, Targets: own.Targets, Dead: own.Dead,
+	}
+	p.lateGroup = 0
+	if lives != nil {
+		out.Lives = map[string]wire.Life{p.Incarnation: lives[p.Incarnation]}
+	}
+	followers := map[string]bool{}
+	for instance, h := range p.heard {
+		if !h.pulse.Follow {
+			continue
+		}
+		followers[instance] = true
+		for id, u := range h.pulse.Use {
+			sum := out.Use[id]
+			out.Use[id] = wire.Use{TokenLayers: sum.TokenLayers + u.TokenLayers, Running: sum.Running + u.Running, First: sum.First + u.First}
+		}
+		if l, ok := lives[h.incarnation]; ok {
+			out.Lives[h.incarnation] = l
+		}
+		if h.pulse.Term > out.Term {
+			out.Term, out.Targets, out.Dead = h.pulse.Term, h.pulse.Targets, h.pulse.Dead
+		}
+	}
+	return out, followers
+}
+
+// digestOfAll returns the sum of all gateways, for followers.
+func (p *Peers) digestOfAll(group wire.Digest, lives map[string]wire.Life) wire.Digest {
+	out := group
+	out.All, out.Lives, out.Use = true, lives, map[string]wire.Use{}
+	for id, l := range p.Ledger.Loads() {
+		out.Use[id] = wire.Use{TokenLayers: l.TokenLayers, Running: l.Running, First: l.First}
+	}
+	_, out.Members = p.Members.List()
+	out.Config, out.List = p.Configs.Section().Value().Version, p.Fleets.Newest()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.Steady()-p.passedAt < planningLife && p.passed.Term > out.Term {
+		out.Term, out.Targets, out.Dead = p.passed.Term, p.passed.Targets, p.passed.Dead
+	}
+	return out
+}
+
+func (p *Peers) wants(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.at.Links {
+		if m.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Peers) isLeader(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard[instance].group != ""
+}
+
+// hearDigest takes over what a leader tells.
+func (p *Peers) hearDigest(from wire.Hello, m wire.Digest) {
+	p.mu.Lock()
+	now := p.Steady()
+	if m.All && (p.leads || p.at.Mesh || from.Instance != p.at.Leader) {
+		// Meant for a follower that this gateway is no longer.
+		p.mu.Unlock()
+		return
+	}
+	p.heard[from.Instance] = heard{at: now, incarnation: from.Incarnation, group: m.Group, leader: m.All}
+	use := ledgerUse(m.Use)
+	if m.All {
+		for id, u := range p.sent[0] {
+			use[id] = without(use[id], u)
+		}
+		p.Ledger.HearAll(from.Instance, use)
+	} else {
+		p.Ledger.Hear(from.Instance, use)
+		p.late += m.Late
+		for instance, h := range p.heard {
+			if h.group == m.Group && instance != from.Instance && now-h.at > 2*pulseEvery {
+				// The group has a new leader, which tells of it now.
+				p.Ledger.Forget(instance)
+				delete(p.heard, instance)
+			}
+		}
+	}
+	p.mu.Unlock()
+	for incarnation, l := range m.Lives {
+		p.hearLife(incarnation, l)
+	}
+	p.hearDoubts(from.Instance, m.Doubts)
+	p.hearPlanner(m.Term, m.Targets, m.Dead)
+	if m.All {
+		p.notice(m)
+	}
+}
+
+// without returns a sum less what this gateway told, as far as it is in it.
+func without(sum ledger.Use, own wire.Use) ledger.Use {
+	return ledger.Use{
+		TokenLayers: max(0, sum.TokenLayers-own.TokenLayers), Running: max(0, sum.Running-own.Running), First: max(0, sum.First-own.First),
+	}
+}
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +18,7 @@
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/timer"
+	"shallotcourse/internal/wire"
 )
 
 const (
@@ -30,14 +36,9 @@
 
 type (
 	// Member is a gateway in the store.
-	Member struct {
-		Instance string
-		// Address accepts links.
-		Address    string
-		DataCentre string
-	}
+	Member = wire.Member
 
-	// Members keeps this gateway's row and links to the others.
+	// Members keeps this gateway's row and the list of the others.
 	Members struct {
 		self   Member
 		source follow.Source
@@ -47,11 +48,19 @@
 
 		// count is the number of gateways, this one included.
 		count func(int)
-		// linked is when each other gateway was last seen on a link.
-		linked map[string]time.Time
-		wanted map[string]Member
 		// left says that the row must not be written again.
 		left atomic.Bool
+
+		mu     sync.Mutex
+		others map[string]Member
+		// version stands for the list, or is 0 before it was read.
+		version uint64
+		// learnt is when the list was last learnt from the leader.
+		learnt time.Time
+		// duty reports whether this gateway prunes the row of another one.
+		duty func(Member) bool
+		// linked is when each other gateway was last seen on a link.
+		linked map[string]time.Time
 	}
 )
 
@@ -60,10 +69,14 @@
 func NewMembers(self Member, source follow.Source, links *link.Group, clock timer.Service, logger log.Logger, count func(int)) *Members {
 	return &Members{
 		self: self, source: source, clock: clock, log: logger, links: links, count: count,
-		linked: map[string]time.Time{}, wanted: map[string]Member{},
+		linked: map[string]time.Time{}, others: map[string]Member{}, duty: func(Member) bool { return true },
 	}
 }
 
+// pruneIf sets what reports whether this gateway deletes the row of another one
+// that is gone.
+func (m *Members) pruneIf(duty func(Member) bool) { m.duty = duty }
+
 // Run keeps the membership until the context ends, and leaves then.
 func (m *Members) Run(ctx context.Context) {
 	start := m.clock.Now()
@@ -73,6 +86,10 @@
 		if m.clock.Now().Sub(start) < memberSettled {
 			pause = memberFirst
 		}
+		if m.told() {
+			_ = timer.Sleep(ctx, m.clock, pause)
+			continue
+		}
 		err := m.round(ctx)
 		if err != nil {
 			pause = memberFirst
@@ -93,6 +110,45 @@
 	}
 }
 
+// List returns the other gateways and the version of the list.
+func (m *Members) List() ([]Member, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.others)), m.version
+}
+
+// Learn takes over the list of the leader, which names all gateways. A list
+// without this one is not taken: its row is missing in the store.
+func (m *Members) Learn(members []Member) {
+	others := map[string]Member{}
+	own := false
+	for _, other := range members {
+		if other.Instance == m.self.Instance {
+			own = other == m.self
+			continue
+		}
+		others[other.Instance] = other
+	}
+	if own {
+		m.follow(others)
+		m.Confirm()
+	}
+}
+
+// Confirm records that the leader has the same list.
+func (m *Members) Confirm() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.learnt = m.clock.Now()
+}
+
+// told reports whether a leader keeps the list up to date.
+func (m *Members) told() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Now().Sub(m.learnt) < memberEvery
+}
+
 func (m *Members) round(ctx context.Context) error {
 	rows, err := m.source.Rows(ctx, memberTable)
 	if err != nil {
@@ -119,7 +175,7 @@
 		}
 	}
 	m.follow(members)
-	return m.prune(ctx, seen)
+	return m.prune(ctx, members, seen)
 }
 
 func (m *Members) write(ctx context.Context) error {
@@ -131,53 +187,62 @@
 	return err
 }
 
-// follow links to the members. Of two gateways, the one whose name is first
-// dials.
+// follow replaces the list of the other gateways.
 func (m *Members) follow(members map[string]Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for key, other := range members {
-		if m.wanted[key] == other {
-			continue
-		}
-		if old, ok := m.wanted[key]; ok {
-			m.links.Unwant(old.Address)
+		if m.others[key] != other {
+			_ = level.Info(m.log).Log("event", "MemberListed", "member", key, "address", other.Address, "dataCentre", other.DataCentre)
 		}
-		m.wanted[key] = other
-		if m.self.Instance < other.Instance {
-			m.links.Want(other.Address)
-		}
-		_ = level.Info(m.log).Log("event", "MemberListed", "member", key, "address", other.Address, "dataCentre", other.DataCentre)
 	}
-	for key, old := range m.wanted {
+	for key := range m.others {
 		if _, ok := members[key]; !ok {
-			m.links.Unwant(old.Address)
-			delete(m.wanted, key)
 			delete(m.linked, key)
 			_ = level.Info(m.log).Log("event", "MemberGone", "member", key)
 		}
 	}
-	m.count(1 + len(members))
+	m.others = members
+	all := append(slices.Collect(maps.Values(members)), m.self)
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
+	h := fnv.New64a()
+	for _, member := range all {
+		_, _ = h.Write([]byte(member.Instance + "\x00" + member.Address + "\x00")) // never fails
+	}
+	m.version = h.Sum64()
+	m.count(len(all))
 }
 
 // prune deletes the rows of gateways that nobody here is linked to for long.
-func (m *Members) prune(ctx context.Context, rows map[string]follow.Row) error {
-	now := m.clock.Now()
-	for _, p := range m.links.Peers() {
-		m.linked[p.Hello().Instance] = now
-	}
+func (m *Members) prune(ctx context.Context, members map[string]Member, rows map[string]follow.Row) error {
 	for key, row := range rows {
-		at, ok := m.linked[key]
-		if !ok {
-			m.linked[key] = now
-			continue
-		}
-		if now.Sub(at) < memberLost {
+		silent, lost := m.silent(members[key])
+		if !lost {
 			continue
 		}
 		_, err := m.source.Commit(ctx, memberTable, follow.Write{Key: key, Delete: true, Conditional: true, Version: row.Version})
-		_ = level.Info(m.log).Log("event", "MemberPruned", "member", key, "silent", now.Sub(at), "err", err)
+		_ = level.Info(m.log).Log("event", "MemberPruned", "member", key, "silent", silent, "err", err)
 		if err != nil && !fault.Is(err, fault.Conflict) {
 			return err
 		}
 	}
 	return nil
 }
+
+// silent returns the time since a gateway was linked, and whether its row is
+// to be deleted by this one.
+func (m *Members) silent(other Member) (time.Duration, bool) {
+	duty := m.duty(other)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, p := range m.links.Peers() {
+		m.linked[p.Hello().Instance] = now
+	}
+	at, ok := m.linked[other.Instance]
+	if !ok || !duty {
+		m.linked[other.Instance] = now
+		return 0, false
+	}
+	return now.Sub(at), now.Sub(at) >= memberLost
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,24 +20,32 @@
 )
 
 const (
-	// pulseEvery is the interval of Pulse. Work in flight lasts seconds, and a
-	// failing target costs its streams a pause within tenths of one.
+	// pulseEvery is the interval of Pulse and Digest. Work in flight lasts
+	// seconds, and a failing target costs its streams a pause within tenths of
+	// one.
 	pulseEvery = 200 * time.Millisecond
-	// vouchFrom is the age of the configuration from which other gateways are
-	// asked: two waits at the store and a little more. It leaves them a second
-	// to answer before keys are refused.
-	vouchFrom = 3300 * time.Millisecond
-	// vouchTargetsFrom is the same for the list of targets.
-	vouchTargetsFrom = 4500 * time.Millisecond
-	// vouchPeers is how many gateways are asked at once.
-	vouchPeers = 3
-	// vouchLife bounds the wait for an answer.
-	vouchLife = 2 * time.Second
+	// livesEvery is the number of digests of which one holds the counts of
+	// repeats: over two leaders they arrive within a second.
+	livesEvery = 2
+	// unlinkedFor is the time without a link after which a gateway counts as
+	// down. A dial takes some milliseconds.
+	unlinkedFor = 400 * time.Millisecond
+	// leaderSilent is the time without a digest after which a follower turns
+	// to the next leader, for leaderShunned.
+	leaderSilent  = 700 * time.Millisecond
+	leaderShunned = 2 * time.Second
+	// followerLife is how long a follower's last pulse counts; it covers five
+	// of them.
+	followerLife = time.Second
+	// planningLife is how long a leader passes on what a planner said.
+	planningLife = 400 * time.Millisecond
 )
 
 type (
 	// Options is what the exchange works with.
 	Options struct {
+		Self    Member
+		Members *Members
 		Links   *link.Group
 		Clock   timer.Service
 		Steady  follow.Clock
@@ -48,6 +54,8 @@
 		Fleets  *follow.Fleets
 		Ledger  *ledger.Ledger
 		Repeats *limit.Repeats
+		// Incarnation is that of this process.
+		Incarnation string
 	}
 
 	// Peers exchanges messages with the other gateways. It is a link.Handler.
@@ -55,25 +63,64 @@
 		Options
 
 		mu sync.Mutex
-		// asked holds the times of open questions by their echo.
-		asked map[uint64]time.Duration
-		echo  uint64
+		// at is the arrangement in force, leads says that this gateway leads a
+		// group, and since when it has this leader.
+		at    Arrangement
+		leads bool
+		since time.Duration
+		// unlinked holds since when gateways of the arrangement have no link,
+		// shunned until when leaders count as down.
+		unlinked, shunned map[string]time.Duration
+		// heard holds what was heard from other gateways last.
+		heard map[string]heard
+		ticks int
+		// sent is the work in the last two pulses to a leader.
+		sent [2]map[string]wire.Use
+
+		questions
+		planning
+	}
+
+	// heard is what a gateway told last.
+	heard struct {
+		at          time.Duration
+		incarnation string
+		// pulse is that of a follower, group the group of a leader.
+		pulse wire.Pulse
+		group string
+		// leader says that it told all that a leader knows.
+		leader bool
+	}
+
+	// planning is what is known of the planner and told by it.
+	planning struct {
 		// term is the lease that this gateway plans under, or 0.
 		term uint64
 		// targets are told with the next pulses.
 		targets []topo.Target
 		deaths  []ledger.Doubt
-		// heard is the newest lease that another gateway plans under, and when
-		// it said so last.
-		heard   uint64
-		heardAt time.Duration
-		// late counts the late pauses of all gateways since it was last taken.
-		late int
+		// planner is the newest lease that another gateway plans under, and
+		// plannerAt when it said so last.
+		planner   uint64
+		plannerAt time.Duration
+		// passed is what a planner said last, for a leader's followers.
+		passed   wire.Pulse
+		passedAt time.Duration
+		// late counts the late pauses of all gateways since it was last taken,
+		// and lateGroup those that the other leaders were not told yet.
+		late, lateGroup int
 	}
 )
 
 // New returns an exchange; Run starts it.
-func New(o Options) *Peers { return &Peers{Options: o, asked: map[uint64]time.Duration{}} }
+func New(o Options) *Peers {
+	p := &Peers{
+		Options: o, at: Arrangement{Mesh: true}, unlinked: map[string]time.Duration{}, shunned: map[string]time.Duration{},
+		heard: map[string]heard{}, questions: questions{asked: map[uint64]time.Duration{}},
+	}
+	o.Members.pruneIf(p.duty)
+	return p
+}
 
 // Run sends pulses and questions until the context ends.
 func (p *Peers) Run(ctx context.Context) {
@@ -84,12 +131,38 @@
 		case <-ctx.Done():
 			return
 		case <-ticks:
-			p.Links.Broadcast(p.pulse(), nil)
-			p.ask()
+			p.tick()
 		}
 	}
 }
 
+func (p *Peers) tick() {
+	links := p.linked()
+	p.rearrange(links)
+	p.mu.Lock()
+	at, leads := p.at, p.leads
+	p.ticks++
+	p.mu.Unlock()
+	switch {
+	case at.Mesh:
+		p.Links.Broadcast(p.pulse(), nil)
+	case leads:
+		p.lead(links)
+	default:
+		p.follow(links)
+	}
+	p.ask(links)
+}
+
+// linked returns one link to each linked gateway.
+func (p *Peers) linked() map[string]link.Peer {
+	out := map[string]link.Peer{}
+	for _, l := range p.Links.Peers() {
+		out[l.Hello().Instance] = l
+	}
+	return out
+}
+
 // Plans sets the lease that this gateway plans under, what targets told it and
 // which of them are dead.
 func (p *Peers) Plans(term uint64, targets []topo.Target, deaths []ledger.Doubt) {
@@ -98,6 +171,39 @@
 	p.term, p.targets, p.deaths = term, targets, deaths
 }
 
+// MayPlan reports whether this gateway may claim the planner's lease: only
+// leaders hear of all others without a detour.
+func (p *Peers) MayPlan() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.at.Mesh || p.leads
+}
+
+// Follows reports whether a leader keeps this gateway up to date.
+func (p *Peers) Follows() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.at.Mesh && !p.leads && p.heard[p.at.Leader].leader
+}
+
+// Part returns the part that this gateway has in reading the store.
+func (p *Peers) Part() follow.Part {
+	switch _, leads := p.Arrangement(); {
+	case leads:
+		return follow.Reads
+	case p.Follows():
+		return follow.Told
+	}
+	return follow.Alone
+}
+
+// Arrangement returns whom this gateway exchanges with, and whether it leads.
+func (p *Peers) Arrangement() (Arrangement, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.at, p.leads
+}
+
 // TakeLate returns the number of late pauses of streams, at all gateways, since
 // the last call.
 func (p *Peers) TakeLate() int {
@@ -113,62 +219,10 @@
 func (p *Peers) Planner() (term uint64, ago time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.heard == 0 {
+	if p.planner == 0 {
 		return 0, time.Hour
 	}
-	return p.heard, p.Steady() - p.heardAt
-}
-
-func (p *Peers) pulse() wire.Pulse {
-	out := wire.Pulse{Use: map[string]wire.Use{}}
-	for id, u := range p.Ledger.Own() {
-		out.Use[id] = wire.Use(u)
-	}
-	for _, d := range p.Ledger.Doubts() {
-		out.Doubts = append(out.Doubts, wire.Doubt(d))
-	}
-	out.Repeats = map[string]wire.RepeatCount{}
-	for service, c := range p.Repeats.Own() {
-		out.Repeats[service] = wire.RepeatCount(c)
-	}
-	out.Late = p.Ledger.TakeLate()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.late += out.Late
-	out.Term, out.Targets = p.term, p.targets
-	for _, d := range p.deaths {
-		out.Dead = append(out.Dead, wire.Doubt(d))
-	}
-	return out
-}
-
-// ask sends a question to some gateways if the store does not answer.
-func (p *Peers) ask() {
-	configOld, fleetOld := p.Configs.Age() > vouchFrom, p.Fleets.Age() > vouchTargetsFrom
-	if !configOld && !fleetOld {
-		return
-	}
-	now := p.Steady()
-	p.mu.Lock()
-	for echo, at := range p.asked {
-		if now-at > vouchLife {
-			delete(p.asked, echo)
-		}
-	}
-	p.echo++
-	echo := p.echo
-	p.asked[echo] = now
-	p.mu.Unlock()
-	links := p.Links.Peers()
-	slices.SortFunc(links, func(a, b link.Peer) int { return strings.Compare(a.Hello().Instance, b.Hello().Instance) })
-	question := wire.Vouch{Echo: echo, Version: p.Configs.Section().Value().Version, Targets: fleetOld}
-	for i := range min(vouchPeers, len(links)) {
-		// Questions go round, since some of the others may be cut off too.
-		peer := links[(int(echo)+i)%len(links)]
-		if err := peer.Send(question); err != nil {
-			_ = level.Debug(p.Log).Log("event", "VouchNotSent", "instance", peer.Hello().Instance, "err", err)
-		}
-	}
+	return p.planner, p.Steady() - p.plannerAt
 }
 
 // LinkUp implements link.Handler.
@@ -185,79 +239,20 @@
 func (p *Peers) Receive(peer link.Peer, m wire.Message) {
 	switch m := m.(type) {
 	case wire.Pulse:
-		p.hear(peer.Hello(), m)
+		p.hearPulse(peer.Hello(), m)
+	case wire.Digest:
+		p.hearDigest(peer.Hello(), m)
+	case wire.Alarm:
+		p.hearDoubts(peer.Hello().Instance, m.Doubts)
 	case wire.Vouch:
-		if err := peer.Send(p.answer(m)); err != nil {
-			_ = level.Debug(p.Log).Log("event", "VouchNotAnswered", "peer", peer.Hello().Instance, "err", err)
-		}
+		p.send(peer, p.answer(m))
 	case wire.Vouched:
 		p.vouched(peer.Hello().Instance, m)
 	}
 }
 
-func (p *Peers) hear(from wire.Hello, m wire.Pulse) {
-	use := make(map[string]ledger.Use, len(m.Use))
-	for id, u := range m.Use {
-		use[id] = ledger.Use(u)
-	}
-	p.Ledger.Hear(from.Instance, use)
-	counts := make(map[string]limit.RepeatCount, len(m.Repeats))
-	for service, c := range m.Repeats {
-		counts[service] = limit.RepeatCount(c)
-	}
-	p.Repeats.Hear(from.Incarnation, counts)
-	p.mu.Lock()
-	p.late += m.Late
-	p.mu.Unlock()
-	for _, d := range m.Doubts {
-		if p.Ledger.HearDoubt(ledger.Doubt(d)) {
-			_ = level.Info(p.Log).Log("event", "TargetDoubted", "target", d.ID, "from", from.Instance, "left", d.Left)
-		}
-	}
-	for _, t := range m.Targets {
-		p.Fleets.Overlay(t)
-	}
-	if m.Term == 0 {
-		return
-	}
-	dead := make([]ledger.Doubt, len(m.Dead))
-	for i, d := range m.Dead {
-		dead[i] = ledger.Doubt(d)
-	}
-	p.Ledger.HearDead(dead)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m.Term >= p.heard {
-		p.heard, p.heardAt = m.Term, p.Steady()
-	}
-}
-
-func (p *Peers) answer(m wire.Vouch) wire.Vouched {
-	config := p.Configs.Section().Value()
-	out := wire.Vouched{Echo: m.Echo, Version: config.Version, Age: p.Configs.Age(), TargetsAge: -1}
-	if config.Version > m.Version {
-		out.Raw = config.Raw
-	}
-	if m.Targets {
-		fleet := p.Fleets.Section().Value()
-		out.TargetsAge, out.TargetsVersion, out.Targets = p.Fleets.Age(), fleet.Version, fleet.All()
-	}
-	return out
-}
-
-// vouched takes an answer over. What it says was true its age before the
-// answer, so at least that long before the question plus the way back.
-func (p *Peers) vouched(instance string, m wire.Vouched) {
-	p.mu.Lock()
-	at, known := p.asked[m.Echo]
-	p.mu.Unlock()
-	if !known {
-		return
-	}
-	if m.Version > 0 {
-		p.Configs.Vouched(m.Version, m.Raw, at-m.Age, instance)
-	}
-	if m.TargetsAge >= 0 && len(m.Targets) > 0 {
-		p.Fleets.Vouched(m.TargetsVersion, m.Targets, at-m.TargetsAge, instance)
+func (p *Peers) send(to link.Peer, m wire.Message) {
+	if err := to.Send(m); err != nil {
+		_ = level.Debug(p.Log).Log("event", "MessageNotSent", "peer", to.Hello().Instance, "err", err)
 	}
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -195,7 +195,7 @@
 	if config.Version == 0 || p.Fleets.Section().Value().Len() == 0 {
 		return
 	}
-	if p.lease.term == 0 && ago < silentFor+p.delay {
+	if p.lease.term == 0 && (ago < silentFor+p.delay || !p.Peers.MayPlan()) {
 		return
 	}
 	planning := p.lease.hold(ctx, heard, ago)
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -28,7 +28,7 @@
 		Hello{}, Heartbeat{}, Pull{}, Changes{}, Snapshot{}, Leaving{}, Load{},
 		Open{}, Opened{}, Refused{}, Start{}, Step{}, Token{}, Cancel{},
 		Finished{}, StageFailed{}, Stale{}, Resync{}, Call{}, Query{},
-		Outcome{}, QuotaRequest{}, QuotaGrant{}, Pulse{}, Vouch{}, Vouched{},
+		Outcome{}, QuotaRequest{}, QuotaGrant{}, Pulse{}, Vouch{}, Vouched{}, Digest{}, Alarm{},
 	}
 
 	// readers decode the contents of the types, in the same order.
@@ -37,6 +37,7 @@
 		read[Open], read[Opened], read[Refused], read[Start], read[Step], read[Token], read[Cancel],
 		read[Finished], read[StageFailed], read[Stale], read[Resync], read[Call], read[Query], read[Outcome],
 		read[QuotaRequest], read[QuotaGrant], read[Pulse], read[Vouch], read[Vouched],
+		read[Digest], read[Alarm],
 	}
 
 	encoder, decoder = modes()
