chain, ledger, proxy: refuse prompts by the time of those that wait, divide room

Change: gateways tell the prompt tokens that wait for a first event. A prompt is refused when those before it take more than 0.7 of the objective at a stage. What a gateway has entered since the others told of theirs counts for each of them too. The emulator counts the writers of a pass; its calm load grows from 18 to 60 a second, so that twice of it still is what memory layouts fail at.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -24,9 +24,6 @@
 	// hopDelay is the time that a token takes between two targets of one data
 	// centre.
 	hopDelay = 200 * time.Microsecond
-	// readLimit is the share of the slowest stage's time up to which new prompts
-	// are sent to a chain; near 1 the time to the first token has no bound.
-	readLimit = 0.92
 	// maxDetours bounds the searches that leave out an overloaded target.
 	maxDetours = 4
 	// enterCross is what a first target in another data centre costs; only the
@@ -42,6 +39,8 @@
 		// Running counts the requests that pass through the target, and First
 		// those that it received from entries.
 		Running, First int
+		// Unread is the prompt tokens of requests that have no event yet.
+		Unread int
 	}
 
 	// Candidate is a target with what is known of its load.
@@ -73,6 +72,9 @@
 		Layers topo.Layers
 		// Used holds targets that must not appear again.
 		Used map[string]bool
+		// ReadWithin is the longest time that prompts before this one may take;
+		// 0 is no bound.
+		ReadWithin time.Duration
 		// Forced ignores how full targets are, for requests that have started.
 		Forced bool
 	}
@@ -143,8 +145,8 @@
 		if f = search(m, usable, ask); f == nil {
 			return nil, late
 		}
-		slow, busy := overloaded(m, f.hops, usable)
-		if ask.Forced || !busy {
+		slow, wait := readingTime(m, f.hops, usable)
+		if ask.Forced || ask.ReadWithin == 0 || wait <= ask.ReadWithin {
 			return f, late
 		}
 		late = true
@@ -153,14 +155,23 @@
 	return nil, late
 }
 
-// overloaded reports whether prompts would queue at the slowest stage.
-func overloaded(m *topo.Model, hops []Hop, cs []Candidate) (Hop, bool) {
+// readingTime returns the hop at which the prompts before a new one take
+// longest, and that time.
+func readingTime(m *topo.Model, hops []Hop, cs []Candidate) (Hop, time.Duration) {
 	byID := make(map[string]*Candidate, len(cs))
 	for i := range cs {
 		byID[cs[i].ID] = &cs[i]
 	}
-	stages, n := stagesOf(hops, byID)
-	return slowestOf(m, hops, byID), Throughput(m, stages, n).Reading > readLimit
+	worst, longest := hops[0], time.Duration(0)
+	for _, h := range hops {
+		c := byID[h.Target.ID]
+		stage := Stage{Card: c.Card, Layers: h.Layers.Len(), Slow: c.Slow}
+		writers := float64(c.Load.Running) / float64(len(hops))
+		if wait := time.Duration(float64(c.Load.Unread) * float64(stage.ReadToken(m, writers))); wait > longest {
+			worst, longest = h, wait
+		}
+	}
+	return worst, longest
 }
 
 // uncovered returns the first range of layers that no target holds.
--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -89,3 +89,30 @@
 	slow := chain.Throughput(m, []chain.Stage{{Card: "Mid", Layers: 40, Slow: 3}, {Card: "Mid", Layers: 40}}, 20)
 	is.True(slow.Rate < few.Rate)
 }
+
+// Guards against prompts that queue behind others past their time, although a
+// target is free for them, and against counting those that have been read.
+func TestPromptsInTime(t *testing.T) {
+	is := is.New(t)
+	m := &topo.Model{
+		Layers: 80, LayerMegabytes: 1, TokenMegabytes: 0.0001, Step: time.Millisecond, Stride: 3, Chunk: 512, ReadPerSecond: 100000,
+		UsualPrompt: 774, UsualAnswer: 203, Cards: map[string]topo.Card{"Mid": {Megabytes: 1000, Pace: 1, ReadPace: 2}},
+	}
+	candidate := func(id string, unread, running int) chain.Candidate {
+		return chain.Candidate{
+			Target: topo.Target{ID: id, DataCentre: "x", Card: "Mid", Held: topo.Layers{To: 80}},
+			Load:   chain.Load{Unread: unread, Running: running},
+		}
+	}
+	ask := chain.Ask{Tokens: 977, DataCentre: "x", Layers: topo.Layers{To: 80}, ReadWithin: 250 * time.Millisecond}
+	// 20 us for each token: 11,000 take 220 ms and more, 13,000 at least 260 ms.
+	free, full := candidate("free", 5000, 50), candidate("full", 13000, 0)
+	is.Equal(show(chain.Choose(m, []chain.Candidate{full, free}, ask)), "free=0-80")
+	is.Equal(show(chain.Choose(m, []chain.Candidate{full}, ask)), string(fault.Overloaded))
+	is.Equal(show(chain.Choose(m, []chain.Candidate{candidate("read", 0, 200)}, ask)), "read=0-80")
+	slow := candidate("slow", 5000, 10)
+	slow.Slow = 3
+	is.Equal(show(chain.Choose(m, []chain.Candidate{slow}, ask)), string(fault.Overloaded))
+	ask.Forced = true
+	is.Equal(show(chain.Choose(m, []chain.Candidate{full}, ask)), "full=0-80")
+}
--- a/internal/chain/model.go
+++ b/internal/chain/model.go
@@ -55,27 +55,16 @@
 	return out
 }
 
-// stagesOf returns the stages of a chain and the number of requests that pass
-// through its busiest target, the new one included.
-func stagesOf(hops []Hop, byID map[string]*Candidate) ([]Stage, float64) {
-	stages := make([]Stage, len(hops))
-	running := 0
-	for i, h := range hops {
-		c := byID[h.Target.ID]
-		stages[i] = Stage{Card: c.Card, Layers: h.Layers.Len(), Slow: c.Slow}
-		running = max(running, c.Load.Running)
-	}
-	return stages, float64(running + 1)
-}
-
-// slowestOf returns the hop whose stage takes longest.
-func slowestOf(m *topo.Model, hops []Hop, byID map[string]*Candidate) Hop {
-	best, most := hops[0], 0.0
-	for _, h := range hops {
-		c := byID[h.Target.ID]
-		if t := m.Cards[c.Card].Pace * float64(h.Layers.Len()) * max(1, c.Slow); t > most {
-			best, most = h, t
-		}
+// ReadToken is the time that a prompt token takes at a stage while some
+// requests write there: a pass reads what they leave of the tokens of its steps.
+func (s Stage) ReadToken(m *topo.Model, writers float64) time.Duration {
+	if m.Chunk <= 0 || m.ReadPerSecond <= 0 {
+		return 0
 	}
-	return best
+	card := m.Cards[s.Card]
+	share := float64(s.Layers) / float64(max(1, m.Layers)) * max(1, s.Slow)
+	stride := float64(max(1, m.Stride))
+	tokens := max(1, stride*(float64(m.Chunk)-writers))
+	step := float64(m.StepOf(writers)) * stride * card.Pace * share / tokens
+	return time.Duration(step + float64(time.Second)*card.ReadPace*share/m.ReadPerSecond)
 }
--- a/internal/fakes/relay/relay.go
+++ b/internal/fakes/relay/relay.go
@@ -16,6 +16,10 @@
 // bufferedChunks bounds what a delayed direction holds, as a network does.
 const bufferedChunks = 64
 
+// holdPoll is the interval at which a direction that is kept back looks whether
+// it is switched on again.
+const holdPoll = 10 * time.Millisecond
+
 type (
 	// Relay passes TCP connections on to one target address.
 	Relay struct {
@@ -47,6 +51,8 @@
 		rate int
 		// refuse closes new connections, mute makes them silent.
 		refuse, mute bool
+		// holdTo keeps what goes to the target, holdFrom what comes from it.
+		holdTo, holdFrom bool
 	}
 
 	// pair is a connection and its continuation to the target.
@@ -94,6 +100,18 @@
 // Refuse closes new connections at once, until it is switched off.
 func (r *Relay) Refuse(on bool) { r.change(func(s *state) { s.refuse = on }) }
 
+// OneWay keeps back what goes to the target, or what comes from it, until it is
+// switched off; nothing is lost.
+func (r *Relay) OneWay(toTarget, on bool) {
+	r.change(func(s *state) {
+		if toTarget {
+			s.holdTo = on
+		} else {
+			s.holdFrom = on
+		}
+	})
+}
+
 // Delay holds back what passes in each direction.
 func (r *Relay) Delay(d time.Duration) { r.change(func(s *state) { s.delay = d }) }
 
@@ -230,6 +248,9 @@
 func (p *pair) deliver(chunks <-chan chunk, to net.Conn) {
 	for c := range chunks {
 		p.wait(c.due)
+		for p.held(to) {
+			p.wait(p.relay.clock.Now().Add(holdPoll))
+		}
 		select {
 		case <-p.silent:
 			continue
@@ -250,6 +271,17 @@
 	}
 }
 
+// held reports whether the direction towards to is kept back.
+func (p *pair) held(to net.Conn) bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+	}
+	s := p.relay.now()
+	return s.holdTo && to == p.b || s.holdFrom && to == p.a
+}
+
 func (p *pair) wait(due time.Time) {
 	d := due.Sub(p.relay.clock.Now())
 	if d <= 0 {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -20,6 +20,8 @@
 	firstDoubt = 1500 * time.Millisecond
 	// maxDoubt bounds the doubling of firstDoubt.
 	maxDoubt = 8 * time.Second
+	// mostLag bounds the lag of Expected.
+	mostLag = 500 * time.Millisecond
 	// forgive is the time without failure after which the next one counts as
 	// the first.
 	forgive = 12 * time.Second
@@ -32,6 +34,8 @@
 		TokenLayers float64
 		// Running counts requests that pass through, First those sent there.
 		Running, First int
+		// Unread is the prompt tokens of those that have no event yet.
+		Unread int
 	}
 
 	// Doubt is a target that fails.
@@ -46,9 +50,11 @@
 	Ledger struct {
 		clock timer.Service
 
-		mu     sync.Mutex
-		own    map[string]Use
-		peers  map[string]peer
+		mu    sync.Mutex
+		own   map[string]Use
+		peers map[string]peer
+		// opened holds the requests that were entered within mostLag, in order.
+		opened []opening
 		doubts map[string]doubt
 		// dead holds the targets that the planner has found dead.
 		dead map[string]doubt
@@ -63,6 +69,12 @@
 		use map[string]Use
 	}
 
+	opening struct {
+		at             time.Time
+		tokens, unread int
+		hops           []chain.Hop
+	}
+
 	doubt struct {
 		born  int64
 		until time.Time
@@ -76,6 +88,8 @@
 	Ticket struct {
 		ledger *Ledger
 		tokens int
+		// unread is the tokens of the prompt until the first event.
+		unread int
 		hops   []chain.Hop
 	}
 )
@@ -88,12 +102,18 @@
 	}
 }
 
-// Open enters a request that passes through hops.
-func (l *Ledger) Open(tokens int, hops []chain.Hop) *Ticket {
-	t := &Ticket{ledger: l, tokens: tokens, hops: hops}
+// Open enters a request that passes through hops. Tokens is what it needs
+// memory for, and prompt what is to be read before its first event.
+func (l *Ledger) Open(tokens, prompt int, hops []chain.Hop) *Ticket {
+	t := &Ticket{ledger: l, tokens: tokens, unread: prompt, hops: hops}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t.add(1)
+	now := l.clock.Now()
+	for len(l.opened) > 0 && now.Sub(l.opened[0].at) > mostLag {
+		l.opened = l.opened[1:]
+	}
+	l.opened = append(l.opened, opening{now, tokens, prompt, hops})
 	return t
 }
 
@@ -106,6 +126,18 @@
 	t.add(1)
 }
 
+// Read records that the prompt has been read.
+func (t *Ticket) Read() {
+	t.ledger.mu.Lock()
+	defer t.ledger.mu.Unlock()
+	if t.unread == 0 {
+		return
+	}
+	t.add(-1)
+	t.unread = 0
+	t.add(1)
+}
+
 // Close removes the request.
 func (t *Ticket) Close() { t.Move(nil) }
 
@@ -114,6 +146,7 @@
 		u := t.ledger.own[h.Target.ID]
 		u.TokenLayers += float64(sign * t.tokens * h.Layers.Len())
 		u.Running += sign
+		u.Unread += sign * t.unread
 		if i == 0 {
 			u.First += sign
 		}
@@ -158,10 +191,40 @@
 	delete(l.peers, instance)
 }
 
+// Expected returns the work of all entries at each target, with what the others
+// are expected to have entered since they told of theirs: as much as this one
+// within the lag. Without it, all entries would fill the same room at once.
+func (l *Ledger) Expected(others int, lag time.Duration) map[string]chain.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.loads()
+	now := l.clock.Now()
+	for _, o := range l.opened {
+		if now.Sub(o.at) > lag {
+			continue
+		}
+		for i, h := range o.hops {
+			sum := out[h.Target.ID]
+			sum.TokenLayers += float64(others * o.tokens * h.Layers.Len())
+			sum.Running += others
+			sum.Unread += others * o.unread
+			if i == 0 {
+				sum.First += others
+			}
+			out[h.Target.ID] = sum
+		}
+	}
+	return out
+}
+
 // Loads returns the work of all entries at each target.
 func (l *Ledger) Loads() map[string]chain.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.loads()
+}
+
+func (l *Ledger) loads() map[string]chain.Load {
 	out := make(map[string]chain.Load, len(l.own))
 	add := func(use map[string]Use) {
 		for id, u := range use {
@@ -169,6 +232,7 @@
 			sum.TokenLayers += u.TokenLayers
 			sum.Running += u.Running
 			sum.First += u.First
+			sum.Unread += u.Unread
 			out[id] = sum
 		}
 	}
@@ -296,7 +360,7 @@
 }
 
 // OpenPlain enters a request to a target of a plain service.
-func (l *Ledger) OpenPlain(t topo.Target) *Ticket { return l.Open(0, []chain.Hop{{Target: t}}) }
+func (l *Ledger) OpenPlain(t topo.Target) *Ticket { return l.Open(0, 0, []chain.Hop{{Target: t}}) }
 
 // Worked ends the count of failures of a target that answers.
 func (l *Ledger) Worked(t topo.Target) {
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -194,7 +194,7 @@
 		followers[instance] = true
 		for id, u := range h.pulse.Use {
 			sum := out.Use[id]
-			out.Use[id] = wire.Use{TokenLayers: sum.TokenLayers + u.TokenLayers, Running: sum.Running + u.Running, First: sum.First + u.First}
+			out.Use[id] = wire.Use{TokenLayers: sum.TokenLayers + u.TokenLayers, Running: sum.Running + u.Running, First: sum.First + u.First, Unread: sum.Unread + u.Unread}
 		}
 		if l, ok := lives[h.incarnation]; ok {
 			out.Lives[h.incarnation] = l
@@ -211,7 +211,7 @@
 	out := group
 	out.All, out.Lives, out.Use = true, lives, map[string]wire.Use{}
 	for id, l := range p.Ledger.Loads() {
-		out.Use[id] = wire.Use{TokenLayers: l.TokenLayers, Running: l.Running, First: l.First}
+		out.Use[id] = wire.Use(l)
 	}
 	_, out.Members = p.Members.List()
 	out.Config, out.List = p.Configs.Section().Value().Version, p.Fleets.Newest()
@@ -281,6 +281,7 @@
 // without returns a sum less what this gateway told, as far as it is in it.
 func without(sum ledger.Use, own wire.Use) ledger.Use {
 	return ledger.Use{
-		TokenLayers: max(0, sum.TokenLayers-own.TokenLayers), Running: max(0, sum.Running-own.Running), First: max(0, sum.First-own.First),
+		TokenLayers: max(0, sum.TokenLayers-own.TokenLayers), Running: max(0, sum.Running-own.Running),
+		First: max(0, sum.First-own.First), Unread: max(0, sum.Unread-own.Unread),
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -24,6 +24,8 @@
 	// seconds, and a failing target costs its streams a pause within tenths of
 	// one.
 	pulseEvery = 200 * time.Millisecond
+	// groupLag is the time in which work is heard of through a leader or two.
+	groupLag = 3 * pulseEvery / 2
 	// livesEvery is the number of digests of which one holds the counts of
 	// repeats: over two leaders they arrive within a second.
 	livesEvery = 2
@@ -204,6 +206,16 @@
 	return p.at, p.leads
 }
 
+// Unheard returns the number of other gateways and the time by which what is
+// known of them lags behind.
+func (p *Peers) Unheard() (others int, lag time.Duration) {
+	members, _ := p.Members.List()
+	if at, _ := p.Arrangement(); at.Mesh {
+		return len(members), pulseEvery
+	}
+	return len(members), groupLag
+}
+
 // TakeLate returns the number of late pauses of streams, at all gateways, since
 // the last call.
 func (p *Peers) TakeLate() int {
--- a/internal/pipes/pipes.go
+++ b/internal/pipes/pipes.go
@@ -31,9 +31,9 @@
 		// Length is how long requests arrive.
 		Length time.Duration
 		Seed   uint64
-		// Admit decides about a request from the number and the tokens of those
-		// in the chain.
-		Admit func(inside, tokens, own int) bool
+		// Admit decides about a request from the number of those in the chain
+		// and the prompt tokens of those that have no event yet.
+		Admit func(inside, unread int) bool
 		// Objective is the time to the first event, Pause the longest time
 		// between two, that callers count as good.
 		Objective, Pause time.Duration
@@ -76,10 +76,9 @@
 		queue  pipeQueue
 		stages []*pipeStage
 		inside int
-		// writing counts the requests past their prompt.
-		writing int
-		tokens  int
-		result  PipeResult
+		// unread is the prompt tokens of requests without an event.
+		unread int
+		result PipeResult
 	}
 )
 
@@ -132,13 +131,12 @@
 	r.after(time.Duration(r.random.ExpFloat64()/r.Rate(r.now)*float64(time.Second)), r.arrive)
 	q := &pipeRequest{arrived: r.now, last: r.now, prompt: r.size(r.Model.UsualPrompt), left: r.size(r.Model.UsualAnswer)}
 	r.result.Asked++
-	own := q.prompt + q.left
-	if !r.Admit(r.inside, r.tokens, own) {
+	if !r.Admit(r.inside, r.unread) {
 		r.result.Refused++
 		return
 	}
 	r.inside++
-	r.tokens += own
+	r.unread += q.prompt
 	q.unread = q.prompt
 	r.enter(0, q)
 }
@@ -187,7 +185,7 @@
 	}
 	took := time.Duration(float64(read) * card.ReadPace * share / r.Model.ReadPerSecond * float64(time.Second))
 	if writers > 0 {
-		took += time.Duration(float64(r.Model.StepOf(float64(r.writing))) * float64(r.Model.Stride) * card.Pace * share)
+		took += time.Duration(float64(r.Model.StepOf(float64(writers))) * float64(r.Model.Stride) * card.Pace * share)
 	}
 	s.waiting, s.busy = rest, true
 	r.after(took, func() {
@@ -211,9 +209,7 @@
 	bound := r.Pause
 	if !q.writing {
 		bound = r.Objective
-	}
-	if !q.writing {
-		r.writing++
+		r.unread -= q.prompt
 	}
 	q.late = q.late || r.now-q.last > bound
 	q.last, q.writing = r.now, true
@@ -222,7 +218,6 @@
 		return
 	}
 	r.inside--
-	r.writing--
 	if q.late {
 		r.result.Late++
 		return
--- a/internal/pipes/pipes_test.go
+++ b/internal/pipes/pipes_test.go
@@ -18,7 +18,7 @@
 	objective = 500 * time.Millisecond
 	pause     = 200 * time.Millisecond
 	// calmRate is a load in requests per second that every layout serves.
-	calmRate = 18.0
+	calmRate = 60.0
 )
 
 // model and cards are those of one data centre with mixed cards.
@@ -76,16 +76,22 @@
 	return func(time.Duration) float64 { return rate }
 }
 
-func all(int, int, int) bool { return true }
+func all(int, int) bool { return true }
 
-// early admits while the prompt will not queue, as chain.Choose does.
-func early(stages []chain.Stage) func(int, int, int) bool {
-	return func(inside, _, _ int) bool {
-		return chain.Throughput(model, stages, float64(inside+1)).Reading <= 0.92
+// early admits while the prompts before a new one leave it time, as
+// chain.Choose does.
+func early(stages []chain.Stage) func(int, int) bool {
+	return func(inside, unread int) bool {
+		longest := time.Duration(0)
+		for _, s := range stages {
+			writers := float64(inside) / float64(len(stages))
+			longest = max(longest, time.Duration(unread)*s.ReadToken(model, writers))
+		}
+		return longest <= objective/2
 	}
 }
 
-func play(stages []chain.Stage, rate func(time.Duration) float64, admit func(int, int, int) bool, seed uint64) pipes.PipeResult {
+func play(stages []chain.Stage, rate func(time.Duration) float64, admit func(int, int) bool, seed uint64) pipes.PipeResult {
 	return pipes.Pipe{
 		Model: model, Stages: stages, Rate: rate, Length: 20 * time.Second, Seed: seed, Admit: admit,
 		Objective: objective, Pause: pause,
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -61,8 +61,11 @@
 		Fleets   *follow.Fleets
 		Ledger   *ledger.Ledger
 		Repeats  *limit.Repeats
-		Dialect  Dialect
-		Engines  Engines
+		// Unheard returns the number of other gateways and the time by which
+		// what the ledger holds of them lags behind.
+		Unheard func() (others int, lag time.Duration)
+		Dialect Dialect
+		Engines Engines
 		// Client sends requests to targets. It must not repeat them, reuse
 		// connections or decode bodies.
 		Client *http.Client
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -20,6 +20,9 @@
 	roomPoll = 20 * time.Millisecond
 	// roomShare is the part of the objective that a request may wait for room.
 	roomShare = 0.4
+	// readShare is the part of the objective that the prompts before a request
+	// may take; the rest is for its own way through the targets.
+	readShare = 0.7
 	// firstQuiet is the silence before the first event after which the first
 	// target is asked whether the request is stalled.
 	firstQuiet = 300 * time.Millisecond
@@ -139,6 +142,15 @@
 	return prompt + answer
 }
 
+// promptTokens is the length of the prompt, which targets read before the first
+// event.
+func (s *stream) promptTokens() int {
+	if s.ask.Prompt > 0 {
+		return s.ask.Prompt
+	}
+	return s.service.Model.UsualPrompt
+}
+
 // goOn reports whether the stream may go on at another target.
 func (s *stream) goOn(failure *fault.Error) bool {
 	if s.r.Context().Err() != nil || s.cut.Err() != nil || s.left() <= 0 {
@@ -181,7 +193,7 @@
 // candidates returns the targets of the service with their load. Doubted
 // targets are left out.
 func (s *stream) candidates() []chain.Candidate {
-	loads := s.Ledger.Loads()
+	loads := s.Ledger.Expected(s.Unheard())
 	targets := s.Fleets.Section().Value().Of(s.service.Name)
 	out := make([]chain.Candidate, 0, len(targets))
 	for _, t := range targets {
@@ -199,6 +211,7 @@
 	return chain.Choose(m, s.candidates(), chain.Ask{
 		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost,
 		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
+		ReadWithin: time.Duration(readShare * float64(s.route.Objective)),
 	})
 }
 
@@ -224,7 +237,7 @@
 // run sends the request along hops and passes events on until the stream ends.
 func (s *stream) run(hops []chain.Hop) *fault.Error {
 	s.hops = hops
-	s.ticket = s.Ledger.Open(s.tokens, hops)
+	s.ticket = s.Ledger.Open(s.tokens, s.promptTokens(), hops)
 	defer func() { s.ticket.Close() }()
 	s.sends++
 	s.ran = append(s.ran, hops[0].Target)
@@ -326,6 +339,7 @@
 	if s.first.IsZero() {
 		s.first = s.Clock.Now()
 	}
+	s.ticket.Read()
 	_ = s.control.SetWriteDeadline(s.Clock.Now().Add(writeLimit))
 	for {
 		if _, err := s.w.Write(ev.raw); err != nil {
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -71,8 +71,8 @@
 
 	// Use is the sender's work at one target.
 	Use struct {
-		TokenLayers    float64
-		Running, First int
+		TokenLayers            float64
+		Running, First, Unread int
 	}
 
 	// RepeatCount is what the sender counts within the window of the bound.
