--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -176,7 +176,7 @@
 			StallLimit: settings.StallLimit.Duration, CrossCost: crossCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
-		Repeats: repeats, Unheard: g.peers.Unheard,
+		Repeats: repeats, Returns: limit.NewReturns(d.clock), Unheard: g.peers.Unheard,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -14,6 +14,7 @@
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/timer"
 )
 
@@ -46,7 +47,7 @@
 	steady := func() time.Duration { return time.Minute }
 	s := New(Options{
 		Clock: clock, Log: logger, Metrics: metrics.NewSet(), Configs: follow.NewConfigs(nil, clock, steady, logger),
-		Fleets: follow.NewFleets(nil, clock, steady, logger),
+		Fleets: follow.NewFleets(nil, clock, steady, logger), Returns: limit.NewReturns(clock),
 	})
 	for _, code := range []fault.Code{
 		fault.Overloaded, fault.LimitReached, fault.NoTarget, fault.Leaving, fault.Unavailable, fault.Deadline, fault.TargetLost,
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -10,10 +10,15 @@
 )
 
 const (
-	// comeBackLeast and comeBackMost spread the return of callers that found
-	// no room; a request in flight lasts about as long.
+	// comeBackLeast is the least time after which refused callers come back;
+	// a request in flight lasts longer.
 	comeBackLeast = 400 * time.Millisecond
-	comeBackMost  = 1600 * time.Millisecond
+	// comeBackMost bounds the spread of callers that find no room because
+	// something is away for an unknown time.
+	comeBackMost = 1600 * time.Millisecond
+	// comeBackShare is the part of a caller's time after which it comes back at
+	// the latest, so that some is left for the answer.
+	comeBackShare = 0.7
 	// repairLeast and repairMost spread the return of callers while layers are
 	// missing; loading them takes about that long.
 	repairLeast = 1200 * time.Millisecond
@@ -35,7 +40,7 @@
 	h := q.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set(fault.Header, string(e.Outcome))
-	if after := retryAfter(e); after > 0 && promisesNotRun(status) {
+	if after := q.retryAfter(e); after > 0 && promisesNotRun(status) {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	q.w.WriteHeader(status)
@@ -52,14 +57,25 @@
 	return false
 }
 
-// retryAfter says when waiting is likely to help.
-func retryAfter(e *fault.Error) time.Duration {
+// retryAfter says when waiting is likely to help, within the caller's time.
+func (q *request) retryAfter(e *fault.Error) time.Duration {
+	after := q.helpsAfter(e)
+	if q.end.IsZero() || after <= comeBackLeast {
+		return after
+	}
+	if most := max(comeBackLeast, time.Duration(comeBackShare*float64(q.left()))); after > most {
+		return most/2 + rand.N(most/2)
+	}
+	return after
+}
+
+func (q *request) helpsAfter(e *fault.Error) time.Duration {
 	if e.RetryAfter > 0 {
 		return e.RetryAfter
 	}
 	switch e.Code {
 	case fault.Overloaded, fault.LimitReached:
-		return comeBackLeast + rand.N(comeBackMost-comeBackLeast)
+		return q.Returns.Next(q.service.Name, comeBackLeast)
 	case fault.NoTarget:
 		return repairLeast + rand.N(repairMost-repairLeast)
 	case fault.Unavailable:
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -61,6 +61,7 @@
 		Fleets   *follow.Fleets
 		Ledger   *ledger.Ledger
 		Repeats  *limit.Repeats
+		Returns  *limit.Returns
 		// Unheard returns the number of other gateways and the time by which
 		// what the ledger holds of them lags behind.
 		Unheard func() (others int, lag time.Duration)
@@ -331,6 +332,9 @@
 		fields = append(fields, "first", q.first.Sub(q.arrived).Round(time.Millisecond))
 	}
 	logger := level.Info(q.Log)
+	if outcome == "Answered" {
+		q.Returns.Served(q.service.Name)
+	}
 	if reason != nil {
 		fields = append(fields, "err", reason)
 		logger = level.Warn(q.Log)
