--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -16,6 +16,8 @@
 	faultPause = 600 * time.Millisecond
 	faultLeast = 100 * time.Millisecond
 	faultMost  = 8 * time.Second
+	// outageSlack is how much longer than keys live an outage lasts.
+	outageSlack = 2 * time.Second
 	// lapse is the time after which the entry of a dead target lapses.
 	lapse = 3600 * time.Millisecond
 )
@@ -27,7 +29,7 @@
 var faults = []fault{
 	killGateway, stopGateway, pauseGateway,
 	cutLinks, silenceLinks, delayLinks, oneWayLinks, cutStore, silenceStore, oneWayStore,
-	failStore, loseWrites, loseHistory, rotateKeys,
+	failStore, outage, loseWrites, loseHistory, rotateKeys,
 	killEngine, killEngine, drainEngine, breakStreams, slowService, loseAnswers,
 }
 
@@ -164,13 +166,26 @@
 func failStore(w *world) (string, func()) {
 	f := []sims.StoreFaults{{Status: 503}, {Status: 429}, {Silent: true}}[w.random.IntN(3)]
 	w.site.Store.SetFaults(f)
-	if w.random.IntN(2) == 0 {
-		// The operator still reaches the store.
-		w.rotate()
-	}
 	return fmt.Sprintf("store %+v", f), func() { w.site.Store.SetFaults(sims.StoreFaults{}) }
 }
 
+// outage cuts all gateways off the store for longer than keys live without
+// proof, and lets the operator change the keys meanwhile.
+func outage(w *world) (string, func()) {
+	for _, g := range w.gateways {
+		g.store.Refuse(true)
+		g.store.Cut()
+	}
+	w.rotate()
+	end := time.Now().Add(keyLife + outageSlack)
+	return "outage of the store", func() {
+		time.Sleep(time.Until(end))
+		for _, g := range w.gateways {
+			g.store.Refuse(false)
+		}
+	}
+}
+
 func loseWrites(w *world) (string, func()) {
 	w.site.Store.SetFaults(sims.StoreFaults{LoseAnswers: 3})
 	return "store loses answers to writes", func() { w.site.Store.SetFaults(sims.StoreFaults{}) }
