--- a/internal/peers/arrange.go
+++ b/internal/peers/arrange.go
@@ -24,6 +24,8 @@
 	// Group names the group of the gateway, and Leader the instance that leads
 	// it.
 	Group, Leader string
+	// Members holds the gateways of the group, this one included.
+	Members []Member
 	// Links holds the gateways to keep links to. A follower also keeps one to
 	// the next leader.
 	Links []Member
@@ -44,12 +46,12 @@
 		}
 		return a
 	}
-	groups := group(append(slices.Clone(others), self))
+	groups := groupsOf(append(slices.Clone(others), self))
 	for name, members := range groups {
 		if !slices.Contains(members, self) {
 			continue
 		}
-		a.Group = name
+		a.Group, a.Members = name, members
 		for _, m := range members {
 			if a.Leader == "" && (m == self || !down(m.Instance)) {
 				a.Leader = m.Instance
@@ -69,9 +71,9 @@
 	return a
 }
 
-// group divides gateways by data centre, large ones further by name, and sorts
+// groupsOf divides gateways by data centre, large ones further by name, and sorts
 // each group by the right to lead it.
-func group(members []Member) map[string][]Member {
+func groupsOf(members []Member) map[string][]Member {
 	sizes := map[string]int{}
 	for _, m := range members {
 		sizes[m.DataCentre]++
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -104,26 +105,9 @@
 // duty reports whether this gateway deletes the row of another one that is
 // gone: leaders do so for their groups and for leaders that they miss.
 func (p *Peers) duty(other Member) bool {
-	members, _ := p.Members.List()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.at.Mesh {
-		return true
-	}
-	if !p.leads {
-		return false
-	}
-	for _, m := range p.at.Links {
-		if m == other {
-			return true
-		}
-	}
-	for _, m := range group(append(members, p.Self))[p.at.Group] {
-		if m == other {
-			return true
-		}
-	}
-	return false
+	return p.at.Mesh || p.leads && (slices.Contains(p.at.Links, other) || slices.Contains(p.at.Members, other))
 }
 
 // follow tells the leader what this gateway does.
@@ -226,12 +210,7 @@
 func (p *Peers) wants(instance string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, m := range p.at.Links {
-		if m.Instance == instance {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.at.Links, func(m Member) bool { return m.Instance == instance })
 }
 
 func (p *Peers) isLeader(instance string) bool {
