chain, ledger, peers: one type for the load of a target

Cause: ledger.Use and chain.Load had the same four fields, and each place that added them up did so field by field; the last field that came in had to be added in six places.

Ruled out: dropping wire.Use too. The messages are their own contract.

Change: the ledger keeps chain.Load, which has Plus and Minus. Stage.share is the one formula of a stage's part of all layers, tellChanged the one way to end the wait for a doubt.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -36,7 +36,7 @@
 )
 
 type (
-	// Load is the work that a target has in flight.
+	// Load is the work that a target has in flight, of one entry or of all.
 	Load struct {
 		// TokenLayers is the memory in use, in tokens times layers.
 		TokenLayers float64
@@ -101,6 +101,16 @@
 	}
 )
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{l.TokenLayers + o.TokenLayers, l.Running + o.Running, l.First + o.First, l.Unread + o.Unread}
+}
+
+// Minus returns a load less another one; nothing falls below zero.
+func (l Load) Minus(o Load) Load {
+	return Load{max(0, l.TokenLayers-o.TokenLayers), max(0, l.Running-o.Running), max(0, l.First-o.First), max(0, l.Unread-o.Unread)}
+}
+
 // Choose returns the cheapest chain that covers the asked layers. A chain stays
 // in one data centre where one holds all layers, since prompts would fill the
 // pipes between them. A NoTarget failure says that some layer is held by no
--- a/internal/chain/model.go
+++ b/internal/chain/model.go
@@ -34,7 +34,7 @@
 	sum, slowest, read := 0.0, 0.0, 0.0
 	for _, s := range stages {
 		card := m.Cards[s.Card]
-		share := float64(s.Layers) / float64(max(1, m.Layers)) * max(1, s.Slow)
+		share := s.share(m)
 		sum += card.Pace * share
 		slowest = max(slowest, card.Pace*share)
 		read = max(read, card.ReadPace*share)
@@ -55,6 +55,11 @@
 	return out
 }
 
+// share is the part of the time of all layers that a pass of a stage takes.
+func (s Stage) share(m *topo.Model) float64 {
+	return float64(s.Layers) / float64(max(1, m.Layers)) * max(1, s.Slow)
+}
+
 // ReadToken is the time that a prompt token takes at a stage while some
 // requests write there: a pass reads what they leave of the tokens of its steps.
 func (s Stage) ReadToken(m *topo.Model, writers float64) time.Duration {
@@ -62,7 +67,7 @@
 		return 0
 	}
 	card := m.Cards[s.Card]
-	share := float64(s.Layers) / float64(max(1, m.Layers)) * max(1, s.Slow)
+	share := s.share(m)
 	stride := float64(max(1, m.Stride))
 	tokens := max(1, stride*(float64(m.Chunk)-writers))
 	step := float64(m.StepOf(writers)) * stride * card.Pace * share / tokens
--- a/internal/ledger/herd_test.go
+++ b/internal/ledger/herd_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/chain"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/timer"
 )
@@ -34,10 +35,10 @@
 				ledgers[i] = ledger.New(clock)
 			}
 			ends := map[int][]*ledger.Ticket{}
-			var told [][]map[string]ledger.Use
+			var told [][]map[string]chain.Load
 			running, most, sum, ticks := 0, 0, 0, 0
 			for n := range 1500 {
-				own := make([]map[string]ledger.Use, entries)
+				own := make([]map[string]chain.Load, entries)
 				for i, l := range ledgers {
 					own[i] = l.Own()
 				}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -28,16 +28,6 @@
 )
 
 type (
-	// Use is the work of one entry at one target.
-	Use struct {
-		// TokenLayers is the memory in use, in tokens times layers.
-		TokenLayers float64
-		// Running counts requests that pass through, First those sent there.
-		Running, First int
-		// Unread is the prompt tokens of those that have no event yet.
-		Unread int
-	}
-
 	// Doubt is a target that fails.
 	Doubt struct {
 		ID   string
@@ -51,7 +41,7 @@
 		clock timer.Service
 
 		mu    sync.Mutex
-		own   map[string]Use
+		own   map[string]chain.Load
 		peers map[string]peer
 		// opened holds the requests that were entered within mostLag, in order.
 		opened []opening
@@ -66,7 +56,7 @@
 
 	peer struct {
 		at  time.Time
-		use map[string]Use
+		use map[string]chain.Load
 	}
 
 	opening struct {
@@ -97,7 +87,7 @@
 // New returns an empty ledger.
 func New(clock timer.Service) *Ledger {
 	return &Ledger{
-		clock: clock, own: map[string]Use{}, peers: map[string]peer{}, doubts: map[string]doubt{}, dead: map[string]doubt{},
+		clock: clock, own: map[string]chain.Load{}, peers: map[string]peer{}, doubts: map[string]doubt{}, dead: map[string]doubt{},
 		changed: make(chan struct{}),
 	}
 }
@@ -159,10 +149,10 @@
 }
 
 // Own returns this entry's work at each target.
-func (l *Ledger) Own() map[string]Use {
+func (l *Ledger) Own() map[string]chain.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]Use, len(l.own))
+	out := make(map[string]chain.Load, len(l.own))
 	for id, u := range l.own {
 		out[id] = u
 	}
@@ -170,14 +160,14 @@
 }
 
 // Hear replaces what is known of another entry's work.
-func (l *Ledger) Hear(instance string, use map[string]Use) {
+func (l *Ledger) Hear(instance string, use map[string]chain.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.peers[instance] = peer{l.clock.Now(), use}
 }
 
 // HearAll replaces what is known of the work of all other entries.
-func (l *Ledger) HearAll(instance string, use map[string]Use) {
+func (l *Ledger) HearAll(instance string, use map[string]chain.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.peers)
@@ -204,14 +194,11 @@
 			continue
 		}
 		for i, h := range o.hops {
-			sum := out[h.Target.ID]
-			sum.TokenLayers += float64(others * o.tokens * h.Layers.Len())
-			sum.Running += others
-			sum.Unread += others * o.unread
+			more := chain.Load{TokenLayers: float64(others * o.tokens * h.Layers.Len()), Running: others, Unread: others * o.unread}
 			if i == 0 {
-				sum.First += others
+				more.First = others
 			}
-			out[h.Target.ID] = sum
+			out[h.Target.ID] = out[h.Target.ID].Plus(more)
 		}
 	}
 	return out
@@ -226,14 +213,9 @@
 
 func (l *Ledger) loads() map[string]chain.Load {
 	out := make(map[string]chain.Load, len(l.own))
-	add := func(use map[string]Use) {
+	add := func(use map[string]chain.Load) {
 		for id, u := range use {
-			sum := out[id]
-			sum.TokenLayers += u.TokenLayers
-			sum.Running += u.Running
-			sum.First += u.First
-			sum.Unread += u.Unread
-			out[id] = sum
+			out[id] = out[id].Plus(u)
 		}
 	}
 	add(l.own)
@@ -265,8 +247,7 @@
 	}
 	d.last, d.until = now, now.Add(d.span)
 	l.doubts[t.ID] = d
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.tellChanged()
 	return true
 }
 
@@ -284,8 +265,7 @@
 		return false
 	}
 	l.doubts[h.ID] = doubt{born: h.Born, until: now.Add(min(h.Left, maxDoubt)), last: now, span: max(firstDoubt, min(h.Left, maxDoubt))}
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.tellChanged()
 	return true
 }
 
@@ -330,8 +310,7 @@
 		}
 	}
 	if changed {
-		close(l.changed)
-		l.changed = make(chan struct{})
+		l.tellChanged()
 	}
 }
 
@@ -352,6 +331,12 @@
 	return out
 }
 
+// tellChanged ends the wait for a new doubt. The caller holds the lock.
+func (l *Ledger) tellChanged() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // Changed returns a channel that is closed when the next doubt is entered.
 func (l *Ledger) Changed() <-chan struct{} {
 	l.mu.Lock()
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"shallotcourse/internal/ledger"
+	"shallotcourse/internal/chain"
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/wire"
 )
@@ -177,8 +177,7 @@
 		}
 		followers[instance] = true
 		for id, u := range h.pulse.Use {
-			sum := out.Use[id]
-			out.Use[id] = wire.Use{TokenLayers: sum.TokenLayers + u.TokenLayers, Running: sum.Running + u.Running, First: sum.First + u.First, Unread: sum.Unread + u.Unread}
+			out.Use[id] = wire.Use(chain.Load(out.Use[id]).Plus(chain.Load(u)))
 		}
 		if l, ok := lives[h.incarnation]; ok {
 			out.Lives[h.incarnation] = l
@@ -193,10 +192,7 @@
 // digestOfAll returns the sum of all gateways, for followers.
 func (p *Peers) digestOfAll(group wire.Digest, lives map[string]wire.Life) wire.Digest {
 	out := group
-	out.All, out.Lives, out.Use = true, lives, map[string]wire.Use{}
-	for id, l := range p.Ledger.Loads() {
-		out.Use[id] = wire.Use(l)
-	}
+	out.All, out.Lives, out.Use = true, lives, uses(p.Ledger.Loads())
 	_, out.Members = p.Members.List()
 	out.Config, out.List = p.Configs.Section().Value().Version, p.Fleets.Newest()
 	p.mu.Lock()
@@ -229,10 +225,11 @@
 		return
 	}
 	p.heard[from.Instance] = heard{at: now, incarnation: from.Incarnation, group: m.Group, leader: m.All}
-	use := ledgerUse(m.Use)
+	use := loads(m.Use)
 	if m.All {
+		// What this gateway told is part of the sum.
 		for id, u := range p.sent[0] {
-			use[id] = without(use[id], u)
+			use[id] = use[id].Minus(chain.Load(u))
 		}
 		p.Ledger.HearAll(from.Instance, use)
 	} else {
@@ -256,11 +253,3 @@
 		p.notice(m)
 	}
 }
-
-// without returns a sum less what this gateway told, as far as it is in it.
-func without(sum ledger.Use, own wire.Use) ledger.Use {
-	return ledger.Use{
-		TokenLayers: max(0, sum.TokenLayers-own.TokenLayers), Running: max(0, sum.Running-own.Running),
-		First: max(0, sum.First-own.First), Unread: max(0, sum.Unread-own.Unread),
-	}
-}
--- a/internal/peers/pulse.go
+++ b/internal/peers/pulse.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/go-kit/log/level"
 
+	"shallotcourse/internal/chain"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/topo"
@@ -11,10 +12,7 @@
 
 // pulse returns what this gateway tells of itself.
 func (p *Peers) pulse() wire.Pulse {
-	out := wire.Pulse{Use: map[string]wire.Use{}, Doubts: p.doubts(), Repeats: counts(p.Repeats.Own())}
-	for id, u := range p.Ledger.Own() {
-		out.Use[id] = wire.Use(u)
-	}
+	out := wire.Pulse{Use: uses(p.Ledger.Own()), Doubts: p.doubts(), Repeats: counts(p.Repeats.Own())}
 	out.Late = p.Ledger.TakeLate()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -42,17 +40,25 @@
 	return out
 }
 
-func ledgerUse(of map[string]wire.Use) map[string]ledger.Use {
-	out := make(map[string]ledger.Use, len(of))
+func uses(of map[string]chain.Load) map[string]wire.Use {
+	out := make(map[string]wire.Use, len(of))
+	for id, l := range of {
+		out[id] = wire.Use(l)
+	}
+	return out
+}
+
+func loads(of map[string]wire.Use) map[string]chain.Load {
+	out := make(map[string]chain.Load, len(of))
 	for id, u := range of {
-		out[id] = ledger.Use(u)
+		out[id] = chain.Load(u)
 	}
 	return out
 }
 
 // hearPulse takes over what a gateway tells of itself.
 func (p *Peers) hearPulse(from wire.Hello, m wire.Pulse) {
-	p.Ledger.Hear(from.Instance, ledgerUse(m.Use))
+	p.Ledger.Hear(from.Instance, loads(m.Use))
 	p.hearLife(from.Incarnation, wire.Life{Counts: m.Repeats})
 	p.hearDoubts(from.Instance, m.Doubts)
 	p.mu.Lock()
