peers: derive who leads once, encode the followers' digest once

Cause: whether a gateway leads was computed in arrange and again beside it, and kept apart from the arrangement; a leader encoded the same digest for each follower and took its lock twice a link; each look for a path copied the list of gateways to count it; the look-up of linked gateways ran for each row of the table.

Ruled out: broadcasting the sum of the group too. Two leaders may have a link in each direction, and its late pauses would count twice.

Change: Arrangement.Leads; link.Group.Broadcast for the followers; audience names followers and leaders under one lock; Members.Others; see before the rows are looked at.

--- a/internal/cmds/gateway_group_test.go
+++ b/internal/cmds/gateway_group_test.go
@@ -29,8 +29,8 @@
 	for _, g := range out {
 		g.started(t)
 		eventually(t, g.settings.Instance+" follows or leads", func() bool {
-			a, leads := g.peers.Arrangement()
-			return !a.Mesh && (leads || g.peers.Follows())
+			a := g.peers.Arrangement()
+			return !a.Mesh && (a.Leads || g.peers.Follows())
 		})
 	}
 	return out
@@ -44,7 +44,7 @@
 	leaders := func() string {
 		var names []string
 		for _, g := range all {
-			if _, leads := g.peers.Arrangement(); leads {
+			if g.peers.Arrangement().Leads {
 				names = append(names, g.settings.Instance)
 			}
 		}
@@ -85,8 +85,7 @@
 	all[10].links.Stop() // as if its machine had lost its links
 	all[10] = nil
 	eventually(t, "the followers turn to the next leader", func() bool {
-		a, _ := all[0].peers.Arrangement()
-		return a.Leader == "g08" && all[0].peers.Follows()
+		return all[0].peers.Arrangement().Leader == "g08" && all[0].peers.Follows()
 	})
 	inForce("key-3", 2*time.Second)
 }
--- a/internal/peers/arrange.go
+++ b/internal/peers/arrange.go
@@ -24,6 +24,9 @@
 	// Group names the group of the gateway, and Leader the instance that leads
 	// it.
 	Group, Leader string
+	// Leads says that the gateway acts as a leader: it leads its group, or
+	// others take it for their leader.
+	Leads bool
 	// Members holds the gateways of the group, this one included.
 	Members []Member
 	// Links holds the gateways to keep links to. A follower also keeps one to
@@ -59,7 +62,8 @@
 		}
 		a.Links = untilUp(members, self, down, 2)
 	}
-	if a.Leader != self.Instance && !followed {
+	a.Leads = a.Leader == self.Instance || followed
+	if !a.Leads {
 		return a
 	}
 	a.Links = nil
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -34,11 +34,10 @@
 		}
 		delete(p.heard, instance)
 	}
-	before, led := p.at, p.leads
+	before := p.at
 	p.at = arrange(p.Self, members, func(instance string) bool { return p.down(instance, now) }, followed)
-	p.leads = !p.at.Mesh && (p.at.Leader == p.Self.Instance || followed)
 	p.relink(before.Links, p.at.Links)
-	if before.Mesh == p.at.Mesh && before.Leader == p.at.Leader && led == p.leads {
+	if before.Mesh == p.at.Mesh && before.Leader == p.at.Leader && before.Leads == p.at.Leads {
 		return
 	}
 	p.since = now
@@ -47,7 +46,7 @@
 		// A leader tells of all; what another one told would count twice.
 		p.Ledger.Forget(before.Leader)
 	}
-	_ = level.Info(p.Log).Log("event", "Arranged", "mesh", p.at.Mesh, "group", p.at.Group, "leader", p.at.Leader, "leads", p.leads,
+	_ = level.Info(p.Log).Log("event", "Arranged", "mesh", p.at.Mesh, "group", p.at.Group, "leader", p.at.Leader, "leads", p.at.Leads,
 		"before", before.Leader, "gateways", 1+len(members), "links", len(p.at.Links))
 }
 
@@ -73,7 +72,7 @@
 			delete(p.shunned, instance)
 		}
 	}
-	if leader := p.at.Leader; !p.at.Mesh && !p.leads && now-max(p.since, p.heard[leader].at) > leaderSilent {
+	if leader := p.at.Leader; !p.at.Mesh && !p.at.Leads && now-max(p.since, p.heard[leader].at) > leaderSilent {
 		_ = level.Info(p.Log).Log("event", "LeaderSilent", "leader", leader, "silent", now-p.heard[leader].at)
 		p.shunned[leader] = now + leaderShunned
 	}
@@ -107,14 +106,11 @@
 func (p *Peers) duty(other Member) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.at.Mesh || p.leads && (slices.Contains(p.at.Links, other) || slices.Contains(p.at.Members, other))
+	return p.at.Mesh || p.at.Leads && (slices.Contains(p.at.Links, other) || slices.Contains(p.at.Members, other))
 }
 
 // follow tells the leader what this gateway does.
-func (p *Peers) follow(links map[string]link.Peer) {
-	p.mu.Lock()
-	leader := p.at.Leader
-	p.mu.Unlock()
+func (p *Peers) follow(links map[string]link.Peer, leader string) {
 	l, ok := links[leader]
 	if !ok {
 		return
@@ -129,27 +125,41 @@
 
 // lead tells the other leaders of the group, and the followers of all.
 func (p *Peers) lead(links map[string]link.Peer) {
-	own := p.pulse()
-	lives := p.lives()
-	group, followers := p.digest(own, lives)
-	all := p.digestOfAll(group, lives)
+	own, lives := p.pulse(), p.lives()
+	followers, leaders := p.audience()
+	group := p.digest(own, lives)
+	p.Links.Broadcast(p.digestOfAll(group, lives), func(h wire.Hello) bool { return followers[h.Instance] })
 	for instance, l := range links {
-		switch {
-		case followers[instance]:
-			p.send(l, all)
-		case p.wants(instance) || p.isLeader(instance):
+		if leaders[instance] {
 			p.send(l, group)
 		}
 	}
 }
 
+// audience returns the followers of this gateway and the other leaders.
+func (p *Peers) audience() (followers, leaders map[string]bool) {
+	followers, leaders = map[string]bool{}, map[string]bool{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.at.Links {
+		leaders[m.Instance] = true
+	}
+	for instance, h := range p.heard {
+		switch {
+		case h.pulse.Follow:
+			followers[instance] = true
+			delete(leaders, instance)
+		case h.group != "":
+			leaders[instance] = true
+		}
+	}
+	return followers, leaders
+}
+
 // lives returns the counts of all known lifetimes, or nil if it is not time to
 // tell them.
 func (p *Peers) lives() map[string]wire.Life {
-	p.mu.Lock()
-	due := p.ticks%livesEvery == 0
-	p.mu.Unlock()
-	if !due {
+	if p.digests++; p.digests%livesEvery != 0 {
 		return nil
 	}
 	out := map[string]wire.Life{p.Incarnation: {Counts: counts(p.Repeats.Own())}}
@@ -159,8 +169,8 @@
 	return out
 }
 
-// digest returns the sum of the group, and its followers.
-func (p *Peers) digest(own wire.Pulse, lives map[string]wire.Life) (wire.Digest, map[string]bool) {
+// digest returns the sum of the group.
+func (p *Peers) digest(own wire.Pulse, lives map[string]wire.Life) wire.Digest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := wire.Digest{
@@ -170,12 +180,10 @@
 	if lives != nil {
 		out.Lives = map[string]wire.Life{p.Incarnation: lives[p.Incarnation]}
 	}
-	followers := map[string]bool{}
-	for instance, h := range p.heard {
+	for _, h := range p.heard {
 		if !h.pulse.Follow {
 			continue
 		}
-		followers[instance] = true
 		for id, u := range h.pulse.Use {
 			out.Use[id] = wire.Use(chain.Load(out.Use[id]).Plus(chain.Load(u)))
 		}
@@ -186,7 +194,7 @@
 			out.Term, out.Targets, out.Dead = h.pulse.Term, h.pulse.Targets, h.pulse.Dead
 		}
 	}
-	return out, followers
+	return out
 }
 
 // digestOfAll returns the sum of all gateways, for followers.
@@ -203,23 +211,11 @@
 	return out
 }
 
-func (p *Peers) wants(instance string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.at.Links, func(m Member) bool { return m.Instance == instance })
-}
-
-func (p *Peers) isLeader(instance string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.heard[instance].group != ""
-}
-
 // hearDigest takes over what a leader tells.
 func (p *Peers) hearDigest(from wire.Hello, m wire.Digest) {
 	p.mu.Lock()
 	now := p.Steady()
-	if m.All && (p.leads || p.at.Mesh || from.Instance != p.at.Leader) {
+	if m.All && (p.at.Leads || p.at.Mesh || from.Instance != p.at.Leader) {
 		// Meant for a follower that this gateway is no longer.
 		p.mu.Unlock()
 		return
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -117,6 +117,13 @@
 	return slices.Collect(maps.Values(m.others)), m.version
 }
 
+// Others returns the number of the other gateways.
+func (m *Members) Others() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.others)
+}
+
 // Learn takes over the list of the leader, which names all gateways. A list
 // without this one is not taken: its row is missing in the store.
 func (m *Members) Learn(members []Member) {
@@ -215,6 +222,7 @@
 
 // prune deletes the rows of gateways that nobody here is linked to for long.
 func (m *Members) prune(ctx context.Context, members map[string]Member, rows map[string]follow.Row) error {
+	m.see()
 	for key, row := range rows {
 		silent, lost := m.silent(members[key])
 		if !lost {
@@ -229,6 +237,16 @@
 	return nil
 }
 
+// see notes which gateways are linked.
+func (m *Members) see() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, p := range m.links.Peers() {
+		m.linked[p.Hello().Instance] = now
+	}
+}
+
 // silent returns the time since a gateway was linked, and whether its row is
 // to be deleted by this one.
 func (m *Members) silent(other Member) (time.Duration, bool) {
@@ -236,9 +254,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	for _, p := range m.links.Peers() {
-		m.linked[p.Hello().Instance] = now
-	}
 	at, ok := m.linked[other.Instance]
 	if !ok || !duty {
 		m.linked[other.Instance] = now
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -65,17 +65,17 @@
 		Options
 
 		mu sync.Mutex
-		// at is the arrangement in force, leads says that this gateway leads a
-		// group, and since when it has this leader.
+		// at is the arrangement in force, and since the time from which this
+		// gateway has its part in it.
 		at    Arrangement
-		leads bool
 		since time.Duration
 		// unlinked holds since when gateways of the arrangement have no link,
 		// shunned until when leaders count as down.
 		unlinked, shunned map[string]time.Duration
 		// heard holds what was heard from other gateways last.
 		heard map[string]heard
-		ticks int
+		// digests counts the digests; only Run uses it.
+		digests int
 		// sent is the work in the last two pulses to a leader.
 		sent [2]map[string]wire.Use
 
@@ -141,17 +141,13 @@
 func (p *Peers) tick() {
 	links := p.linked()
 	p.rearrange(links)
-	p.mu.Lock()
-	at, leads := p.at, p.leads
-	p.ticks++
-	p.mu.Unlock()
-	switch {
+	switch at := p.Arrangement(); {
 	case at.Mesh:
 		p.Links.Broadcast(p.pulse(), nil)
-	case leads:
+	case at.Leads:
 		p.lead(links)
 	default:
-		p.follow(links)
+		p.follow(links, at.Leader)
 	}
 	p.ask(links)
 }
@@ -176,44 +172,40 @@
 // MayPlan reports whether this gateway may claim the planner's lease: only
 // leaders hear of all others without a detour.
 func (p *Peers) MayPlan() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.at.Mesh || p.leads
+	at := p.Arrangement()
+	return at.Mesh || at.Leads
 }
 
 // Follows reports whether a leader keeps this gateway up to date.
-func (p *Peers) Follows() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.at.Mesh && !p.leads && p.heard[p.at.Leader].leader
-}
+func (p *Peers) Follows() bool { return p.Part() == follow.Told }
 
 // Part returns the part that this gateway has in reading the store.
 func (p *Peers) Part() follow.Part {
-	switch _, leads := p.Arrangement(); {
-	case leads:
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.at.Leads:
 		return follow.Reads
-	case p.Follows():
+	case !p.at.Mesh && p.heard[p.at.Leader].leader:
 		return follow.Told
 	}
 	return follow.Alone
 }
 
-// Arrangement returns whom this gateway exchanges with, and whether it leads.
-func (p *Peers) Arrangement() (Arrangement, bool) {
+// Arrangement returns whom this gateway exchanges with.
+func (p *Peers) Arrangement() Arrangement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.at, p.leads
+	return p.at
 }
 
 // Unheard returns the number of other gateways and the time by which what is
 // known of them lags behind.
 func (p *Peers) Unheard() (others int, lag time.Duration) {
-	members, _ := p.Members.List()
-	if at, _ := p.Arrangement(); at.Mesh {
-		return len(members), pulseEvery
+	if p.Arrangement().Mesh {
+		return p.Members.Others(), pulseEvery
 	}
-	return len(members), groupLag
+	return p.Members.Others(), groupLag
 }
 
 // TakeLate returns the number of late pauses of streams, at all gateways, since
--- a/internal/peers/pulse.go
+++ b/internal/peers/pulse.go
@@ -89,7 +89,7 @@
 			_ = level.Info(p.Log).Log("event", "TargetDoubted", "target", d.ID, "from", from, "left", d.Left)
 		}
 	}
-	if _, leads := p.Arrangement(); !leads || fresh == nil {
+	if fresh == nil || !p.Arrangement().Leads {
 		return
 	}
 	for instance, l := range p.linked() {
