follow: share the poll, the age and the part between the two followers

Cause: Configs and Fleets repeated five fields, PartBy, the age of what was never read, and the choice of how long the store may hold an answer back.

Ruled out: one generic follower for both. What they do with a page differs in all that matters (versions that only grow, lapsed entries, overlays).

Change: both embed feed, whose poll picks the wait by the part of the process.

--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -39,47 +39,30 @@
 	// Configs follows the configuration. Its version never falls within one
 	// process.
 	Configs struct {
-		source  Source
-		clock   timer.Service
-		steady  Clock
-		log     log.Logger
+		feed
 		section *board.Section[Config]
-		part    func() Part
 	}
 )
 
 // NewConfigs returns a follower; Run starts it.
 func NewConfigs(source Source, clock timer.Service, steady Clock, logger log.Logger) *Configs {
-	return &Configs{source: source, clock: clock, steady: steady, log: logger, section: board.New(Config{}), part: alone}
+	return &Configs{feed: newFeed(source, clock, steady, logger), section: board.New(Config{})}
 }
 
-// PartBy sets what returns the part of this process in reading the store. It is
-// called before Run.
-func (c *Configs) PartBy(part func() Part) { c.part = part }
-
 // Section returns the section that holds the configuration.
 func (c *Configs) Section() *board.Section[Config] { return c.section }
 
 // Age is the time since the configuration was proved to be the newest. It is
 // very large before the first proof.
-func (c *Configs) Age() time.Duration {
-	proof := c.section.Value().Proof
-	if proof == 0 {
-		return time.Hour
-	}
-	return c.steady() - proof
-}
+func (c *Configs) Age() time.Duration { return c.since(c.section.Value().Proof) }
 
 // Run follows the store until the context ends.
 func (c *Configs) Run(ctx context.Context) {
-	poll(ctx, poller{clock: c.clock, log: c.log, source: "Config", age: c.Age, part: c.part, toldLife: configTold}, func(after uint64) (uint64, time.Duration, error) {
+	p := poller{name: "Config", age: c.Age, told: configTold, waits: waits{configWait, configWaitReads}}
+	c.poll(ctx, p, func(after uint64, wait time.Duration) (uint64, time.Duration, error) {
 		// The proof counts from before the request, because the answer may be
 		// as old as that.
 		asked := c.steady()
-		wait := configWait
-		if c.part() == Reads {
-			wait = configWaitReads
-		}
 		page, err := c.source.Config(ctx, after, wait)
 		switch {
 		case err != nil:
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -48,12 +48,8 @@
 
 	// Fleets follows the list of targets.
 	Fleets struct {
-		source  Source
-		clock   timer.Service
-		steady  Clock
-		log     log.Logger
+		feed
 		section *board.Section[Fleet]
-		part    func() Part
 
 		// The fields below belong to the section's writers and are guarded by
 		// its lock.
@@ -80,36 +76,23 @@
 // NewFleets returns a follower; Run starts it.
 func NewFleets(source Source, clock timer.Service, steady Clock, logger log.Logger) *Fleets {
 	return &Fleets{
-		source: source, clock: clock, steady: steady, log: logger, section: board.New(Fleet{}), part: alone,
+		feed: newFeed(source, clock, steady, logger), section: board.New(Fleet{}),
 		listed: map[string]topo.Target{}, lapsed: map[string]time.Duration{},
 		overlays: map[string]overlay{}, stamps: map[string]uint64{}, removed: map[string]uint64{},
 	}
 }
 
-// PartBy sets what returns the part of this process in reading the store. It is
-// called before Run.
-func (f *Fleets) PartBy(part func() Part) { f.part = part }
-
 // Section returns the section that holds the list.
 func (f *Fleets) Section() *board.Section[Fleet] { return f.section }
 
 // Age is the time since the list was read.
-func (f *Fleets) Age() time.Duration {
-	read := f.section.Value().Read
-	if read == 0 {
-		return time.Hour
-	}
-	return f.steady() - read
-}
+func (f *Fleets) Age() time.Duration { return f.since(f.section.Value().Read) }
 
 // Run reads the list until the context ends.
 func (f *Fleets) Run(ctx context.Context) {
-	poll(ctx, poller{clock: f.clock, log: f.log, source: "Target", age: f.Age, part: f.part, toldLife: targetsTold}, func(after uint64) (uint64, time.Duration, error) {
+	p := poller{name: "Target", age: f.Age, told: targetsTold, waits: waits{targetsWait, targetsWaitReads}}
+	f.poll(ctx, p, func(after uint64, wait time.Duration) (uint64, time.Duration, error) {
 		asked := f.steady()
-		wait := targetsWait
-		if f.part() == Reads {
-			wait = targetsWaitReads
-		}
 		page, err := f.source.Targets(ctx, after, wait)
 		if err == nil {
 			f.apply(page, asked)
--- a/internal/follow/poll.go
+++ b/internal/follow/poll.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// never is the age of what was not read yet.
+	never = time.Hour
 	// toldPause is the pause between two looks at what others have told.
 	toldPause = 100 * time.Millisecond
 	// toldRetry lengthens the pause after a failed call of a process that is told:
@@ -24,9 +26,6 @@
 	retryMost  = 400 * time.Millisecond
 )
 
-// Part is the part of a process in reading the store.
-type Part int
-
 const (
 	// Alone reads for itself.
 	Alone Part = iota
@@ -36,54 +35,88 @@
 	Reads
 )
 
-func alone() Part { return Alone }
+type (
+	// Part is the part of a process in reading the store.
+	Part int
+
+	// feed is what the followers of the store share.
+	feed struct {
+		source Source
+		clock  timer.Service
+		steady Clock
+		log    log.Logger
+		part   func() Part
+	}
+
+	// waits is how long the store may hold an answer back, by the part of the
+	// process.
+	waits struct{ alone, reads time.Duration }
+
+	// poller is one feed of the store.
+	poller struct {
+		// name is what is followed, in log lines.
+		name string
+		age  func() time.Duration
+		// told is the age up to which a process that others tell leaves the
+		// store alone.
+		told  time.Duration
+		waits waits
+	}
+)
+
+func newFeed(source Source, clock timer.Service, steady Clock, logger log.Logger) feed {
+	return feed{source: source, clock: clock, steady: steady, log: logger, part: func() Part { return Alone }}
+}
+
+// PartBy sets what returns the part of this process in reading the store. It is
+// called before Run.
+func (f *feed) PartBy(part func() Part) { f.part = part }
 
-// poller is what the followers of the store share.
-type poller struct {
-	clock timer.Service
-	log   log.Logger
-	// source names what is followed in log lines.
-	source string
-	age    func() time.Duration
-	// part is the part of this process in reading the store; one that others
-	// tell leaves it alone up to the age toldLife.
-	part     func() Part
-	toldLife time.Duration
+// since is the time since a moment on the steady clock; 0 is no moment.
+func (f *feed) since(at time.Duration) time.Duration {
+	if at == 0 {
+		return never
+	}
+	return f.steady() - at
 }
 
-// poll calls the store until the context ends. A call goes on after a version
-// and returns the next one and the pause after it; it starts anew when the
-// store no longer has the history.
-func poll(ctx context.Context, p poller, call func(after uint64) (uint64, time.Duration, error)) {
+// poll calls the store until the context ends. A call goes on after a version,
+// lets the store hold its answer back, and returns the next version and the
+// pause after it; it starts anew when the store no longer has the history.
+func (f *feed) poll(ctx context.Context, p poller, call func(after uint64, wait time.Duration) (uint64, time.Duration, error)) {
 	after := uint64(0)
 	failing := false
 	for ctx.Err() == nil {
-		if p.part() == Told && p.age() < p.toldLife {
-			_ = timer.Sleep(ctx, p.clock, toldPause)
+		if f.part() == Told && p.age() < p.told {
+			_ = timer.Sleep(ctx, f.clock, toldPause)
 			continue
 		}
-		version, pause, err := call(after)
+		wait := p.waits.alone
+		if f.part() == Reads {
+			wait = p.waits.reads
+		}
+		version, pause, err := call(after, wait)
 		switch {
 		case fault.Is(err, fault.HistoryLost):
-			_ = level.Info(p.log).Log("event", p.source+"HistoryLost", "feed", after)
+			_ = level.Info(f.log).Log("event", p.name+"HistoryLost", "feed", after)
 			after, pause = 0, retryLeast
 		case err != nil:
 			if !failing && ctx.Err() == nil {
-				_ = level.Warn(p.log).Log("event", p.source+"SourceLost", "age", p.age(), "feed", after, "err", err)
+				_ = level.Warn(f.log).Log("event", p.name+"SourceLost", "age", p.age(), "feed", after, "err", err)
 			}
 			failing, pause = true, retryLeast+rand.N(retryMost-retryLeast)
-			if p.part() == Told {
+			if f.part() == Told {
 				pause *= toldRetry
 			}
 		default:
 			if failing {
-				_ = level.Info(p.log).Log("event", p.source+"SourceBack", "feed", version)
+				_ = level.Info(f.log).Log("event", p.name+"SourceBack", "feed", version)
 			}
 			failing = false
 			after = max(after, version)
 		}
 		if pause > 0 {
-			_ = timer.Sleep(ctx, p.clock, pause)
+			_ = timer.Sleep(ctx, f.clock, pause)
 		}
 	}
 }
