proxy, plan: one reading of a report, one length of a prompt, one doubt

Cause: a target was made from its report in plan and again in the check of refusals; the length of a prompt was chosen in two functions; tryPlain entered a doubt and logged it beside doubtIf.

Ruled out: moving the check of refusals into the planner, which most gateways are not.

Change: Report.Of, promptTokens and request.doubtIf serve both. The log line of a doubted plain target now has its lifetime (born) too, as that of a stream has; behaviour is as before otherwise, and no figures were taken.

--- a/internal/plan/look.go
+++ b/internal/plan/look.go
@@ -147,8 +147,7 @@
 
 // hear takes over what a target says of itself.
 func (p *Planner) hear(t topo.Target, r proxy.Report) {
-	next := t.WithHeld(r.Held)
-	next.Sequence, next.Loading, next.Pace, next.Born = r.Sequence, r.Loading, max(1, r.Pace), r.Born
+	next := r.Of(t)
 	p.mu.Lock()
 	p.told[t.ID] = told{next, p.Steady() + tellFor}
 	p.mu.Unlock()
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -198,15 +198,20 @@
 		q.plain.slow(t.ID, took)
 	default:
 		q.plain.failed(t.ID)
-		if err.Code == fault.Unavailable && q.Ledger.Failed(t) {
-			_ = level.Warn(q.Log).Log("event", "TargetDoubted", "target", t.ID, "request", q.ask.ID, "err", err)
-		}
+		q.doubtIf(err.Code == fault.Unavailable, t, err)
 		_ = level.Info(q.Log).Log("event", "TryFailed", "request", q.ask.ID, "target", t.ID, "outcome", string(err.Outcome),
 			"took", took.Round(time.Millisecond), "err", err)
 	}
 	return out
 }
 
+// doubtIf has a target that fails avoided by all gateways.
+func (q *request) doubtIf(doubt bool, t topo.Target, cause error) {
+	if doubt && q.Ledger.Failed(t) {
+		_ = level.Warn(q.Log).Log("event", "TargetDoubted", "target", t.ID, "born", t.Born, "request", q.ask.ID, "err", cause)
+	}
+}
+
 // roundTrip sends the request to a target and returns the answer's head. Its
 // failure says NotRun only if that is certain.
 func (q *request) roundTrip(ctx context.Context, t topo.Target, send Send) (*http.Response, *fault.Error) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -97,3 +97,10 @@
 	}
 	return out
 }
+
+// Of returns a target as its report describes it.
+func (r Report) Of(t topo.Target) topo.Target {
+	t = t.WithHeld(r.Held)
+	t.Born, t.Sequence, t.Loading, t.Pace = r.Born, r.Sequence, r.Loading, max(1, r.Pace)
+	return t
+}
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -96,9 +96,7 @@
 	if r.Born == t.Born && r.Held == t.Held {
 		return
 	}
-	next := t.WithHeld(r.Held)
-	next.Born, next.Sequence, next.Loading, next.Pace = r.Born, r.Sequence, r.Loading, max(1, r.Pace)
-	s.Fleets.Overlay(next)
+	s.Fleets.Overlay(r.Of(t))
 	_ = level.Info(s.Log).Log("event", "TargetDiffers", "target", t.ID, "born", r.Born, "listed", t.Born, "from", r.Held.From,
 		"to", r.Held.To, "listedFrom", t.Held.From, "listedTo", t.Held.To, "request", s.ask.ID)
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -129,27 +130,16 @@
 
 // expectedTokens estimates the memory that a request needs at its end.
 func expectedTokens(a Ask, m *topo.Model) int {
-	prompt, answer := a.Prompt, a.AnswerHint
-	if prompt == 0 {
-		prompt = m.UsualPrompt
-	}
-	if answer == 0 {
-		answer = m.UsualAnswer
-	}
+	answer := cmp.Or(a.AnswerHint, m.UsualAnswer)
 	if a.MostAnswer > 0 {
 		answer = min(answer, a.MostAnswer)
 	}
-	return prompt + answer
+	return promptTokens(a, m) + answer
 }
 
 // promptTokens is the length of the prompt, which targets read before the first
 // event.
-func (s *stream) promptTokens() int {
-	if s.ask.Prompt > 0 {
-		return s.ask.Prompt
-	}
-	return s.service.Model.UsualPrompt
-}
+func promptTokens(a Ask, m *topo.Model) int { return cmp.Or(a.Prompt, m.UsualPrompt) }
 
 // goOn reports whether the stream may go on at another target.
 func (s *stream) goOn(failure *fault.Error) bool {
@@ -237,7 +227,7 @@
 // run sends the request along hops and passes events on until the stream ends.
 func (s *stream) run(hops []chain.Hop) *fault.Error {
 	s.hops = hops
-	s.ticket = s.Ledger.Open(s.tokens, s.promptTokens(), hops)
+	s.ticket = s.Ledger.Open(s.tokens, promptTokens(s.ask, s.service.Model), hops)
 	defer func() { s.ticket.Close() }()
 	s.sends++
 	s.ran = append(s.ran, hops[0].Target)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -9,7 +9,6 @@
 
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
-	"shallotcourse/internal/topo"
 )
 
 // open sends the request; its head and its events arrive on channels.
@@ -67,12 +66,6 @@
 	return err
 }
 
-func (s *stream) doubtIf(doubt bool, t topo.Target, cause error) {
-	if doubt && s.Ledger.Failed(t) {
-		_ = level.Warn(s.Log).Log("event", "TargetDoubted", "target", t.ID, "born", t.Born, "request", s.ask.ID, "err", cause)
-	}
-}
-
 // other handles an answer that is no stream: a failure of the target itself,
 // which is passed on unless another target may run the request.
 func (s *stream) other(resp *http.Response) *fault.Error {
