soak: one way to keep faults apart, one fault for both relays

Cause: gateways and targets had a mark of their own each for "a fault is at work here", and the faults of links and of the way to the store were written twice.

Ruled out: sharing the processes of test/faults. They are test files behind a build tag, and soak processes are started again under their own settings.

Change: world.alone, and faults that take the relay they work on.

--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"shallotcourse/internal/fakes/relay"
 	"shallotcourse/platform/sims"
 )
 
@@ -16,6 +17,8 @@
 	faultPause = 600 * time.Millisecond
 	faultLeast = 100 * time.Millisecond
 	faultMost  = 8 * time.Second
+	// delayMost bounds the delay of a link in each direction.
+	delayMost = 500 * time.Millisecond
 	// outageSlack is how much longer than keys live an outage lasts.
 	outageSlack = 2 * time.Second
 	// lapse is the time after which the entry of a dead target lapses.
@@ -28,7 +31,7 @@
 // faults are all that the soak draws from.
 var faults = []fault{
 	killGateway, stopGateway, pauseGateway,
-	cutLinks, silenceLinks, delayLinks, oneWayLinks, cutStore, silenceStore, oneWayStore,
+	cut(links), silence(links), delay(links), oneWay(links), cut(store), silence(store), oneWay(store),
 	failStore, outage, loseWrites, loseHistory, rotateKeys,
 	killEngine, killEngine, drainEngine, breakStreams, slowService, loseAnswers,
 }
@@ -59,46 +62,36 @@
 
 func (w *world) someGateway() *gateway { return w.gateways[w.random.IntN(len(w.gateways))] }
 
-// take marks a gateway that runs as being handled, so that only one fault at a
-// time ends or pauses it.
-func (g *gateway) take() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.down || g.held {
-		return false
-	}
-	g.held = true
-	return true
-}
-
-func (g *gateway) release() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.held = false
-}
-
-// onGateway does something to a gateway that no other fault has ended.
-func onGateway(w *world, name string, do func(g *gateway) func()) (string, func()) {
-	g := w.someGateway()
-	if !g.take() {
-		return name + " left out, " + g.name + " is down", func() {}
+// alone does something to a process or target unless another such fault is at
+// work on it.
+func (w *world) alone(what, name string, do func() func()) (string, func()) {
+	w.mu.Lock()
+	held := w.held[name]
+	w.held[name] = true
+	w.mu.Unlock()
+	if held {
+		return what + " " + name + " left out, another fault is at work on it", func() {}
 	}
-	undo := do(g)
-	return name + " " + g.name, func() {
+	undo := do()
+	return what + " " + name, func() {
 		undo()
-		g.release()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.held, name)
 	}
 }
 
 func killGateway(w *world) (string, func()) {
-	return onGateway(w, "kill", func(g *gateway) func() {
+	g := w.someGateway()
+	return w.alone("kill", g.name, func() func() {
 		g.kill()
 		return func() { g.start(w.fail, w.log) }
 	})
 }
 
 func stopGateway(w *world) (string, func()) {
-	return onGateway(w, "stop", func(g *gateway) func() {
+	g := w.someGateway()
+	return w.alone("stop", g.name, func() func() {
 		stopped := make(chan struct{})
 		go func() {
 			g.stop(w.fail)
@@ -112,55 +105,52 @@
 }
 
 func pauseGateway(w *world) (string, func()) {
-	return onGateway(w, "pause", func(g *gateway) func() {
+	g := w.someGateway()
+	return w.alone("pause", g.name, func() func() {
 		g.signal(syscall.SIGSTOP)
 		return func() { g.signal(syscall.SIGCONT) }
 	})
 }
 
-func cutLinks(w *world) (string, func()) {
-	g := w.someGateway()
-	g.links.Refuse(true)
-	g.links.Cut()
-	return "cut links to " + g.name, func() { g.links.Refuse(false) }
-}
+// way is a relay of a gateway.
+type way func(g *gateway) (string, *relay.Relay)
 
-func silenceLinks(w *world) (string, func()) {
-	g := w.someGateway()
-	g.links.Silence()
-	return "silence links to " + g.name, func() {}
-}
+func links(g *gateway) (string, *relay.Relay) { return "links of " + g.name, g.links }
+func store(g *gateway) (string, *relay.Relay) { return "store of " + g.name, g.store }
 
-func delayLinks(w *world) (string, func()) {
-	g := w.someGateway()
-	d := time.Duration(w.random.Int64N(int64(500 * time.Millisecond)))
-	g.links.Delay(d)
-	return fmt.Sprintf("delay links to %s by %s", g.name, d), func() { g.links.Delay(0) }
-}
-
-func oneWayLinks(w *world) (string, func()) {
-	g, to := w.someGateway(), w.random.IntN(2) == 0
-	g.links.OneWay(to, true)
-	return fmt.Sprintf("hold links of %s, towards it %v", g.name, to), func() { g.links.OneWay(to, false) }
+func cut(of way) fault {
+	return func(w *world) (string, func()) {
+		name, r := of(w.someGateway())
+		r.Refuse(true)
+		r.Cut()
+		return "cut " + name, func() { r.Refuse(false) }
+	}
 }
 
-func cutStore(w *world) (string, func()) {
-	g := w.someGateway()
-	g.store.Refuse(true)
-	g.store.Cut()
-	return "cut store from " + g.name, func() { g.store.Refuse(false) }
+func silence(of way) fault {
+	return func(w *world) (string, func()) {
+		name, r := of(w.someGateway())
+		r.Silence()
+		return "silence " + name, func() {}
+	}
 }
 
-func silenceStore(w *world) (string, func()) {
-	g := w.someGateway()
-	g.store.Silence()
-	return "silence store for " + g.name, func() {}
+func delay(of way) fault {
+	return func(w *world) (string, func()) {
+		name, r := of(w.someGateway())
+		d := time.Duration(w.random.Int64N(int64(delayMost)))
+		r.Delay(d)
+		return fmt.Sprintf("delay %s by %s", name, d), func() { r.Delay(0) }
+	}
 }
 
-func oneWayStore(w *world) (string, func()) {
-	g, to := w.someGateway(), w.random.IntN(2) == 0
-	g.store.OneWay(to, true)
-	return fmt.Sprintf("hold store of %s, towards it %v", g.name, to), func() { g.store.OneWay(to, false) }
+func oneWay(of way) fault {
+	return func(w *world) (string, func()) {
+		name, r := of(w.someGateway())
+		to := w.random.IntN(2) == 0
+		r.OneWay(to, true)
+		return fmt.Sprintf("hold %s, towards its end %v", name, to), func() { r.OneWay(to, false) }
+	}
 }
 
 func failStore(w *world) (string, func()) {
@@ -201,39 +191,35 @@
 	return "new keys", func() {}
 }
 
+func (w *world) someEngine() *sims.Engine { return w.engines[w.random.IntN(len(w.engines))] }
+
 // killEngine ends a target without a word; its entry lapses, and it comes back
 // empty.
 func killEngine(w *world) (string, func()) {
-	e := w.engines[w.random.IntN(len(w.engines))]
-	if !w.hold(e.ID) {
-		return "kill engine left out, " + e.ID + " is down", func() {}
-	}
-	e.Kill()
-	killed := time.Now()
-	return "kill engine " + e.ID, func() {
-		if time.Since(killed) > lapse {
-			w.site.Store.Delete("servers", e.ID)
+	e := w.someEngine()
+	return w.alone("kill engine", e.ID, func() func() {
+		e.Kill()
+		killed := time.Now()
+		return func() {
+			if time.Since(killed) > lapse {
+				w.site.Store.Delete("servers", e.ID)
+			}
+			e.Restart()
 		}
-		e.Restart()
-		w.unhold(e.ID)
-	}
+	})
 }
 
 // drainEngine lists a target as leaving for a while.
 func drainEngine(w *world) (string, func()) {
-	e := w.engines[w.random.IntN(len(w.engines))]
-	if !w.hold(e.ID) {
-		return "drain engine left out, " + e.ID + " is down", func() {}
-	}
-	e.List("draining")
-	return "drain engine " + e.ID, func() {
-		e.List("ready")
-		w.unhold(e.ID)
-	}
+	e := w.someEngine()
+	return w.alone("drain engine", e.ID, func() func() {
+		e.List("draining")
+		return func() { e.List("ready") }
+	})
 }
 
 func breakStreams(w *world) (string, func()) {
-	e := w.engines[w.random.IntN(len(w.engines))]
+	e := w.someEngine()
 	e.SetFaults(sims.EngineFaults{BreakAfter: 1 + w.random.IntN(8)})
 	return "break streams of " + e.ID, func() { e.SetFaults(sims.EngineFaults{}) }
 }
@@ -250,20 +236,3 @@
 	v.SetFaults(f)
 	return fmt.Sprintf("service %s %+v", v.ID, f), func() { v.SetFaults(sims.ServiceFaults{}) }
 }
-
-// hold marks a target as being handled by a fault.
-func (w *world) hold(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.held[id] {
-		return false
-	}
-	w.held[id] = true
-	return true
-}
-
-func (w *world) unhold(id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.held, id)
-}
--- a/test/soak/proc_test.go
+++ b/test/soak/proc_test.go
@@ -44,11 +44,10 @@
 	links, store           *relay.Relay
 
 	mu sync.Mutex
-	// down says that the soak has ended the process, held that a fault works
-	// on it.
-	down, held bool
-	cmd        *exec.Cmd
-	exited     chan struct{}
+	// down says that the soak has ended the process.
+	down   bool
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // address returns a free loopback address. It is below the range from which
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -41,7 +41,7 @@
 	// revoked holds the keys and when they were taken away; zero is not yet.
 	revoked map[string]time.Time
 	begun   time.Time
-	// held holds the targets that a fault works on.
+	// held holds the gateways and targets that a fault is at work on.
 	held map[string]bool
 }
 
