place: keep no targets in the memo of layouts

Cause: layouts in the memo named the targets of the part that was searched first; whoever used them would have given another data centre's targets their layers. Ruled out: a type of its own for what the memo holds; it would repeat counts and rate. Change: bestOf leaves the targets out. Plans are as before (scripts and properties pass); no figures were taken.

--- a/internal/place/layout.go
+++ b/internal/place/layout.go
@@ -37,6 +37,8 @@
 type (
 	// layout is a division of all layers among some targets.
 	layout struct {
+		// chosen holds the targets; it is nil in the memo, where a layout goes
+		// for any targets with the same cards.
 		chosen []int
 		counts []int
 		// rate is the number of requests of usual size per second that the
@@ -148,7 +150,7 @@
 	slices.SortStableFunc(mixes, func(a, b mix) int { return cmp.Compare(ls.chain(b).rate, ls.chain(a).rate) })
 	for _, m := range mixes {
 		l := ls.chain(m)
-		chosen := make([]int, 0, len(l.chosen))
+		chosen := make([]int, 0, len(l.counts))
 		for k, card := range ls.cards {
 			chosen = append(chosen, ls.free[card][used[k]:used[k]+m[k]]...)
 			used[k] += m[k]
@@ -247,7 +249,7 @@
 			continue
 		}
 		if rate := g.rate(chosen, counts); rate > best.rate {
-			best = layout{chosen, counts, rate}
+			best = layout{counts: counts, rate: rate}
 		}
 	}
 	return best
