proxy: one reader owns the body of a target's response

Cause: when a stream's target answered neither 200 nor a refusal, startUpstream read the body as events while relayNonStream read the same body for the caller. Callers got bodies with missing bytes and a Content-Length that matched them. A body without end held the request past its deadline, since relay waited inside relayNonStream, and one over the limit was answered 413, as if the caller's request were too large.

Change: the goroutine of an upstream is the only reader. What it sends to relay is a sealed type (eventStream, wholeResponse, brokenResponse, refusedRequest) without an unread body, so that deadline, disconnect and stop are handled while a body is read. A response over the limit is TargetLost.

--- /dev/null
+++ b/internal/cmds/gateway_body_test.go
@@ -0,0 +1,73 @@
+package cmds
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"shallotcourse/platform/sims"
+)
+
+// Guards against a body with missing bytes whose Content-Length hides that,
+// because two goroutines read the response of a target.
+func TestGatewayPassesOnWholeBodies(t *testing.T) {
+	const requests = 20
+	for _, status := range []int{http.StatusBadRequest, http.StatusNoContent, http.StatusTeapot} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			body := strings.Repeat("0123456789", 10_000)
+			if status == http.StatusNoContent {
+				body = ""
+			}
+			site.AddEngine("e1", "x", testModel).SetLayers(0, 8).SetFaults(sims.EngineFaults{Status: status, Body: body})
+			g := startGateway(t, "g1", store, nil).waitReady(t)
+			answers := make([]testResponse, requests)
+			var wg sync.WaitGroup
+			for i := range answers {
+				wg.Go(func() { answers[i] = g.get("/draft/x") })
+			}
+			wg.Wait()
+			for _, a := range answers {
+				is.NoErr(a.err)
+				is.Equal(a.status, status)
+				is.Equal(len(a.body), len(body))
+				is.True(a.body == body)
+			}
+		})
+	}
+}
+
+// Guards against requests that outlive their deadline, and against memory that
+// grows with the response, because a target sends a body without end.
+func TestGatewayEndsBodiesWithoutEnd(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults sims.EngineFaults
+	}{
+		{"error, fast", sims.EngineFaults{Status: http.StatusBadRequest, Body: strings.Repeat("x", 64<<10)}},
+		{"error, one byte now and then", sims.EngineFaults{Status: http.StatusBadRequest, Body: "x", EndlessPause: 200 * time.Millisecond}},
+		{"one endless event, fast", sims.EngineFaults{Status: http.StatusOK, Body: strings.Repeat("x", 64<<10)}},
+		{"one endless event, one byte now and then", sims.EngineFaults{Status: http.StatusOK, Body: "x", EndlessPause: 200 * time.Millisecond}},
+		{"comments now and then", sims.EngineFaults{Status: http.StatusOK, Body: ": still here\n\n", EndlessPause: 200 * time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			e := site.AddEngine("e1", "x", testModel).SetLayers(0, 8)
+			c.faults.Endless = true
+			e.SetFaults(c.faults)
+			g := startGateway(t, "g1", store, nil).waitReady(t)
+			start := time.Now()
+			a := g.get("/draft/x", "Deadline-Ms", "1500")
+			is.True(time.Since(start) < 2*time.Second)
+			is.True(a.err != nil || a.status >= http.StatusBadGateway) // does not look complete
+			eventually(t, "the target stops", func() bool { return e.Running() == 0 })
+		})
+	}
+}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -263,7 +263,7 @@
 		return nil, fault.New(fault.TargetLost, "the target's response was truncated").WithOutcome(fault.Unknown).WithCause(err)
 	}
 	if len(body) > maxResponseBytes {
-		return nil, fault.Newf(fault.TooLarge, "the target's response exceeds %d bytes", maxResponseBytes).WithOutcome(fault.Unknown)
+		return nil, fault.Newf(fault.TargetLost, "the target's response exceeds %d bytes", maxResponseBytes).WithOutcome(fault.Unknown)
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -80,21 +80,41 @@
 	}
 
 	// upstream is one request of a stream, sent to the first target of a path.
+	// Its goroutine is the only reader of the response's body.
 	upstream struct {
 		cancel context.CancelFunc
 		head   chan responseHead
+		// events and end are used only after an eventStream head. end receives the
+		// error that ended the stream, or nil, after the last event.
 		events chan event
-		// end receives the error that ended the stream, or nil, after the last
-		// event.
-		end chan *fault.Error
+		end    chan *fault.Error
 	}
 
-	responseHead struct {
-		resp *http.Response
-		err  *fault.Error
+	// responseHead is what a target has answered: an eventStream, a wholeResponse,
+	// a brokenResponse or a refusedRequest. It carries no unread body.
+	responseHead interface{ isResponseHead() }
+
+	// eventStream is the head of a stream whose events follow.
+	eventStream struct {
+		status int
+		header http.Header
 	}
+
+	// wholeResponse is a response that is not a stream, with its body.
+	wholeResponse struct{ response *response }
+
+	// brokenResponse is a response that is not a stream and cannot be passed on.
+	brokenResponse struct{ err *fault.Error }
+
+	// refusedRequest is a refusal, or a failure before the head was read.
+	refusedRequest struct{ err *fault.Error }
 )
 
+func (eventStream) isResponseHead()    {}
+func (wholeResponse) isResponseHead()  {}
+func (brokenResponse) isResponseHead() {}
+func (refusedRequest) isResponseHead() {}
+
 // serveStream answers a request to a model. If a target fails, it resumes the
 // stream at another one.
 func (q *request) serveStream() {
@@ -283,13 +303,16 @@
 	for {
 		select {
 		case h := <-heads:
-			if h.err != nil {
+			switch h := h.(type) {
+			case refusedRequest:
 				return s.noteRefusal(h.err)
+			case brokenResponse:
+				return h.err
+			case wholeResponse:
+				return s.passOn(h.response)
+			case eventStream:
+				s.writeHead(h)
 			}
-			if h.resp.StatusCode != http.StatusOK {
-				return s.relayNonStream(h.resp)
-			}
-			s.writeHead(h.resp)
 			heads, events = nil, u.events
 		case ev, ok := <-events:
 			if !ok {
@@ -334,13 +357,13 @@
 }
 
 // writeHead writes the status and headers of the response, once.
-func (s *stream) writeHead(resp *http.Response) {
+func (s *stream) writeHead(head eventStream) {
 	if s.headWritten {
 		return
 	}
-	copyHeaders(s.w.Header(), resp.Header)
+	copyHeaders(s.w.Header(), head.header)
 	s.headWritten = true
-	s.w.WriteHeader(resp.StatusCode)
+	s.w.WriteHeader(head.status)
 }
 
 // writeEvents writes an event and all that are queued behind it.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -19,14 +19,29 @@
 	send := TargetHeaders{LastEvent: s.lastEvent, Hops: HopsOf(hops)}
 	go func() {
 		resp, err := s.roundTrip(ctx, hops[0].Target, send)
-		u.head <- responseHead{resp, err}
-		if err == nil {
+		switch {
+		case err != nil:
+			u.head <- refusedRequest{err}
+		case resp.StatusCode != http.StatusOK:
+			u.head <- s.readNonStream(resp)
+		default:
+			u.head <- eventStream{resp.StatusCode, resp.Header}
 			u.end <- readEvents(ctx, resp.Body, u.events)
 		}
 	}()
 	return u
 }
 
+// readNonStream reads a response that is not a stream; roundTrip has already
+// handled refusals.
+func (s *stream) readNonStream(resp *http.Response) responseHead {
+	whole, err := s.readResponse(resp)
+	if err != nil {
+		return brokenResponse{err}
+	}
+	return wholeResponse{whole}
+}
+
 // readEvents sends the events of a stream to the channel and returns the error
 // that ended the stream, or nil if it ended properly.
 func readEvents(ctx context.Context, body io.ReadCloser, events chan<- event) *fault.Error {
@@ -69,21 +84,15 @@
 	return err
 }
 
-// relayNonStream handles a response whose status is not 200 and which therefore
-// is not a stream; roundTrip has already handled refusals. It passes a response
-// with a status below 500 on to the caller. It returns a failure if the status is
-// higher, the body is truncated or too large, or the head of a stream has been
-// written already; mayContinue then decides whether another target is tried.
-func (s *stream) relayNonStream(resp *http.Response) *fault.Error {
-	a, err := s.readResponse(resp)
-	if err != nil {
-		return err
-	}
+// passOn passes a response that is not a stream on to the caller. It returns a
+// failure if the head of a stream has been written already; mayContinue then
+// decides whether another target is tried.
+func (s *stream) passOn(resp *response) *fault.Error {
 	if s.headWritten {
-		return fault.Newf(fault.TargetLost, "the target responded with status %d", resp.StatusCode).WithOutcome(fault.Partial)
+		return fault.Newf(fault.TargetLost, "the target responded with status %d", resp.status).WithOutcome(fault.Partial)
 	}
 	s.headWritten = true
-	s.writeResponse(a)
+	s.writeResponse(resp)
 	return nil
 }
 
