place: widen the layers that bind, by the rate of the group

Change: Bounds computes what a group of targets can hold at once, as a flow of memory through the layers, and names the layers that bind. Standbys, and one target at a time after that, take the range that raises the rate of the group most (requests at once over the time of a token); layers with one holder count less, and no layer loses its only stable holder. Before the first request, when loads are free, small gains count too.

TargetListed logs the card.

--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -222,7 +222,7 @@
 	switch {
 	case !known:
 		_ = level.Info(f.log).Log("event", "TargetListed", "target", t.ID, "service", t.Service, "address", t.Address,
-			"dataCentre", t.DataCentre, "born", t.Started, "from", t.Held.From, "to", t.Held.To)
+			"dataCentre", t.DataCentre, "card", t.Card, "born", t.Started, "from", t.Held.From, "to", t.Held.To)
 	case old.Started != t.Started, old.State != t.State, old.Held != t.Held, old.Address != t.Address:
 		_ = level.Info(f.log).Log("event", "TargetChanged", "target", t.ID, "born", t.Started, "state", int(t.State),
 			"from", t.Held.From, "to", t.Held.To)
--- a/internal/pipes/pipes_test.go
+++ b/internal/pipes/pipes_test.go
@@ -45,7 +45,7 @@
 	}
 	var out []chain.Stage
 	next := 0
-	for _, o := range place.Plan(model, targets) {
+	for _, o := range place.Plan(model, targets, false) {
 		if o.Why == "hole" && o.Layers.From == next {
 			out = append(out, chain.Stage{Card: o.Target.Card, Layers: o.Layers.Len()})
 			next = o.Layers.To
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -23,12 +23,6 @@
 	// minPartLayers is the smallest part, in layers, into which a hole is divided
 	// between several targets.
 	minPartLayers = 3
-	// trimThreshold is the memory use of the fullest layer, as a share, above
-	// which targets give up layers that others hold too.
-	trimThreshold = 0.7
-	// minTrimLayers is the smallest number of layers to give up; fewer are not
-	// worth an order.
-	minTrimLayers = 2
 )
 
 type (
@@ -55,7 +49,8 @@
 		//   - "release": a neighbour takes over layers so that their holder can
 		//     move.
 		//   - "spare": an empty target loads layers as a standby.
-		//   - "trim": a target gives up layers that others hold too.
+		//   - "widen": a target changes its layers so that the group can serve
+		//     more requests.
 		Why string
 	}
 
@@ -65,15 +60,21 @@
 		model   *topo.Model
 		targets []Target
 		memo    *memo
+		// freeLoads says that loads cost nothing, since no request has arrived.
+		freeLoads bool
 	}
 )
 
 // Plan returns the orders that bring each group of data centres closer to a
 // complete copy of the model, the most urgent first: those for the copy that
 // misses the fewest layers, then those for the other copies, then standbys, then
-// trims. All given targets must be ready and responsive.
-func Plan(m *topo.Model, targets []Target) []Order {
+// those that widen bottlenecks. While loads are free, layouts change for small
+// gains too. All given targets must be ready and responsive.
+func Plan(m *topo.Model, targets []Target, freeLoads bool) []Order {
 	groups := split(m, targets)
+	for i := range groups {
+		groups[i].freeLoads = freeLoads
+	}
 	slices.SortStableFunc(groups, func(a, b group) int { return cmp.Compare(a.missingLayers(), b.missingLayers()) })
 	var out []Order
 	for _, g := range groups {
@@ -88,7 +89,7 @@
 	switch o.Why {
 	case "spare":
 		return 1
-	case "trim":
+	case "widen":
 		return 2
 	}
 	return 0
@@ -115,7 +116,7 @@
 	var rest []Target
 	for _, dc := range names {
 		if totalMegabytes(m, byDC[dc]) >= minCopiesPerGroup*float64(m.Layers)*m.LayerMegabytes {
-			groups = append(groups, group{m, sorted(byDC[dc]), shared})
+			groups = append(groups, group{model: m, targets: sorted(byDC[dc]), memo: shared})
 		} else {
 			rest = append(rest, byDC[dc]...)
 		}
@@ -132,7 +133,7 @@
 		}
 		return groups
 	}
-	return append(groups, group{m, sorted(rest), shared})
+	return append(groups, group{model: m, targets: sorted(rest), memo: shared})
 }
 
 // sorted returns targets sorted by card and ID, so that the plan does not depend
@@ -225,12 +226,26 @@
 		return append(out, g.closeHoles()...)
 	}
 	out = append(out, g.placeStandbys()...)
-	if g.maxFill() > trimThreshold {
-		out = append(out, g.trim()...)
+	if g.freeLoads {
+		return append(out, g.widen(minFreeGain, maxWidened)...)
+	}
+	if len(out) == 0 && !g.loading() {
+		return g.widen(minGain, 1)
 	}
 	return out
 }
 
+// clone returns a copy of the group with its own targets, to try orders on.
+func (g group) clone() group {
+	g.targets = slices.Clone(g.targets)
+	return g
+}
+
+// loading reports whether a target of the group carries out an order.
+func (g group) loading() bool {
+	return slices.ContainsFunc(g.targets, func(t Target) bool { return t.Busy })
+}
+
 // order returns an order for target i and records it in the group.
 func (g group) order(i int, l topo.Layers, why string) Order {
 	t := &g.targets[i]
@@ -268,9 +283,9 @@
 	return capacity
 }
 
-// placeStandbys assigns the layers with the least memory for requests to targets
-// that hold no layers. It waits while there are holes, which these targets may
-// have to close.
+// placeStandbys gives targets that hold no layers the range that raises the rate
+// of requests most. It waits while there are holes, which these targets may have
+// to close.
 func (g group) placeStandbys() []Order {
 	if len(holes(g.holderCounts())) > 0 {
 		return nil
@@ -280,24 +295,7 @@
 		if t.Busy || t.Next.Len() > 0 {
 			continue
 		}
-		out = append(out, g.order(i, leastCapacityRange(g.standbyCapacity(t), min(g.standbyLayers(t), g.model.Layers)), "spare"))
+		out = append(out, g.order(i, g.bestRange(i, topo.Layers{}).layers, "spare"))
 	}
 	return out
 }
-
-// leastCapacityRange returns the range of n layers whose sum of capacities is
-// smallest.
-func leastCapacityRange(capacity []float64, n int) topo.Layers {
-	sum := 0.0
-	for _, r := range capacity[:n] {
-		sum += r
-	}
-	least, from := sum, 0
-	for i := n; i < len(capacity); i++ {
-		sum += capacity[i] - capacity[i-n]
-		if sum < least-1e-6 {
-			least, from = sum, i-n+1
-		}
-	}
-	return topo.Layers{From: from, To: from + n}
-}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,10 +56,16 @@
 				return nil
 			case "plan":
 				var out []string
-				for _, o := range place.Plan(small, targets) {
+				for _, o := range place.Plan(small, targets, false) {
 					out = append(out, fmt.Sprintf("%s %s=%d-%d", o.Why, o.Target.ID, o.Layers.From, o.Layers.To))
 				}
 				return out
+			case "bound":
+				var out []string
+				for _, b := range place.Bounds(small, targets) {
+					out = append(out, fmt.Sprintf("%s %.0f of %.0f at %d-%d", strings.Join(b.DataCentres, "+"), b.Requests, b.Best, b.Binding.From, b.Binding.To))
+				}
+				return out
 			}
 			t.Fatalf("unknown input %q", l.Name)
 			return nil
@@ -120,7 +127,7 @@
 		for step := range 4 {
 			for round := 0; ; round++ {
 				before := coveredLayers(targets)
-				orders := place.Plan(large, targets)
+				orders := place.Plan(large, targets, false)
 				if len(orders) == 0 {
 					break
 				}
@@ -152,8 +159,8 @@
 func TestPlanIsStable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		targets := drawTargets(t)
-		first := place.Plan(large, slices.Clone(targets))
-		again := place.Plan(large, rapid.Permutation(targets).Draw(t, "order"))
+		first := place.Plan(large, slices.Clone(targets), false)
+		again := place.Plan(large, rapid.Permutation(targets).Draw(t, "order"), false)
 		if !slices.EqualFunc(first, again, func(a, b place.Order) bool {
 			return a.Target.ID == b.Target.ID && a.Layers == b.Layers && a.Why == b.Why
 		}) {
@@ -175,7 +182,7 @@
 	)
 	rapid.Check(t, func(t *rapid.T) {
 		targets := drawTargets(t)
-		orders := place.Plan(large, targets)
+		orders := place.Plan(large, targets, false)
 		ends := make([]time.Duration, large.LoadsAtOnce)
 		held := map[int]bool{}
 		for _, o := range orders {
@@ -211,7 +218,7 @@
 		}})
 	}
 	start := time.Now()
-	orders := place.Plan(large, all)
+	orders := place.Plan(large, all, false)
 	if took := time.Since(start); took > settleTime {
 		t.Fatalf("the plan took %s", took)
 	}
--- a/internal/place/repair.go
+++ b/internal/place/repair.go
@@ -127,7 +127,7 @@
 		if t.Busy || t.Next.Len() == 0 || takes < bestTakes {
 			continue
 		}
-		trial := group{g.model, slices.Clone(g.targets), g.memo}
+		trial := g.clone()
 		trial.targets[i].Next, trial.targets[i].Busy = topo.Layers{}, true
 		grown := trial.growNeighbours(t.Next, standbyFreeShare)
 		if grown == nil {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -253,11 +253,12 @@
 		return
 	}
 	loads := max(1, s.Model.LoadsAtOnce) - busy
-	if p.FirstStart && p.NoRequestsYet() {
+	freeLoads := p.FirstStart && p.NoRequestsYet()
+	if freeLoads {
 		loads = len(targets)
 	}
 	if len(p.queue[s.Name]) == 0 {
-		p.queue[s.Name] = place.Plan(s.Model, targets)
+		p.queue[s.Name] = place.Plan(s.Model, targets, freeLoads)
 	}
 	for loads > 0 && len(p.queue[s.Name]) > 0 {
 		o := p.queue[s.Name][0]
