cmds: answer the connections that a stopping process has accepted

Cause: Shutdown and Close close the listener first, and the kernel resets the connections that it had queued there; a gateway then closed all others at once, and an entry ended its links before its callers' listener, so that requests that had just been accepted found no targets.

Change: a stopping listener returns what is queued before it closes, requests on these connections get their refusal (503, Leaving), and connections close after their responses. Entries and gateways close their listeners while the background tasks still run. Close has an effect once, since Shutdown would fail on a listener that is closed, and Close of the server would follow.

Left: a connection whose handshake ends between the last look at the queue and the close, some microseconds.

--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -86,7 +86,7 @@
 // marks it as Leaving. It returns when the work in flight has ended.
 func runAgent(ctx context.Context, settings conf.Agent, logs io.Writer) error {
 	a := newAgentDaemon(settings, logs)
-	defer a.shutdown()
+	defer a.shutdown(closeTimeout)
 	defer a.links.Stop()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -45,8 +44,9 @@
 		metrics     *metrics.Set
 		incarnation string
 
-		mu      sync.Mutex
-		servers []*http.Server
+		mu        sync.Mutex
+		servers   []*http.Server
+		listeners []*stopListener
 		// listenerFailed receives the errors of listeners that end before the
 		// shutdown.
 		listenerFailed chan error
@@ -94,7 +94,7 @@
 // serve listens on an address and serves requests there until the daemon shuts
 // down.
 func (d *daemon) serve(name, address string, headerBytes int64, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+	l, err := listenTCP(address, d.clock)
 	if err != nil {
 		return fault.Newf(fault.BadInput, "cannot listen on %s for %s", address, name).WithCause(err)
 	}
@@ -102,7 +102,7 @@
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: int(headerBytes),
 	}
 	d.mu.Lock()
-	d.servers = append(d.servers, server)
+	d.servers, d.listeners = append(d.servers, server), append(d.listeners, l)
 	d.mu.Unlock()
 	_ = level.Info(d.logger).Log("msg", "listening", "for", name, "address", l.Addr().String())
 	go func() {
@@ -125,18 +125,24 @@
 }
 
 // shutdown closes the listeners and waits until the responses in progress have
-// been written.
-func (d *daemon) shutdown() {
-	ctx, cancel := timer.WithTimeout(context.Background(), d.clock, closeTimeout)
+// been written, for the given time at most. By then, requests are refused at
+// once, also those on connections that a listener has still accepted.
+func (d *daemon) shutdown(limit time.Duration) {
+	ctx, cancel := timer.WithTimeout(context.Background(), d.clock, limit)
 	defer cancel()
 	d.mu.Lock()
-	servers := d.servers
+	servers, listeners := d.servers, d.listeners
 	d.mu.Unlock()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			_ = s.Close()
-		}
+	var wg sync.WaitGroup
+	for i, l := range listeners {
+		wg.Go(func() {
+			l.Stop(ctx)
+			if err := servers[i].Shutdown(ctx); err != nil {
+				_ = servers[i].Close()
+			}
+		})
 	}
+	wg.Wait()
 	_ = level.Info(d.logger).Log("msg", "stopped")
 }
 
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -76,13 +76,14 @@
 // ended.
 func runEntry(ctx context.Context, settings conf.Entry, logs io.Writer) error {
 	e := newEntryDaemon(settings, logs)
-	defer e.shutdown()
-	defer e.links.Stop()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	var wg sync.WaitGroup
+	defer e.links.Stop()
 	defer wg.Wait()
 	defer stop()
+	// Requests that the listeners have still accepted are answered before the
+	// background tasks end.
+	defer e.shutdown(closeTimeout)
 	for _, run := range []func(context.Context){e.replica.run, e.entry.Run, e.watchInstanceList} {
 		wg.Go(func() { run(work) })
 	}
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -60,6 +60,9 @@
 	// streams that are still open are aborted, so that their callers see the
 	// failure.
 	streamAbortMargin = 900 * time.Millisecond
+	// gatewayCloseTimeout bounds the shutdown of the listeners after a drain,
+	// which ends streamAbortMargin before the end of StopTimeout.
+	gatewayCloseTimeout = 500 * time.Millisecond
 	// leaveTimeout bounds the store calls of a stop, which release the
 	// planner's lease and delete the gateway's row.
 	leaveTimeout = 500 * time.Millisecond
@@ -302,16 +305,11 @@
 	}
 }
 
-// close closes all connections at once. By the end of a drain the gateway
+// close closes the listeners and connections. By the end of a drain the gateway
 // refuses new requests, and the platform kills the process at the end of its
 // stop time.
 func (g *gatewayDaemon) close() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.servers {
-		// All remaining connections are idle or aborted.
-		_ = s.Close()
-	}
+	g.shutdown(gatewayCloseTimeout)
 	_ = level.Info(g.logger).Log("event", "Stopped", "open", g.server.OpenRequests())
 }
 
