proxy: do not repeat a change of path that full targets refuse

Cause: after the loss of a target, the substitutes were chosen without regard to their memory.

Change: substitutes with room come first, and a refusal without an address excludes all substitutes of that path.

--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -190,11 +190,7 @@
 		s.pathLog += " >" + pathText(hops)
 		return repathSilence, nil
 	case f.Code == fault.Conflict:
-		for _, h := range hops {
-			if h.Target.Address == f.Field {
-				s.excluded[h.Target.ID] = true
-			}
-		}
+		s.excludeRefusing(hops, f.Field)
 		_ = level.Info(s.Log).Log("event", "RepathRefused", "request", s.headers.ID, "at", f.Field, "err", err)
 		return time.Millisecond, nil
 	case f.Code == fault.NotFound:
@@ -205,6 +201,21 @@
 	return 0, fault.Newf(fault.TargetLost, "changing the path at the first target %s failed", s.hops[0].Target.ID).WithOutcome(s.outcome()).WithCause(err)
 }
 
+// excludeRefusing excludes the target at an address from the next paths. Without
+// an address, some substitute has no room; all of them are excluded, since the
+// same path would be refused again.
+func (s *stream) excludeRefusing(hops []chain.Hop, address string) {
+	kept := map[string]bool{}
+	for _, h := range s.hops {
+		kept[h.Target.ID] = true
+	}
+	for _, h := range hops {
+		if h.Target.Address == address || address == "" && !kept[h.Target.ID] {
+			s.excluded[h.Target.ID] = true
+		}
+	}
+}
+
 // crossings returns the number of hops from one data centre to another.
 func crossings(hops []chain.Hop) int {
 	n := 0
@@ -246,8 +257,8 @@
 			continue
 		}
 		dc := out[len(out)-1].Target.DataCentre
-		substitutes, err := chain.Choose(s.service.Model, candidates, chain.Request{
-			Tokens: s.tokens, PrevDataCentre: dc, Cross: s.Settings.CrossCost, Layers: h.Layers, Excluded: used, Forced: true,
+		substitutes, err := s.chooseSubstitutes(candidates, chain.Request{
+			Tokens: s.tokens, PrevDataCentre: dc, Cross: s.Settings.CrossCost, Layers: h.Layers, Excluded: used,
 		})
 		if err != nil {
 			return nil, err
@@ -259,3 +270,15 @@
 	}
 	return out, nil
 }
+
+// chooseSubstitutes returns targets with room for the request if there are any.
+// Otherwise it ignores capacity, since the ledger counts answers that may never
+// get as long as expected.
+func (s *stream) chooseSubstitutes(candidates []chain.Candidate, req chain.Request) ([]chain.Hop, error) {
+	hops, err := chain.Choose(s.service.Model, candidates, req)
+	if fault.Is(err, fault.Overloaded) {
+		req.Forced = true
+		return chain.Choose(s.service.Model, candidates, req)
+	}
+	return hops, err
+}
