chain, place: cheaper search and widening with many different ranges

A change of layers was rated in time that grew with the square of the number of targets.

Change: the search keeps its state in slices and computes once per target what does not depend on the chain; bestRange subtracts one target from the group's sums. Groups of more than 120 targets are not widened, where a single target makes no difference.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -94,6 +93,33 @@
 		cost time.Duration
 	}
 
+	// searchTarget is a candidate with the terms of its cost that do not depend on
+	// the chain.
+	searchTarget struct {
+		*Candidate
+		// capacity is the memory for requests in tokens times layers, and used what
+		// is in use.
+		capacity, used float64
+		// layerTime is the time of a token in one layer while the memory is empty.
+		layerTime float64
+	}
+
+	// chainSearch is the state of a search for the cheapest chain.
+	chainSearch struct {
+		req     Request
+		targets []searchTarget
+		bounds  []int
+		// partials[i][c] is the cheapest partial chain up to bounds[i] that ends in
+		// target c; it has no hops if there is none.
+		partials [][]partialChain
+		// dataCentres numbers the data centres; the number of a target's is in
+		// dataCentre.
+		dataCentres int
+		dataCentre  []int
+		// cheapest is scratch space for the cheapest partial chain per data centre.
+		cheapest []partialChain
+	}
+
 	// partialChain is the cheapest known chain that covers the layers up to some
 	// bound and ends in a given candidate. Its earlier hops are found through from
 	// and prev.
@@ -261,49 +287,71 @@
 // partial chain per last target, since the cost of the next hop depends on that
 // target's data centre.
 func search(m *topo.Model, cs []Candidate, req Request) *costedChain {
-	bounds := rangeBounds(cs, req.Layers)
-	// partials[i][c] is the cheapest partial chain up to bounds[i] that ends in
-	// candidate c.
-	partials := make([]map[int]partialChain, len(bounds))
-	for i := range partials {
-		partials[i] = map[int]partialChain{}
-	}
-	partials[0][-1] = partialChain{last: -1, prev: -1}
-	for i := 0; i < len(bounds)-1; i++ {
-		for _, p := range cheapestPerDataCentre(partials[i], cs) {
-			extend(m, cs, req, bounds, partials, i, p)
+	s := newChainSearch(m, cs, req)
+	s.extend(0, partialChain{last: -1, prev: -1})
+	for i := 1; i < len(s.bounds)-1; i++ {
+		for _, p := range s.cheapestPerDataCentre(i) {
+			s.extend(i, p)
+		}
+	}
+	return s.backtrack()
+}
+
+func newChainSearch(m *topo.Model, cs []Candidate, req Request) *chainSearch {
+	s := &chainSearch{req: req, targets: make([]searchTarget, len(cs)), bounds: rangeBounds(cs, req.Layers), dataCentre: make([]int, len(cs))}
+	numbers := map[string]int{}
+	for i := range cs {
+		c := &cs[i]
+		s.targets[i] = searchTarget{
+			Candidate: c, used: c.Load.TokenLayers, capacity: m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes, layerTime: layerTime(m, c),
+		}
+		n, known := numbers[c.DataCentre]
+		if !known {
+			n = len(numbers)
+			numbers[c.DataCentre] = n
 		}
+		s.dataCentre[i] = n
+	}
+	s.dataCentres = len(numbers)
+	s.partials = make([][]partialChain, len(s.bounds))
+	all := make([]partialChain, len(s.bounds)*len(cs))
+	for i := range s.partials {
+		s.partials[i] = all[i*len(cs) : (i+1)*len(cs)]
+	}
+	return s
+}
+
+// layerTime is the time of a token in one layer of a target.
+func layerTime(m *topo.Model, c *Candidate) float64 {
+	pace := m.Cards[c.Card].Pace
+	if pace <= 0 {
+		pace = 1
 	}
-	return backtrack(cs, bounds, partials)
+	return float64(m.StepTime(float64(c.Load.Running))) * pace * max(1, c.SlowFactor) / float64(m.Layers)
 }
 
 // extend extends a partial chain that ends at bound i by every possible hop.
-func extend(m *topo.Model, cs []Candidate, req Request, bounds []int, partials []map[int]partialChain, i int, p partialChain) {
-	at := bounds[i]
+func (s *chainSearch) extend(i int, p partialChain) {
+	at := s.bounds[i]
 	if p.hops >= MaxHops {
 		return
 	}
-	for c := range cs {
-		t := &cs[c]
-		if t.Held.From > at || t.Held.To <= at || c == p.last || containsCandidate(partials, p, c) {
+	for c := range s.targets {
+		t := &s.targets[c]
+		if t.Held.From > at || t.Held.To <= at || c == p.last || s.contains(p, c) {
 			continue
 		}
-		if p.last < 0 && !req.Forced && t.Slots > 0 && t.Load.First >= t.Slots {
+		if p.last < 0 && !s.req.Forced && t.Slots > 0 && t.Load.First >= t.Slots {
 			continue
 		}
-		crossing := crossingCost(cs, req, p.last, c)
-		for j := len(bounds) - 1; j > i; j-- {
-			if bounds[j] > t.Held.To {
-				continue
-			}
-			n := bounds[j] - at
-			time, ok := hopTime(m, t, n, req)
+		cost := p.cost + s.crossingCost(p.last, c)
+		for j := i + 1; j < len(s.bounds) && s.bounds[j] <= t.Held.To; j++ {
+			time, ok := t.hopTime(s.bounds[j]-at, s.req)
 			if !ok {
-				continue
+				break
 			}
-			cost := p.cost + crossing + time
-			if old, seen := partials[j][c]; !seen || cost < old.cost {
-				partials[j][c] = partialChain{cost: cost, last: c, from: i, prev: p.last, hops: p.hops + 1}
+			if old := &s.partials[j][c]; old.hops == 0 || cost+time < old.cost {
+				*old = partialChain{cost: cost + time, last: c, from: i, prev: p.last, hops: p.hops + 1}
 			}
 		}
 	}
@@ -311,44 +359,47 @@
 
 // cheapestPerDataCentre returns the cheapest partial chain to a bound for each
 // data centre that one ends in. The others are dropped: the cost of the next hops
-// depends only on the data centre.
-func cheapestPerDataCentre(partials map[int]partialChain, cs []Candidate) []partialChain {
-	best := map[string]partialChain{}
-	for _, p := range partials {
-		dc := ""
-		if p.last >= 0 {
-			dc = cs[p.last].DataCentre
-		}
-		if old, ok := best[dc]; !ok || p.cost < old.cost || p.cost == old.cost && p.last < old.last {
-			best[dc] = p
+// depends only on the data centre. The result is valid until the next call.
+func (s *chainSearch) cheapestPerDataCentre(i int) []partialChain {
+	s.cheapest = s.cheapest[:0]
+	for range s.dataCentres {
+		s.cheapest = append(s.cheapest, partialChain{})
+	}
+	for c, p := range s.partials[i] {
+		if best := &s.cheapest[s.dataCentre[c]]; p.hops > 0 && (best.hops == 0 || p.cost < best.cost) {
+			*best = p
 		}
 	}
-	out := make([]partialChain, 0, len(best))
-	for _, p := range best {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b partialChain) int { return a.last - b.last })
-	return out
+	return slices.DeleteFunc(s.cheapest, func(p partialChain) bool { return p.hops == 0 })
 }
 
-// containsCandidate reports whether a partial chain contains a candidate.
-func containsCandidate(partials []map[int]partialChain, p partialChain, c int) bool {
+// contains reports whether a partial chain contains a target.
+func (s *chainSearch) contains(p partialChain, c int) bool {
 	for p.last >= 0 {
 		if p.last == c {
 			return true
 		}
-		p = partials[p.from][p.prev]
+		p = s.previous(p)
 	}
 	return false
 }
 
+// previous returns a partial chain without its last hop.
+func (s *chainSearch) previous(p partialChain) partialChain {
+	if p.prev < 0 {
+		return partialChain{last: -1, prev: -1}
+	}
+	return s.partials[p.from][p.prev]
+}
+
 // crossingCost is the network cost from one target to the next, or from the
 // gateway to the first one if from is -1.
-func crossingCost(cs []Candidate, req Request, from, to int) time.Duration {
+func (s *chainSearch) crossingCost(from, to int) time.Duration {
+	req, dc := &s.req, s.targets[to].DataCentre
 	switch {
-	case from >= 0 && cs[from].DataCentre != cs[to].DataCentre, from < 0 && req.PrevDataCentre != "" && req.PrevDataCentre != cs[to].DataCentre:
+	case from >= 0 && s.dataCentre[from] != s.dataCentre[to], from < 0 && req.PrevDataCentre != "" && req.PrevDataCentre != dc:
 		return hopDelay + req.Cross
-	case from < 0 && req.PrevDataCentre == "" && req.DataCentre != cs[to].DataCentre:
+	case from < 0 && req.PrevDataCentre == "" && req.DataCentre != dc:
 		return hopDelay + entryCrossingCost
 	}
 	return hopDelay
@@ -356,22 +407,16 @@
 
 // hopTime is the time of one token in n layers of a target, weighted by how
 // full its memory is. It returns false if the request does not fit.
-func hopTime(m *topo.Model, t *Candidate, n int, req Request) (time.Duration, bool) {
-	capacity := m.FreeMegabytes(t.Card, t.Held.Len()) / m.TokenMegabytes
-	used := t.Load.TokenLayers + float64(req.Tokens*n)
+func (t *searchTarget) hopTime(n int, req Request) (time.Duration, bool) {
 	fill := 1.0
-	if capacity > 0 {
-		fill = used / capacity
+	if t.capacity > 0 {
+		fill = (t.used + float64(req.Tokens*n)) / t.capacity
 	}
 	if !req.Forced && fill > maxFill {
 		return 0, false
 	}
-	pace := m.Cards[t.Card].Pace
-	if pace <= 0 {
-		pace = 1
-	}
-	base := float64(m.StepTime(float64(t.Load.Running))) * pace * max(1, t.SlowFactor) * float64(n) / float64(m.Layers)
-	return time.Duration(base * (1 + fillWeight*math.Pow(min(fill, 4), 2))), true
+	fill = min(fill, 4)
+	return time.Duration(t.layerTime * float64(n) * (1 + fillWeight*fill*fill)), true
 }
 
 // rangeBounds returns the layers within l at which candidates' ranges begin or
@@ -391,27 +436,21 @@
 
 // backtrack returns the cheapest chain up to the last bound, or nil if there is
 // none.
-func backtrack(cs []Candidate, bounds []int, partials []map[int]partialChain) *costedChain {
-	end := cheapest(partials[len(bounds)-1])
-	if end == nil {
+func (s *chainSearch) backtrack() *costedChain {
+	var end partialChain
+	for _, p := range s.partials[len(s.bounds)-1] {
+		if p.hops > 0 && (end.hops == 0 || p.cost < end.cost) {
+			end = p
+		}
+	}
+	if end.hops == 0 {
 		return nil
 	}
-	var hops []Hop
-	to, p := len(bounds)-1, *end
-	for p.last >= 0 {
-		hops = append(hops, Hop{Target: cs[p.last].Target, Layers: topo.Layers{From: bounds[p.from], To: bounds[to]}})
-		to, p = p.from, partials[p.from][p.prev]
+	hops := make([]Hop, end.hops)
+	to := len(s.bounds) - 1
+	for p := end; p.last >= 0; p = s.previous(p) {
+		hops[p.hops-1] = Hop{Target: s.targets[p.last].Target, Layers: topo.Layers{From: s.bounds[p.from], To: s.bounds[to]}}
+		to = p.from
 	}
-	slices.Reverse(hops)
 	return &costedChain{hops, end.cost}
 }
-
-func cheapest(partials map[int]partialChain) *partialChain {
-	var best *partialChain
-	for _, p := range partials {
-		if best == nil || p.cost < best.cost || p.cost == best.cost && p.last < best.last {
-			best = &p
-		}
-	}
-	return best
-}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -295,7 +295,7 @@
 		if t.Busy || t.Next.Len() > 0 {
 			continue
 		}
-		out = append(out, g.order(i, g.bestRange(i, topo.Layers{}).layers, "spare"))
+		out = append(out, g.order(i, g.bestRange(g.spread(), i, topo.Layers{}).layers, "spare"))
 	}
 	return out
 }
--- a/internal/place/widen.go
+++ b/internal/place/widen.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"shallotcourse/internal/topo"
 )
@@ -17,8 +18,8 @@
 	// the token time of a layer without a holder.
 	noHolderCapacity = 1.0
 	noHolderTime     = 1.0
-	// lackExponent weighs scarce layers: the higher, the more the scarcest one
-	// decides.
+	// lackExponent is the power by which layer weighs scarce layers: the higher,
+	// the more the scarcest one decides.
 	lackExponent = 4
 	// rateRounding is a difference between two rates that has no meaning.
 	rateRounding = 1e-9
@@ -32,6 +33,9 @@
 	minFreeGain = 0.01
 	// maxWidened bounds the orders of one plan while a load costs nothing.
 	maxWidened = 64
+	// maxWidenTargets is the number of targets of a group from which the layers
+	// of a single one make no difference.
+	maxWidenTargets = 120
 )
 
 type (
@@ -66,13 +70,15 @@
 // a layer's only holder away.
 func (g group) widen(gain float64, limit int) []Order {
 	var out []Order
-	for len(out) < limit {
-		best := widening{target: -1, rate: g.rate() + math.Log1p(gain)}
+	for len(out) < limit && len(g.targets) <= maxWidenTargets {
+		all, stable := g.spread(), g.stableHolderCounts()
+		_, total := all.terms()
+		best := widening{target: -1, rate: total.rate() + math.Log1p(gain)}
 		for i, t := range g.targets {
 			if t.Busy || t.Next.Len() == 0 {
 				continue
 			}
-			if w := g.bestRange(i, g.soleLayers(i)); w.layers != t.Next && w.rate > best.rate {
+			if w := g.bestRange(all, i, soleLayers(t, stable)); w.layers != t.Next && w.rate > best.rate {
 				best = w
 			}
 		}
@@ -84,13 +90,9 @@
 	return out
 }
 
-// rate is the logarithm of the rate of requests of the present layout.
-func (g group) rate() float64 { return g.spread(-1).total().rate() }
-
 // soleLayers returns the smallest range with all layers of a target that no
-// other target is certain to hold.
-func (g group) soleLayers(i int) topo.Layers {
-	t, stable := g.targets[i], g.stableHolderCounts()
+// other target is certain to hold. It gets the counts of stable holders.
+func soleLayers(t Target, stable []int) topo.Layers {
 	var sole topo.Layers
 	for l := t.Next.From; l < t.Next.To; l++ {
 		if stable[l] > 1 {
@@ -105,14 +107,15 @@
 }
 
 // bestRange returns the range of a target that gives its group the highest rate,
-// among those that contain the layers to keep.
-func (g group) bestRange(i int, keep topo.Layers) widening {
-	t, rest := g.targets[i], g.spread(i)
-	without := rest.total()
+// among those that contain the layers to keep. all is the spread of the group.
+func (g group) bestRange(all spread, i int, keep topo.Layers) widening {
+	t, rest := g.targets[i], all.without(g.targets[i])
+	present, without := rest.terms()
 	least, most := min(minWidenLayers, g.model.Layers), min(g.maxLayers(t, minFreeShare), g.model.Layers)
 	best := widening{target: i, layers: t.Next, rate: math.Inf(-1)}
+	sums := make([]terms, g.model.Layers+1)
 	for n := max(least, keep.Len()); n <= most; n++ {
-		sums := rest.gains(t.Card, n)
+		rest.gains(sums, present, t.Card, n)
 		from, last := 0, g.model.Layers-n
 		if keep.Len() > 0 {
 			from, last = max(from, keep.To-n), min(last, keep.From)
@@ -127,24 +130,35 @@
 	return best
 }
 
-// spread returns what the holders of each layer offer, without target except; -1
-// leaves none out.
-func (g group) spread(except int) spread {
+// spread returns what the holders of each layer offer.
+func (g group) spread() spread {
 	s := spread{g.model, make([]float64, g.model.Layers), make([]float64, g.model.Layers), make([]int, g.model.Layers)}
-	for i, t := range g.targets {
-		if i == except || t.Next.Len() == 0 {
-			continue
-		}
-		requests, time := s.offer(t.Card, t.Next.Len())
-		for l := t.Next.From; l < t.Next.To; l++ {
-			s.requests[l] += requests
-			s.time[l] += requests * time
-			s.holders[l]++
-		}
+	for _, t := range g.targets {
+		s.add(t, 1)
 	}
 	return s
 }
 
+// without returns the spread without a target.
+func (s spread) without(t Target) spread {
+	s.requests, s.time, s.holders = slices.Clone(s.requests), slices.Clone(s.time), slices.Clone(s.holders)
+	s.add(t, -1)
+	return s
+}
+
+// add adds what a target offers, or subtracts it if sign is -1.
+func (s spread) add(t Target, sign int) {
+	if t.Next.Len() == 0 {
+		return
+	}
+	requests, time := s.offer(t.Card, t.Next.Len())
+	for l := t.Next.From; l < t.Next.To; l++ {
+		s.requests[l] += float64(sign) * requests
+		s.time[l] += float64(sign) * requests * time
+		s.holders[l] += sign
+	}
+}
+
 // offer returns the number of requests that a card can hold beside n layers, and
 // the time of a token in each of them.
 func (s spread) offer(card string, n int) (requests, time float64) {
@@ -159,29 +173,30 @@
 		time *= soleHolderFactor
 	}
 	if requests < noHolderCapacity {
-		return terms{lack: math.Pow(noHolderCapacity, -lackExponent), time: noHolderTime}
+		return terms{lack: 1 / (noHolderCapacity * noHolderCapacity * noHolderCapacity * noHolderCapacity), time: noHolderTime}
 	}
-	return terms{lack: math.Pow(requests, -lackExponent), time: time / requests}
+	squared := requests * requests
+	return terms{lack: 1 / (squared * squared), time: time / requests}
 }
 
-func (s spread) total() terms {
-	var out terms
+// gains writes, for each layer, the sum of the changes of the terms of all layers
+// before it if a card held n layers there. It gets the present terms.
+func (s spread) gains(sums, present []terms, card string, n int) {
+	requests, time := s.offer(card, n)
 	for l := range s.requests {
-		out = out.plus(s.layer(s.requests[l], s.time[l], s.holders[l]))
+		with := s.layer(s.requests[l]+requests, s.time[l]+requests*time, s.holders[l]+1)
+		sums[l+1] = sums[l].plus(with).minus(present[l])
 	}
-	return out
 }
 
-// gains returns, for each layer, the sum of the changes of the terms of all
-// layers before it if a card held n layers there.
-func (s spread) gains(card string, n int) []terms {
-	requests, time := s.offer(card, n)
-	out := make([]terms, len(s.requests)+1)
+// terms returns the terms of each layer and their sum.
+func (s spread) terms() (each []terms, total terms) {
+	each = make([]terms, len(s.requests))
 	for l := range s.requests {
-		with := s.layer(s.requests[l]+requests, s.time[l]+requests*time, s.holders[l]+1)
-		out[l+1] = out[l].plus(with).minus(s.layer(s.requests[l], s.time[l], s.holders[l]))
+		each[l] = s.layer(s.requests[l], s.time[l], s.holders[l])
+		total = total.plus(each[l])
 	}
-	return out
+	return each, total
 }
 
 func (a terms) plus(b terms) terms { return terms{a.lack + b.lack, a.time + b.time} }
