plan: check the lease next to the order, and after a pause; bounded polls

Cause: a planner that was paused for less than the 4 s between two renewals went on planning when it woke up, although another gateway claims the lease after 1.2 s of silence, and an order in the background was sent however long before it the lease had been checked. A first placement sent an order to all targets at once and polled each of them five times a second from the start; rounds without any change planned again.

Change: the holder renews the lease before it plans if it has not checked it for 1 s, and an order is sent only within that time of a check. At most 48 orders wait for an answer and 48 targets are polled in a round, once their load should have ended. A plan is made only if the layout has changed.

--- a/internal/plan/lease.go
+++ b/internal/plan/lease.go
@@ -30,6 +30,13 @@
 	// received nothing from must stay unchanged before the lease is claimed; the
 	// link to the holder may not be up yet.
 	unknownHolderGrace = 1500 * time.Millisecond
+	// maxUnchecked is how long the holder acts after it has last checked the lease.
+	// It is shorter than plannerTimeout, so that a holder that was paused does not
+	// act beside the gateway that took over meanwhile.
+	maxUnchecked = plannerTimeout - roundInterval
+	// maxRenewTime is the longest time that a call to the store takes before it
+	// fails, and some slack.
+	maxRenewTime = 1500 * time.Millisecond
 	// claimInterval is the interval between attempts to claim the lease.
 	claimInterval = 500 * time.Millisecond
 )
@@ -45,6 +52,9 @@
 	// term is the version of the row while this gateway holds the lease.
 	term    uint64
 	renewed time.Duration
+	// checked is the time at which hold last found that this gateway holds the
+	// lease.
+	checked time.Duration
 	// lastRead is the time of the last attempt to claim the lease, seenVersion the
 	// version of the row that was read then, and seenSince the time at which that
 	// version was first read.
@@ -60,15 +70,25 @@
 	if l.term > 0 && otherTerm > l.term {
 		l.markLost("another gateway has a newer term", otherTerm)
 	}
+	held := false
 	switch {
-	case l.term > 0 && now-l.renewed < renewInterval:
-		return true
+	case l.term > 0 && now-l.renewed < renewInterval && now-l.checked <= maxUnchecked:
+		held = true
 	case l.term > 0:
-		return l.renew(ctx, now)
-	case silence < plannerTimeout:
+		// Due, or this process was paused and another gateway may have taken over.
+		held = l.renew(ctx, now)
+	case silence >= plannerTimeout:
+		held = l.claim(ctx, otherTerm, now)
+	}
+	if !held {
 		return false
 	}
-	return l.claim(ctx, otherTerm, now)
+	// A longer call means that this process was paused meanwhile.
+	if after := l.clock(); after-now <= maxRenewTime {
+		now = after
+	}
+	l.checked = now
+	return true
 }
 
 func (l *lease) markLost(why string, otherTerm uint64) {
--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -6,12 +6,17 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
+	"shallotcourse/internal/place"
+	"shallotcourse/internal/proxy"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/topo"
 )
 
 // memoryTable is an in-memory store with one row and conditional writes.
@@ -114,6 +119,64 @@
 	is.Equal(one.term, uint64(0))
 }
 
+// Guards against a planner that goes on after a pause with a lease that another
+// gateway has claimed meanwhile, before it has received anything from that one.
+func TestLeaseIsCheckedAfterAPause(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	for _, pause := range []time.Duration{plannerTimeout + unknownHolderGrace, 3 * time.Second, 10 * time.Second} {
+		table, now := &memoryTable{}, time.Minute
+		one, two := newLease(table, &now, "one"), newLease(table, &now, "two")
+		is.True(one.hold(ctx, 0, time.Hour))
+		now += pause
+		is.True(two.hold(ctx, one.term, pause))
+		is.True(!one.hold(ctx, 0, time.Hour)) // pause
+	}
+}
+
+// pausingEngines pauses the process between the report and the order.
+type pausingEngines struct {
+	proxy.Engines
+	now              *time.Duration
+	pause            time.Duration
+	reported, placed chan struct{}
+}
+
+func (e *pausingEngines) Report(context.Context, topo.Target) (proxy.Report, error) {
+	*e.now += e.pause
+	close(e.reported)
+	return proxy.Report{}, nil
+}
+
+func (e *pausingEngines) Place(context.Context, topo.Target, topo.Layers) error {
+	e.placed <- struct{}{}
+	return nil
+}
+
+// Guards against an order that is sent although the planner's lease may have run
+// out in a pause after the plan was made.
+func TestNoOrderAfterAPause(t *testing.T) {
+	for _, c := range []struct {
+		pause time.Duration
+		sent  int
+	}{{0, 1}, {maxUnchecked / 2, 1}, {plannerTimeout, 0}, {10 * time.Second, 0}} {
+		is := is.New(t)
+		now := time.Minute
+		engines := &pausingEngines{now: &now, pause: c.pause, reported: make(chan struct{}), placed: make(chan struct{}, 1)}
+		p := New(Options{
+			Source: &memoryTable{}, Clock: timer.System{}, BootClock: func() time.Duration { return now }, Log: log.NewNopLogger(),
+			Metrics: metrics.NewSet(), Engines: engines, Fleets: follow.NewFleets(nil, timer.System{}, nil, log.NewNopLogger()),
+		})
+		is.True(p.lease.hold(context.Background(), 0, time.Hour))
+		p.leaseChecked.Store(int64(p.lease.checked))
+		p.sendOrder(context.Background(), place.Order{Target: topo.Target{ID: "a"}, Layers: topo.Layers{To: 8}}, time.Second)
+		<-engines.reported
+		for range cap(p.sending) {
+			p.sending <- struct{}{} // the last one when the order has ended
+		}
+		is.Equal(len(engines.placed), c.sent) // orders
+	}
+}
+
 // Guards against two gateways that both take theirs for the newest lease, while
 // the store fails, answers are lost, links are cut and gateways freeze. A planner
 // that was frozen may plan until its next renewal or the next state message that
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -51,6 +53,14 @@
 	// polling the progress of one.
 	orderTimeout  = time.Second
 	reportTimeout = 500 * time.Millisecond
+	// freeLoadSpeedup is how many times faster loads are before the first
+	// request.
+	freeLoadSpeedup = 10
+	// maxOrdersInFlight bounds the orders that wait for an answer, and
+	// maxOrderPolls the targets that are polled for the progress of their order in
+	// one round. A first placement orders all targets of a deployment at once.
+	maxOrdersInFlight = 48
+	maxOrderPolls     = 48
 	// orderSlack is added to twice the computed load time; an order that takes
 	// longer than that is dropped, and the target is planned for again.
 	orderSlack = 3 * time.Second
@@ -86,6 +96,9 @@
 	Planner struct {
 		Options
 		lease lease
+		// leaseChecked is the lease's checked time while this gateway holds it, and
+		// 0 otherwise, for the goroutines that send orders.
+		leaseChecked atomic.Int64
 		// claimDelay is a random delay that spreads the claims of the gateways.
 		claimDelay time.Duration
 
@@ -109,6 +122,8 @@
 		// plan is carried out to its end before a new one is made, since its later
 		// orders are only useful after its first ones.
 		queue map[string][]place.Order
+		// layouts holds the layout of each service at its last plan.
+		layouts map[string]layout
 
 		mu sync.Mutex
 		// orders holds the orders that targets have not yet reported as done.
@@ -121,14 +136,34 @@
 		// lastPlacements holds the last order that each target has accepted, for
 		// display to operators.
 		lastPlacements map[string]Placement
+		// sending holds a value for each order that waits for an answer.
+		sending chan struct{}
+		// nextPoll is the number of the target that is polled first in the next
+		// round.
+		nextPoll int
+	}
+
+	// layout is what a plan depends on.
+	layout struct {
+		freeLoads bool
+		targets   []placed
+	}
+
+	// placed is the state of a target in a layout.
+	placed struct {
+		id         string
+		started    int64
+		held, next topo.Layers
+		busy       bool
 	}
 
 	// order is an order that was sent to a target and may be in progress.
 	order struct {
 		layers  topo.Layers
 		started int64
-		// until is the time at which the order is dropped if it is not done.
-		until time.Duration
+		// pollFrom is the time from which the target is polled for the end of the
+		// load, and until the time at which the order is dropped if it is not done.
+		pollFrom, until time.Duration
 	}
 
 	// pollState is the result of polling a suspected target.
@@ -159,7 +194,8 @@
 // New returns a planner; Run starts it.
 func New(o Options) *Planner {
 	return &Planner{
-		Options: o, queue: map[string][]place.Order{}, orders: map[string]order{}, reports: map[string]targetReport{}, polls: map[string]pollState{}, lastPlacements: map[string]Placement{},
+		Options: o, queue: map[string][]place.Order{}, layouts: map[string]layout{}, orders: map[string]order{}, reports: map[string]targetReport{}, polls: map[string]pollState{}, lastPlacements: map[string]Placement{},
+		sending:    make(chan struct{}, maxOrdersInFlight),
 		claimDelay: rand.N(maxClaimDelay),
 		lease:      lease{source: o.Source, clock: o.BootClock, log: o.Log, instance: o.Instance, incarnation: o.Incarnation},
 	}
@@ -185,6 +221,7 @@
 	p.roundMu.Lock()
 	defer p.roundMu.Unlock()
 	p.released = true
+	p.leaseChecked.Store(0)
 	p.lease.release(ctx)
 	p.Peers.SetPlan(0, nil, nil)
 }
@@ -218,6 +255,10 @@
 		return
 	}
 	planning := p.lease.hold(ctx, otherTerm, silence)
+	p.leaseChecked.Store(0)
+	if planning {
+		p.leaseChecked.Store(int64(p.lease.checked))
+	}
 	unresponsive := p.unresponsiveTargets()
 	p.Ledger.SetUnresponsive(unresponsive)
 	p.Peers.SetPlan(p.lease.term, p.recentReports(), unresponsive)
@@ -240,6 +281,7 @@
 	defer p.mu.Unlock()
 	clear(p.orders)
 	clear(p.queue)
+	clear(p.layouts)
 	clear(p.polls)
 }
 
@@ -257,19 +299,35 @@
 	if freeLoads {
 		loads = len(targets)
 	}
-	if len(p.queue[s.Name]) == 0 {
+	if len(p.queue[s.Name]) == 0 && p.layoutChanged(s.Name, targets, freeLoads) {
 		p.queue[s.Name] = place.Plan(s.Model, targets, freeLoads)
 	}
 	for loads > 0 && len(p.queue[s.Name]) > 0 {
 		o := p.queue[s.Name][0]
 		p.queue[s.Name] = p.queue[s.Name][1:]
 		if stillCurrent(o, targets) {
-			p.sendOrder(ctx, s.Model, o)
+			p.sendOrder(ctx, o, loadTime(s.Model, o.Layers.Len(), freeLoads))
 			loads--
 		}
 	}
 }
 
+// layoutChanged reports whether a service's targets or their layers differ from
+// those of the last plan, and records them. The same layout gives the same plan;
+// its orders have been sent by then.
+func (p *Planner) layoutChanged(service string, targets []place.Target, freeLoads bool) bool {
+	next := layout{freeLoads: freeLoads, targets: make([]placed, len(targets))}
+	for i, t := range targets {
+		next.targets[i] = placed{t.ID, t.Started, t.Held, t.Next, t.Busy}
+	}
+	last, known := p.layouts[service]
+	if known && last.freeLoads == freeLoads && slices.Equal(last.targets, next.targets) {
+		return false
+	}
+	p.layouts[service] = next
+	return true
+}
+
 // stillCurrent reports whether the target of an order is unchanged since the
 // order was planned.
 func stillCurrent(o place.Order, targets []place.Target) bool {
@@ -336,15 +394,40 @@
 	return p.settled
 }
 
+// mayAct returns an error unless the lease was checked a short time ago. A pause
+// of the process may lie between a plan and its orders.
+func (p *Planner) mayAct() error {
+	checked := time.Duration(p.leaseChecked.Load())
+	if age := p.BootClock() - checked; checked == 0 || age > maxUnchecked {
+		return fault.Newf(fault.Leaving, "the planner's lease was last checked %s ago", age.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// loadTime is the time that a target takes to load some layers.
+func loadTime(m *topo.Model, layers int, free bool) time.Duration {
+	load := time.Duration(float64(m.Load) * float64(layers) / float64(max(1, m.Layers)))
+	if free {
+		return load / freeLoadSpeedup
+	}
+	return load
+}
+
 // sendOrder sends an order in the background. The order stays on record if its
 // answer is lost, since the target may still carry it out.
-func (p *Planner) sendOrder(ctx context.Context, m *topo.Model, o place.Order) {
+func (p *Planner) sendOrder(ctx context.Context, o place.Order, load time.Duration) {
 	t := o.Target
-	load := time.Duration(float64(m.Load) * float64(o.Layers.Len()) / float64(max(1, m.Layers)))
+	now := p.BootClock()
 	p.mu.Lock()
-	p.orders[t.ID] = order{layers: o.Layers, started: t.Started, until: p.BootClock() + 2*load + orderSlack}
+	p.orders[t.ID] = order{layers: o.Layers, started: t.Started, pollFrom: now + load, until: now + 2*load + orderSlack}
 	p.mu.Unlock()
 	go func() {
+		select {
+		case p.sending <- struct{}{}:
+			defer func() { <-p.sending }()
+		case <-ctx.Done():
+			return
+		}
 		call, cancel := timer.WithTimeout(ctx, p.Clock, orderTimeout)
 		defer cancel()
 		r, err := p.Engines.Report(call, t)
@@ -352,6 +435,9 @@
 			err = fault.Newf(fault.Conflict, "the target holds layers %d to %d", r.Held.From, r.Held.To)
 			p.applyReport(t, r)
 		}
+		if err == nil {
+			err = p.mayAct()
+		}
 		if err == nil {
 			t.Sequence = r.Sequence
 			err = p.Engines.Place(call, t, o.Layers)
--- a/internal/plan/poll.go
+++ b/internal/plan/poll.go
@@ -81,15 +81,23 @@
 	return out
 }
 
-// pollOrdered polls the targets whose orders are in progress.
+// pollOrdered polls targets whose loads should have ended, at most maxOrderPolls
+// of them. The next call goes on where this one stopped.
 func (p *Planner) pollOrdered(ctx context.Context, targets []place.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, t := range targets {
+	now := p.BootClock()
+	polls := 0
+	for i := range targets {
+		t := targets[(p.nextPoll+i)%len(targets)]
 		o, ok := p.orders[t.ID]
-		if !ok || p.BootClock() > o.until {
+		if !ok || now < o.pollFrom || now > o.until {
 			continue
 		}
+		if polls++; polls > maxOrderPolls {
+			p.nextPoll = (p.nextPoll + i) % len(targets)
+			return
+		}
 		go p.pollOrder(ctx, t.Target, o)
 	}
 }
