proxy: a stream whose target makes no progress is continued elsewhere

Cause: any event counted as progress, also one with comments only, and a target that held a stream, and did not report it as stalled, was left only at the deadline of the request. A byte now and then kept it open as well.

Change: comments are passed on and are no progress. After the first event, a silence longer than targets hold a stalled stream and callers wait ends the run, and the stream resumes elsewhere. Sound streams below that are not touched.

Measured: TestGatewayFollowsProgress (bytes, comments, half an event every 100 ms: complete at the other target; one event every 600 ms: one run) passes with -race, twice.

--- a/internal/cmds/gateway_body_test.go
+++ b/internal/cmds/gateway_body_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/conf"
 	"shallotcourse/platform/sims"
 )
 
@@ -43,6 +44,40 @@
 	}
 }
 
+// Guards against a stream that never ends because its target sends a byte or a
+// comment now and then, and against a cut of one that is slow but sound.
+func TestGatewayFollowsProgress(t *testing.T) {
+	stallLimit := func(s *conf.Gateway) { s.StallLimit = conf.Duration{Duration: 1500 * time.Millisecond} }
+	for name, body := range map[string]string{"bytes": "x", "comments": ": still here\n\n", "half an event": "data: half\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			for _, id := range []string{"e1", "e2"} {
+				e := site.AddEngine(id, "x", testModel).SetLayers(0, 8)
+				if id == "e1" {
+					e.SetFaults(sims.EngineFaults{StallAfter: 3, Body: body, EndlessPause: 100 * time.Millisecond})
+				}
+			}
+			g := startGateway(t, "g1", store, stallLimit).waitReady(t)
+			start := time.Now()
+			a := g.get("/draft/x?events=9", "Deadline-Ms", "9000")
+			is.NoErr(a.err)
+			is.Equal(eventIDs(a.body), "1 2 3 4 5 6 7 8 9") // continued at the other target
+			is.True(time.Since(start) < 5*time.Second)
+		})
+	}
+	t.Run("slow but sound", func(t *testing.T) {
+		is := is.New(t)
+		site, store, _ := testSite(t)
+		e := site.AddEngine("e1", "x", sims.Model{Layers: 8, Token: 600 * time.Millisecond}).SetLayers(0, 8)
+		g := startGateway(t, "g1", store, stallLimit).waitReady(t)
+		a := g.get("/draft/x?events=4")
+		is.NoErr(a.err)
+		is.Equal(eventIDs(a.body), "1 2 3 4")
+		is.Equal(e.Served(), 1) // never sent again
+	})
+}
+
 // Guards against requests that outlive their deadline, and against memory that
 // grows with the response, because a target sends a body without end.
 func TestGatewayEndsBodiesWithoutEnd(t *testing.T) {
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -22,6 +22,9 @@
 		raw []byte
 		// id is the value of the event's id field; empty if it has none.
 		id string
+		// comment is true if the event has no fields, only comments. A target that
+		// sends such events makes no progress.
+		comment bool
 	}
 
 	// eventReader splits a body into events, each ended by an empty line.
@@ -35,7 +38,7 @@
 // next returns the next complete event. It returns io.EOF only if the body ends
 // without an error and right after an event.
 func (e *eventReader) next() (event, error) {
-	var ev event
+	ev := event{comment: true}
 	for {
 		line, err := e.r.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
@@ -53,6 +56,7 @@
 		if len(text) == 0 {
 			return ev, nil
 		}
+		ev.comment = ev.comment && text[0] == ':'
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -37,6 +37,12 @@
 	// suspectedSilence is the silence after which a stream leaves a target that
 	// another gateway or request has marked as suspected.
 	suspectedSilence = 120 * time.Millisecond
+	// callerObjectives and callerPauses are the multiples of a route's objective
+	// and pause that callers wait for the next event, and silenceMargin the time
+	// after which they have certainly left.
+	callerObjectives = 4
+	callerPauses     = 8
+	silenceMargin    = 500 * time.Millisecond
 	// maxRepaths is the maximum number of path changes of one stream.
 	maxRepaths = 8
 	// maxResumes is the maximum number of targets at which one stream is
@@ -318,9 +324,13 @@
 			if !ok {
 				return s.noteEnd(<-u.end)
 			}
-			if err := s.writeEvents(ev, events); err != nil {
+			progress, err := s.writeEvents(ev, events)
+			if err != nil {
 				return err
 			}
+			if !progress {
+				continue
+			}
 			now := s.Clock.Now()
 			if s.events > 1 && s.route.Pause > 0 && now.Sub(lastEventAt) > s.route.Pause {
 				s.Ledger.CountLatePause()
@@ -328,6 +338,9 @@
 			lastEventAt = now
 			silence.Reset(eventSilence)
 		case <-silence.C:
+			if silent := s.Clock.Now().Sub(lastEventAt); s.events > 0 && silent > s.maxSilence() {
+				return s.noteEnd(fault.Newf(fault.TargetLost, "no event for %s", silent.Round(time.Millisecond)).WithOutcome(fault.Partial))
+			}
 			wait, failure := s.handleSilence(lastEventAt)
 			if failure != nil {
 				return failure
@@ -348,6 +361,14 @@
 	}
 }
 
+// maxSilence is the silence after the first event from which a target that is not
+// known to fail is left all the same. Targets hold a stream that waits for
+// another one for StallLimit, and callers leave after a multiple of the objective
+// or of the usual pause.
+func (s *stream) maxSilence() time.Duration {
+	return max(s.Settings.StallLimit, callerObjectives*s.route.Objective, callerPauses*s.route.Pause) + silenceMargin
+}
+
 // outcome returns what is certain about the outcome of a request that was sent.
 func (s *stream) outcome() fault.Outcome {
 	if s.headWritten {
@@ -366,18 +387,18 @@
 	s.w.WriteHeader(head.status)
 }
 
-// writeEvents writes an event and all that are queued behind it.
-func (s *stream) writeEvents(ev event, more <-chan event) *fault.Error {
-	if s.firstByte.IsZero() {
-		s.firstByte = s.Clock.Now()
-	}
-	s.ticket.PromptRead()
+// writeEvents writes an event and all that are queued behind it. It reports
+// whether one of them is more than a comment.
+func (s *stream) writeEvents(ev event, more <-chan event) (progress bool, failure *fault.Error) {
 	_ = s.control.SetWriteDeadline(s.Clock.Now().Add(writeTimeout))
 	for {
 		if _, err := s.w.Write(ev.raw); err != nil {
-			return fault.New(fault.Canceled, "writing to the caller failed").WithOutcome(fault.Partial).WithCause(err)
+			return progress, fault.New(fault.Canceled, "writing to the caller failed").WithOutcome(fault.Partial).WithCause(err)
+		}
+		if !ev.comment {
+			progress = true
+			s.events++
 		}
-		s.events++
 		if ev.id != "" {
 			s.lastEvent = ev.id
 		}
@@ -391,8 +412,19 @@
 		}
 		break
 	}
+	if progress {
+		s.noteFirstEvent()
+	}
 	if err := s.control.Flush(); err != nil {
-		return fault.New(fault.Canceled, "writing to the caller failed").WithOutcome(fault.Partial).WithCause(err)
+		return progress, fault.New(fault.Canceled, "writing to the caller failed").WithOutcome(fault.Partial).WithCause(err)
+	}
+	return progress, nil
+}
+
+// noteFirstEvent records that the prompt has been read.
+func (s *stream) noteFirstEvent() {
+	if s.firstByte.IsZero() {
+		s.firstByte = s.Clock.Now()
 	}
-	return nil
+	s.ticket.PromptRead()
 }
