proxy, chain, ledger: bounded buffers, bodies in time, cheaper choice of a path

Cause: each response that is not a stream was buffered up to 8 MB, without a bound on all of them, so that targets that send bodies without end could take more memory than a gateway has. A caller's body had no deadline: one that sends a byte now and then held its request until it left. The choice of a path copied all candidates three times and took the ledger's lock for each.

Change: responses that are being read share 32 MB; one that finds no room ends as TargetLost, like one that is too long. A body that has not ended at the request's deadline ends it with 504, not run. Candidates are passed by pointer, and suspicions are looked up under one lock.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -150,9 +150,10 @@
 // target holds some layer, and Overloaded if the targets that hold it have no
 // memory or time left.
 func Choose(m *topo.Model, candidates []Candidate, req Request) ([]Hop, error) {
-	usable := make([]Candidate, 0, len(candidates))
-	byDC := map[string][]Candidate{}
-	for _, c := range candidates {
+	usable := make([]*Candidate, 0, len(candidates))
+	byDC := map[string][]*Candidate{}
+	for i := range candidates {
+		c := &candidates[i]
 		if c.State == topo.Ready && c.Held.Len() > 0 && !req.Excluded[c.ID] {
 			usable = append(usable, c)
 			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
@@ -190,12 +191,12 @@
 // limitPerKind keeps the least loaded maxPerKind of the targets with the same card,
 // layers and data centre. It returns the targets kept and removes the others from
 // byDC too.
-func limitPerKind(usable []Candidate, byDC map[string][]Candidate) []Candidate {
+func limitPerKind(usable []*Candidate, byDC map[string][]*Candidate) []*Candidate {
 	type kind struct {
 		dc, card string
 		held     topo.Layers
 	}
-	byKind := map[kind][]Candidate{}
+	byKind := map[kind][]*Candidate{}
 	for _, c := range usable {
 		k := kind{c.DataCentre, c.Card, c.Held}
 		byKind[k] = append(byKind[k], c)
@@ -203,16 +204,16 @@
 	if len(byKind)*maxPerKind >= len(usable) {
 		return usable
 	}
-	kept := map[string]bool{}
+	kept := map[*Candidate]bool{}
 	for _, cs := range byKind {
-		slices.SortFunc(cs, func(a, b Candidate) int {
+		slices.SortFunc(cs, func(a, b *Candidate) int {
 			return cmp.Or(cmp.Compare(a.loadScore(), b.loadScore()), cmp.Compare(a.ID, b.ID))
 		})
 		for _, c := range cs[:min(maxPerKind, len(cs))] {
-			kept[c.ID] = true
+			kept[c] = true
 		}
 	}
-	dropped := func(c Candidate) bool { return !kept[c.ID] }
+	dropped := func(c *Candidate) bool { return !kept[c] }
 	for dc := range byDC {
 		byDC[dc] = slices.DeleteFunc(byDC[dc], dropped)
 	}
@@ -221,12 +222,12 @@
 
 // loadScore is the sort key of targets with the same card and layers, the least
 // loaded lowest.
-func (c Candidate) loadScore() float64 { return (1 + c.Load.TokenLayers) * max(1, c.SlowFactor) }
+func (c *Candidate) loadScore() float64 { return (1 + c.Load.TokenLayers) * max(1, c.SlowFactor) }
 
 // searchInTime returns the cheapest chain whose targets can all read the queued
 // prompts within req.MaxPromptWait, or nil, and whether it left out targets
 // that cannot. Forced requests have no such limit.
-func searchInTime(m *topo.Model, usable []Candidate, req Request) (f *costedChain, tooLate bool) {
+func searchInTime(m *topo.Model, usable []*Candidate, req Request) (f *costedChain, tooLate bool) {
 	for range maxSearches {
 		if f = search(m, usable, req); f == nil {
 			return nil, tooLate
@@ -236,17 +237,17 @@
 			return f, tooLate
 		}
 		tooLate = true
-		usable = slices.DeleteFunc(slices.Clone(usable), func(c Candidate) bool { return c.ID == slowest.Target.ID })
+		usable = slices.DeleteFunc(slices.Clone(usable), func(c *Candidate) bool { return c.ID == slowest.Target.ID })
 	}
 	return nil, tooLate
 }
 
 // longestPromptWait returns the hop at which the prompts queued before a new one
 // take longest, and that time.
-func longestPromptWait(m *topo.Model, hops []Hop, cs []Candidate) (Hop, time.Duration) {
+func longestPromptWait(m *topo.Model, hops []Hop, cs []*Candidate) (Hop, time.Duration) {
 	byID := make(map[string]*Candidate, len(cs))
 	for i := range cs {
-		byID[cs[i].ID] = &cs[i]
+		byID[cs[i].ID] = cs[i]
 	}
 	worst, longest := hops[0], time.Duration(0)
 	for _, h := range hops {
@@ -262,7 +263,7 @@
 
 // firstUncovered returns the first range of layers that no candidate holds; it is
 // empty if there is none.
-func firstUncovered(candidates []Candidate, l topo.Layers) topo.Layers {
+func firstUncovered(candidates []*Candidate, l topo.Layers) topo.Layers {
 	held := make([]bool, max(0, l.To))
 	for _, c := range candidates {
 		for i := max(l.From, c.Held.From); i < min(l.To, c.Held.To); i++ {
@@ -286,7 +287,7 @@
 // layers at which held ranges begin or end. For each bound it keeps the cheapest
 // partial chain per last target, since the cost of the next hop depends on that
 // target's data centre.
-func search(m *topo.Model, cs []Candidate, req Request) *costedChain {
+func search(m *topo.Model, cs []*Candidate, req Request) *costedChain {
 	s := newChainSearch(m, cs, req)
 	s.extend(0, partialChain{last: -1, prev: -1})
 	for i := 1; i < len(s.bounds)-1; i++ {
@@ -297,11 +298,10 @@
 	return s.backtrack()
 }
 
-func newChainSearch(m *topo.Model, cs []Candidate, req Request) *chainSearch {
+func newChainSearch(m *topo.Model, cs []*Candidate, req Request) *chainSearch {
 	s := &chainSearch{req: req, targets: make([]searchTarget, len(cs)), bounds: rangeBounds(cs, req.Layers), dataCentre: make([]int, len(cs))}
 	numbers := map[string]int{}
-	for i := range cs {
-		c := &cs[i]
+	for i, c := range cs {
 		s.targets[i] = searchTarget{
 			Candidate: c, used: c.Load.TokenLayers, capacity: m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes, layerTime: layerTime(m, c),
 		}
@@ -421,7 +421,7 @@
 
 // rangeBounds returns the layers within l at which candidates' ranges begin or
 // end, sorted, with the bounds of l itself.
-func rangeBounds(cs []Candidate, l topo.Layers) []int {
+func rangeBounds(cs []*Candidate, l topo.Layers) []int {
 	bounds := []int{l.From, l.To}
 	for _, c := range cs {
 		for _, p := range []int{c.Held.From, c.Held.To} {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -295,12 +295,29 @@
 func (l *Ledger) Suspected(t topo.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.isSuspected(t, l.clock.Now())
+}
+
+// SuspectedAmong returns the IDs of those targets that are avoided.
+func (l *Ledger) SuspectedAmong(targets []topo.Target) map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.suspicions) == 0 && len(l.unresponsive) == 0 {
+		return nil
+	}
+	out := map[string]bool{}
 	now := l.clock.Now()
-	d, ok := l.suspicions[t.ID]
-	if ok && d.started == t.Started && now.Before(d.until) {
-		return true
+	for _, t := range targets {
+		if l.isSuspected(t, now) {
+			out[t.ID] = true
+		}
 	}
-	return l.isUnresponsive(t, now)
+	return out
+}
+
+func (l *Ledger) isSuspected(t topo.Target, now time.Time) bool {
+	d, ok := l.suspicions[t.ID]
+	return ok && d.started == t.Started && now.Before(d.until) || l.isUnresponsive(t, now)
 }
 
 // Unresponsive reports whether the planner found a target unresponsive.
--- /dev/null
+++ b/internal/proxy/buffer.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"io"
+	"slices"
+	"sync/atomic"
+
+	"shallotcourse/internal/fault"
+)
+
+const (
+	// maxResponseBytes is the maximum size of a response of a plain service. It
+	// is buffered completely so that an incomplete one can be replaced by a
+	// retry.
+	maxResponseBytes = 8 << 20
+	// maxBufferedBytes bounds the responses that are being read at the same time.
+	// Only targets that send bodies without end come near it.
+	maxBufferedBytes = 32 << 20
+	// firstBufferBytes is the initial size of the buffer of a response.
+	firstBufferBytes = 2 << 10
+)
+
+// responseBuffers counts the memory of all responses that are being read, beyond
+// the first firstBufferBytes of each.
+type responseBuffers struct{ bytes atomic.Int64 }
+
+// readAll reads a body to its end. Errors are of type fault.Error with code
+// TargetLost and outcome Unknown: the body broke off, is longer than
+// maxResponseBytes, or too much is being read at the same time.
+func (b *responseBuffers) readAll(body io.Reader) ([]byte, *fault.Error) {
+	out := make([]byte, 0, firstBufferBytes)
+	reserved := int64(0)
+	defer func() { b.bytes.Add(-reserved) }()
+	for {
+		if len(out) == cap(out) {
+			more := int64(cap(out))
+			if !b.reserve(more) {
+				return nil, fault.New(fault.TargetLost, "too many long responses are being read").WithOutcome(fault.Unknown)
+			}
+			reserved += more
+			out = slices.Grow(out, cap(out))
+		}
+		n, err := body.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
+		switch {
+		case err == io.EOF:
+			return out, nil
+		case err != nil:
+			return nil, fault.New(fault.TargetLost, "the target's response was truncated").WithOutcome(fault.Unknown).WithCause(err)
+		case len(out) > maxResponseBytes:
+			return nil, fault.Newf(fault.TargetLost, "the target's response exceeds %d bytes", maxResponseBytes).WithOutcome(fault.Unknown)
+		}
+	}
+}
+
+// reserve adds n bytes unless that exceeds maxBufferedBytes.
+func (b *responseBuffers) reserve(n int64) bool {
+	for {
+		used := b.bytes.Load()
+		if used+n > maxBufferedBytes {
+			return false
+		}
+		if b.bytes.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
+}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -18,10 +17,6 @@
 )
 
 const (
-	// maxResponseBytes is the maximum size of a response of a plain service. It
-	// is buffered completely so that an incomplete one can be replaced by a
-	// retry.
-	maxResponseBytes = 8 << 20
 	// maxSends is the maximum number of targets that a request is sent to,
 	// including those that refuse it.
 	maxSends = 4
@@ -258,12 +253,9 @@
 // run the request.
 func (q *request) readResponse(resp *http.Response) (*response, *fault.Error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := q.buffers.readAll(resp.Body)
 	if err != nil {
-		return nil, fault.New(fault.TargetLost, "the target's response was truncated").WithOutcome(fault.Unknown).WithCause(err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, fault.Newf(fault.TargetLost, "the target's response exceeds %d bytes", maxResponseBytes).WithOutcome(fault.Unknown)
+		return nil, err
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -82,6 +84,7 @@
 		// drainStart is the time at which the drain started; nil before.
 		drainStart atomic.Pointer[time.Time]
 		reports    reportCache
+		buffers    responseBuffers
 		latencies  latencyStats
 		// abortCtx is cancelled to end the streams that are still open at the
 		// end of the drain.
@@ -264,7 +267,10 @@
 	if q.r.ContentLength > limit {
 		return fault.Newf(fault.TooLarge, "the request body has %d bytes, the limit is %d", q.r.ContentLength, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
+	body, err := q.readAllInTime(limit + 1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fault.New(fault.Deadline, "the request body did not end before the deadline of the route or the caller").WithCause(err)
+	}
 	if err != nil {
 		return fault.New(fault.BadInput, "reading the request body failed").WithCause(err)
 	}
@@ -275,6 +281,22 @@
 	return nil
 }
 
+// readAllInTime reads the request's body up to some number of bytes, until the
+// request's deadline at the latest.
+func (q *request) readAllInTime(limit int64) ([]byte, error) {
+	if q.r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(q.w)
+	// A writer that does not support deadlines belongs to no connection.
+	_ = control.SetReadDeadline(q.deadline)
+	body, err := io.ReadAll(io.LimitReader(q.r.Body, limit))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // remaining returns the time until the request's deadline.
 func (q *request) remaining() time.Duration { return q.deadline.Sub(q.Clock.Now()) }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -228,9 +228,10 @@
 func (s *stream) candidates() []chain.Candidate {
 	loads := s.Ledger.ExpectedLoads(s.LoadLag())
 	targets := s.Fleets.Section().Value().ServiceTargets(s.service.Name)
+	suspected := s.Ledger.SuspectedAmong(targets)
 	out := make([]chain.Candidate, 0, len(targets))
 	for _, t := range targets {
-		if s.excluded[t.ID] || s.Ledger.Suspected(t) {
+		if s.excluded[t.ID] || suspected[t.ID] {
 			continue
 		}
 		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace})
