place, plan, cmds: widen only under pressure; show the bounds

Change: targets that serve requests change their layers only while some layer of their group is at least half full. `gateway status` and the metrics shallotcourse_layer_bound_* show what each group of targets holds at once, the best that the same cards could hold, and the layers that bind.

--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -87,6 +87,11 @@
 		row(r.Name, r.Host, r.Prefix, semanticsNames[r.Semantics], strings.Join(shares, ","), r.Timeout, r.Public)
 	}
 	row()
+	row("SERVICE", "DATACENTRES", "REQUESTS", "BEST", "BINDING")
+	for _, b := range s.Bounds {
+		row(b.Service, strings.Join(b.DataCentres, ","), int(b.Requests), int(b.Best), fmt.Sprintf("%d-%d", b.Binding.From, b.Binding.To))
+	}
+	row()
 	row("TARGET", "SERVICE", "DATACENTRE", "CARD", "LAYERS", "WHY", "SINCE", "RUNNING", "STATE")
 	for _, target := range s.Targets {
 		why, since := "-", "-"
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -26,6 +26,9 @@
 		Open      int
 		Routes    []topo.Route
 		Targets   []targetStatus
+		// Bounds holds what the targets' memory holds at once, by service and
+		// group of data centres.
+		Bounds []plan.ServiceBound
 		// PlannerTerm is the newest lease term received from a planner on
 		// another gateway, 0 if there is none; PlannerSilent is the time since
 		// it was last received.
@@ -50,7 +53,7 @@
 	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
-		Routes: config.Routes(),
+		Routes: config.Routes(), Bounds: g.planner.Bounds(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -213,7 +213,7 @@
 	root.SetArgs([]string{"gateway", "status", server.Listener.Addr().String()})
 	root.SetOut(out)
 	is.NoErr(root.Execute())
-	for _, want := range []string{"/register/", "once", "plain:1", "e1", "0-8", "hole", "ready"} {
+	for _, want := range []string{"/register/", "once", "plain:1", "e1", "0-8", "hole", "ready", "BINDING"} {
 		is.True(strings.Contains(out.String(), want)) // want
 	}
 	root.SetArgs([]string{"gateway", "status", "127.0.0.1:1"})
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -65,6 +65,16 @@
 	}
 )
 
+// Pressed reports, for each group of data centres, whether some layers are so
+// full that the group widens its bottlenecks.
+func Pressed(m *topo.Model, targets []Target) []bool {
+	var out []bool
+	for _, g := range split(m, targets) {
+		out = append(out, g.pressed())
+	}
+	return out
+}
+
 // Plan returns the orders that bring each group of data centres closer to a
 // complete copy of the model, the most urgent first: those for the copy that
 // misses the fewest layers, then those for the other copies, then standbys, then
@@ -229,7 +239,7 @@
 	if g.freeLoads {
 		return append(out, g.widen(minFreeGain, maxWidened)...)
 	}
-	if len(out) == 0 && !g.loading() {
+	if len(out) == 0 && !g.loading() && g.pressed() {
 		return g.widen(minGain, 1)
 	}
 	return out
--- a/internal/place/widen.go
+++ b/internal/place/widen.go
@@ -31,6 +31,9 @@
 	// load costs nothing.
 	minGain     = 0.12
 	minFreeGain = 0.01
+	// pressedFill is the memory use of the fullest layer, as a share, from which
+	// targets that serve requests change their layers.
+	pressedFill = 0.5
 	// maxWidened bounds the orders of one plan while a load costs nothing.
 	maxWidened = 64
 	// maxWidenTargets is the number of targets of a group from which the layers
@@ -90,6 +93,23 @@
 	return out
 }
 
+// pressed reports whether some layer's memory for requests is in use up to
+// pressedFill.
+func (g group) pressed() bool {
+	used := make([]float64, g.model.Layers)
+	for _, t := range g.targets {
+		for l := t.Next.From; l < t.Next.To; l++ {
+			used[l] += t.UsedMegabytes / float64(t.Next.Len())
+		}
+	}
+	for l, capacity := range g.layerCapacity() {
+		if capacity > 0 && used[l] > pressedFill*capacity {
+			return true
+		}
+	}
+	return false
+}
+
 // soleLayers returns the smallest range with all layers of a target that no
 // other target is certain to hold. It gets the counts of stable holders.
 func soleLayers(t Target, stable []int) topo.Layers {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -109,6 +109,8 @@
 		// paceCheckedAt is the time at which paces were last polled.
 		latePauses    int
 		paceCheckedAt time.Duration
+		// boundsAt is the time at which the metrics of the bounds were last set.
+		boundsAt time.Duration
 
 		// settled says that the first layers may be placed. Until then,
 		// targetCount is the number of targets, which has not changed since
@@ -146,7 +148,9 @@
 	// layout is what a plan depends on.
 	layout struct {
 		freeLoads bool
-		targets   []placed
+		// pressed says for each group whether it is short of memory.
+		pressed []bool
+		targets []placed
 	}
 
 	// placed is the state of a target in a layout.
@@ -269,6 +273,7 @@
 		p.dropPlannerState()
 		return
 	}
+	p.updateBoundMetrics()
 	for _, s := range config.Services() {
 		if s.Model != nil {
 			p.planService(ctx, s)
@@ -301,7 +306,7 @@
 	if freeLoads {
 		loads = len(targets)
 	}
-	if len(p.queue[s.Name]) == 0 && p.layoutChanged(s.Name, targets, freeLoads) {
+	if len(p.queue[s.Name]) == 0 && p.layoutChanged(s, targets, freeLoads) {
 		p.queue[s.Name] = place.Plan(s.Model, targets, freeLoads)
 	}
 	for loads > 0 && len(p.queue[s.Name]) > 0 {
@@ -317,16 +322,16 @@
 // layoutChanged reports whether a service's targets or their layers differ from
 // those of the last plan, and records them. The same layout gives the same plan;
 // its orders have been sent by then.
-func (p *Planner) layoutChanged(service string, targets []place.Target, freeLoads bool) bool {
-	next := layout{freeLoads: freeLoads, targets: make([]placed, len(targets))}
+func (p *Planner) layoutChanged(s topo.Service, targets []place.Target, freeLoads bool) bool {
+	next := layout{freeLoads: freeLoads, pressed: place.Pressed(s.Model, targets), targets: make([]placed, len(targets))}
 	for i, t := range targets {
 		next.targets[i] = placed{t.ID, t.Started, t.Held, t.Next, t.Busy}
 	}
-	last, known := p.layouts[service]
-	if known && last.freeLoads == freeLoads && slices.Equal(last.targets, next.targets) {
+	last, known := p.layouts[s.Name]
+	if known && last.freeLoads == freeLoads && slices.Equal(last.pressed, next.pressed) && slices.Equal(last.targets, next.targets) {
 		return false
 	}
-	p.layouts[service] = next
+	p.layouts[s.Name] = next
 	return true
 }
 
