proxy, link, fault: a panic ends one request or link; fuzz the decoders

Cause: the goroutines that send a request and read its response, and those that probe targets, ran without a recover, so an unexpected failure in one of them ended the process with all its requests. net/http recovers a handler, but closes the connection without an answer. A panic in the handler of a message of a peer ended the process as well.

Change: a panic in a request ends it with 500 and outcome Unknown, or aborts a response that has begun, with a log line with the stack and a counter; one in a message handler ends the link. Background work of the process (feeds, planner, membership) still ends the process, which the platform starts again. `make fuzz`, part of `make check`, fuzzes the event reader, target and configuration rows, headers, messages of peers and settings for 3 s each.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SHELL := /bin/bash
 GO ?= go
 
-.PHONY: all build run check fmt fmt-check lint vet test models faults soak slopes cost known-red tools
+.PHONY: all build run check fmt fmt-check lint vet test fuzz models faults soak slopes cost known-red tools
 
 all: build
 
@@ -12,7 +12,7 @@
 run: build
 	scripts/run.sh
 
-check: tools fmt-check vet lint test models known-red
+check: tools fmt-check vet lint test fuzz models known-red
 
 tools:
 	@command -v $(GO) >/dev/null || { echo "missing: go (install Go 1.26 or later)"; exit 1; }
@@ -41,6 +41,15 @@
 test:
 	$(GO) test -race -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# Fuzzes each decoder that reads from outside for some seconds. A failing input
+# stays in testdata/fuzz of the package and is a test from then on.
+FUZZTIME ?= 3s
+FUZZERS := internal/proxy:FuzzEventReader platform:FuzzDecodeTarget platform:FuzzDecodeConfig platform:FuzzRequestHeaders \
+  internal/wire:FuzzDecode internal/conf:FuzzParseGateway
+fuzz:
+	@set -e; for f in $(FUZZERS); do \
+	  $(GO) test -run XXX -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME) "./$${f%:*}"; done
+
 models:
 	scripts/models.sh
 
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -114,7 +114,7 @@
 	handler.LinkUp(c)
 	var err error
 	for err == nil {
-		err = c.readFrame(handler)
+		err = c.readFrameSafely(handler)
 	}
 	c.Close(readError(err))
 	close(c.readDone)
@@ -122,6 +122,17 @@
 	handler.LinkDown(c, c.reason)
 }
 
+// readFrameSafely ends only the link if a message makes its handler panic.
+func (c *conn) readFrameSafely(handler Handler) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			err = fault.Recovered(value)
+			level.Error(c.group.config.Logger).Log("msg", "panic in a message handler", "peer", c.hello.Instance, "err", err)
+		}
+	}()
+	return c.readFrame(handler)
+}
+
 func (c *conn) readFrame(handler Handler) error {
 	_, r, err := c.ws.NextReader()
 	if err != nil {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -179,11 +179,12 @@
 }
 
 // sendPlain sends the request to one target and reads the complete response.
-func (q *request) sendPlain(ctx context.Context, t topo.Target) attempt {
+func (q *request) sendPlain(ctx context.Context, t topo.Target) (out attempt) {
+	out.target = t
+	defer q.catchPanic(&out.err)
 	start := q.Clock.Now()
 	ticket := q.Ledger.OpenPlain(t)
 	defer ticket.Close()
-	out := attempt{target: t}
 	resp, err := q.roundTrip(ctx, t, TargetHeaders{LastEvent: q.headers.LastEvent})
 	if err == nil {
 		out.response, err = q.readResponse(resp)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -163,7 +163,10 @@
 	s.openRequests.Add(1)
 	s.totalRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	q := &request{Server: s, w: w, r: r, headers: s.Dialect.ReadRequest(r.Header), arrived: s.Clock.Now()}
+	tracker := &headTracker{ResponseWriter: w}
+	q := &request{Server: s, w: tracker, r: r, arrived: s.Clock.Now()}
+	defer q.endPanic(func() bool { return tracker.written })
+	q.headers = s.Dialect.ReadRequest(r.Header)
 	started := s.drainStart.Load()
 	if started != nil {
 		w.Header().Set("Connection", "close")
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -9,6 +9,7 @@
 
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/topo"
 )
 
 // startUpstream sends the request to the first target in the background; the
@@ -18,20 +19,35 @@
 	u := &upstream{cancel: cancel, head: make(chan responseHead, 1), events: make(chan event, eventQueueLength), end: make(chan *fault.Error, 1)}
 	send := TargetHeaders{LastEvent: s.lastEvent, Hops: HopsOf(hops)}
 	go func() {
-		resp, err := s.roundTrip(ctx, hops[0].Target, send)
-		switch {
-		case err != nil:
-			u.head <- refusedRequest{err}
-		case resp.StatusCode != http.StatusOK:
-			u.head <- s.readNonStream(resp)
-		default:
-			u.head <- eventStream{resp.StatusCode, resp.Header}
-			u.end <- readEvents(ctx, resp.Body, u.events)
+		resp, head := s.readHead(ctx, hops[0].Target, send)
+		u.head <- head
+		if resp != nil {
+			u.end <- s.readEvents(ctx, resp.Body, u.events)
 		}
 	}()
 	return u
 }
 
+// readHead sends the request and reads the head of the response, and its body
+// unless it is a stream. The response is nil unless it is a stream.
+func (s *stream) readHead(ctx context.Context, t topo.Target, send TargetHeaders) (resp *http.Response, head responseHead) {
+	var failure *fault.Error
+	defer func() {
+		if failure != nil {
+			resp, head = nil, brokenResponse{failure}
+		}
+	}()
+	defer s.catchPanic(&failure)
+	resp, err := s.roundTrip(ctx, t, send)
+	switch {
+	case err != nil:
+		return nil, refusedRequest{err}
+	case resp.StatusCode != http.StatusOK:
+		return nil, s.readNonStream(resp)
+	}
+	return resp, eventStream{resp.StatusCode, resp.Header}
+}
+
 // readNonStream reads a response that is not a stream; roundTrip has already
 // handled refusals.
 func (s *stream) readNonStream(resp *http.Response) responseHead {
@@ -44,8 +60,9 @@
 
 // readEvents sends the events of a stream to the channel and returns the error
 // that ended the stream, or nil if it ended properly.
-func readEvents(ctx context.Context, body io.ReadCloser, events chan<- event) *fault.Error {
+func (s *stream) readEvents(ctx context.Context, body io.ReadCloser, events chan<- event) (failure *fault.Error) {
 	defer close(events)
+	defer s.catchPanic(&failure)
 	defer func() { _ = body.Close() }()
 	r := newEventReader(body)
 	for {
@@ -77,7 +94,7 @@
 	s.excluded[at.ID] = true
 	s.suspectIf(err.Code == fault.Unavailable, at, err)
 	if err.Field != "" || err.Code == fault.Leaving {
-		go s.checkListing(at)
+		s.background(func() { s.checkListing(at) })
 	}
 	_ = level.Info(s.Log).Log("event", "SendRefused", "request", s.headers.ID, "target", at.ID, "first", s.hops[0].Target.ID,
 		"outcome", string(err.Outcome), "err", err)
@@ -101,7 +118,8 @@
 func (s *stream) noteEnd(failure *fault.Error) *fault.Error {
 	if failure != nil && s.r.Context().Err() == nil {
 		s.excluded[s.hops[0].Target.ID] = true
-		go s.probe(s.hops[0].Target, failure)
+		first := s.hops[0].Target
+		s.background(func() { s.probe(first, failure) })
 	}
 	return failure
 }
