--- a/internal/place/widen.go
+++ b/internal/place/widen.go
@@ -33,7 +33,7 @@
 	minFreeGain = 0.01
 	// pressedFill is the memory use of the fullest layer, as a share, from which
 	// targets that serve requests change their layers.
-	pressedFill = 0.5
+	pressedFill = 0.85
 	// maxWidened bounds the orders of one plan while a load costs nothing.
 	maxWidened = 64
 	// maxWidenTargets is the number of targets of a group from which the layers
