place: a standby with a small card gets as many layers as fit

Cause: found by reading the change: a card that holds fewer layers than the smallest range of a widening got the empty range as a standby, with an order for it in each plan.

Change: the smallest range is no larger than what the card holds. The test of refusals uses the server of the other tests of its package; its checks are as they were.

Measured: the new case of TestPlan fails before (spare c=0-0) and passes.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -20,7 +20,7 @@
 	small = &topo.Model{
 		Layers: 20, LayerMegabytes: 100, TokenMegabytes: 0.01, Step: time.Millisecond, Stride: 1,
 		UsualPrompt: 10, UsualAnswer: 10,
-		Cards: map[string]topo.Card{"Big": {Megabytes: 2000, Pace: 1, ReadPace: 1}, "Slow": {Megabytes: 1000, Pace: 4, ReadPace: 4}},
+		Cards: map[string]topo.Card{"Big": {Megabytes: 2000, Pace: 1, ReadPace: 1}, "Slow": {Megabytes: 1000, Pace: 4, ReadPace: 4}, "Tiny": {Megabytes: 300, Pace: 4, ReadPace: 4}},
 	}
 	large = &topo.Model{
 		Layers: 80, LayerMegabytes: 1750, TokenMegabytes: 0.011475, Step: 1020 * time.Microsecond,
--- a/internal/place/widen.go
+++ b/internal/place/widen.go
@@ -131,7 +131,9 @@
 func (g group) bestRange(all spread, i int, keep topo.Layers) widening {
 	t, rest := g.targets[i], all.without(g.targets[i])
 	present, without := rest.terms()
-	least, most := min(minWidenLayers, g.model.Layers), min(g.maxLayers(t, minFreeShare), g.model.Layers)
+	// A small card holds fewer layers than a chain should have in one hop.
+	most := max(1, min(g.maxLayers(t, minFreeShare), g.model.Layers))
+	least := min(minWidenLayers, most)
 	best := widening{target: i, layers: t.Next, rate: math.Inf(-1)}
 	sums := make([]terms, g.model.Layers+1)
 	for n := max(least, keep.Len()); n <= most; n++ {
--- a/internal/proxy/panic_test.go
+++ b/internal/proxy/panic_test.go
@@ -21,6 +21,7 @@
 
 func (panickingDialect) ReadRequest(http.Header) RequestHeaders { panic("malformed") }
 
+// testServer returns a server without a configuration or targets.
 func testServer(d Dialect) *Server {
 	clock, logger := timer.System{}, log.NewNopLogger()
 	bootClock := func() time.Duration { return time.Minute }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,16 +6,10 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
 	"shallotcourse/internal/fault"
-	"shallotcourse/internal/follow"
-	"shallotcourse/internal/limit"
-	"shallotcourse/internal/timer"
 )
 
 // Guards against a stream that ends inside an event and looks complete, and
@@ -45,19 +39,14 @@
 // not help.
 func TestRefusalsAreTruthful(t *testing.T) {
 	is := is.New(t)
-	clock, logger := timer.System{}, log.NewNopLogger()
-	bootClock := func() time.Duration { return time.Minute }
-	s := New(Options{
-		Clock: clock, Log: logger, Metrics: metrics.NewSet(), Configs: follow.NewConfigs(nil, clock, bootClock, logger),
-		Fleets: follow.NewFleets(nil, clock, bootClock, logger), Returns: limit.NewRetryPacer(clock),
-	})
+	s := testServer(nil)
 	for _, code := range []fault.Code{
 		fault.Overloaded, fault.LimitReached, fault.NoTarget, fault.Leaving, fault.Unavailable, fault.Deadline, fault.TargetLost,
 		fault.Unauthorized, fault.NotFound, fault.TooLarge, fault.BadInput, fault.Internal,
 	} {
 		for _, outcome := range []fault.Outcome{fault.NotRun, fault.Unknown, fault.Partial} {
 			w := httptest.NewRecorder()
-			q := &request{Server: s, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), arrived: clock.Now()}
+			q := &request{Server: s, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), arrived: s.Clock.Now()}
 			q.refuse(fault.New(code, "").WithOutcome(outcome))
 			is.True(outcome == fault.NotRun || !impliesNotRun(w.Code))
 			is.True(w.Header().Get("Retry-After") == "" || impliesNotRun(w.Code))
