proxy: log the prompt of requests under which a target ended

When a poll shows that the process of a target has ended (connection refused or reset, another start time, another target at its address), each request that it had not begun, or had begun within the last second, gets a line TargetEnded with its prompt and ages. Silence is no such proof. Request and StreamResumes carry the prompt too. No decision changes.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,9 @@
 		// maximum length of the answer and AnswerTokensHint the caller's estimate of
 		// it; 0 if absent.
 		PromptTokens, MaxAnswerTokens, AnswerTokensHint int
+		// PromptParts holds the IDs of the parts of the prompt, in order. Requests
+		// share parts; the last one belongs to the request or its session alone.
+		PromptParts []string
 		// LastEvent is the ID of the last event of the stream that the caller
 		// has received.
 		LastEvent string
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -117,9 +117,13 @@
 
 // probe polls a target whose stream broke off and marks it as suspected if it
 // does not answer. One broken stream alone is no reason to avoid a target.
-func (s *stream) probe(t topo.Target, cause error) {
-	if _, err := s.fetchReport(context.Background(), t); err != nil {
-		s.suspectIf(true, t, fault.New(fault.TargetLost, "a stream broke off and the target does not answer a poll").WithCause(cause))
+func (s *stream) probe(b brokenRun, cause error) {
+	r, err := s.fetchReport(context.Background(), b.target)
+	if err != nil {
+		s.suspectIf(true, b.target, fault.New(fault.TargetLost, "a stream broke off and the target does not answer a poll").WithCause(cause))
+	}
+	if proof := proofOfEnd(b.target, r, err); proof != "" {
+		s.noteTargetEnded(b, proof)
 	}
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -365,6 +365,7 @@
 		"event", "Request", "request", q.headers.ID, "route", q.route.Name, "service", q.service.Name, "account", q.account,
 		"config", q.version, "configAge", q.Configs.Age().Round(time.Millisecond), "fleetAge", q.Fleets.Age().Round(time.Millisecond),
 		"status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
+		"prompt", promptText(q.headers.PromptParts),
 	}
 	if !q.firstByte.IsZero() {
 		q.Metrics.GetOrCreateHistogram(`shallotcourse_first_byte_seconds{Service="` + q.service.Name + `"}`).Update(q.firstByte.Sub(q.arrived).Seconds())
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -68,6 +68,9 @@
 		tokens int
 		ticket *ledger.Ticket
 		hops   []chain.Hop
+		// sentAt is when the request was last sent to a first target. beganAt is
+		// when that target's first event arrived; zero before.
+		sentAt, beganAt time.Time
 		// excluded holds the IDs of targets that refused or stalled this
 		// request, or whose stream broke off.
 		excluded map[string]bool
@@ -150,7 +153,7 @@
 			return
 		}
 		_ = level.Info(q.Log).Log("event", "StreamResumes", "request", q.headers.ID, "lastEvent", s.lastEvent,
-			"events", s.events, "sends", s.sendCount, "cause", failure)
+			"events", s.events, "sends", s.sendCount, "prompt", promptText(q.headers.PromptParts), "cause", failure)
 	}
 }
 
@@ -276,6 +279,7 @@
 	s.ticket = s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops)
 	defer func() { s.ticket.Close() }()
 	s.sendCount++
+	s.sentAt, s.beganAt = s.Clock.Now(), time.Time{}
 	s.possibleRunners = append(s.possibleRunners, hops[0].Target)
 	s.pathLog += " " + pathText(hops)
 	u := s.startUpstream(hops)
@@ -427,5 +431,8 @@
 	if s.firstByte.IsZero() {
 		s.firstByte = s.Clock.Now()
 	}
+	if s.beganAt.IsZero() {
+		s.beganAt = s.Clock.Now()
+	}
 	s.ticket.PromptRead()
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -118,8 +118,8 @@
 func (s *stream) noteEnd(failure *fault.Error) *fault.Error {
 	if failure != nil && s.r.Context().Err() == nil {
 		s.excluded[s.hops[0].Target.ID] = true
-		first := s.hops[0].Target
-		s.background(func() { s.probe(first, failure) })
+		broken := s.brokenRun()
+		s.background(func() { s.probe(broken, failure) })
 	}
 	return failure
 }
