blame, proxy, peers: hold back parts of prompts under which targets end

Cause: a failure was remembered for the target only, never for the request. A gateway took the end of a target as bad luck and sent the same request to the next one; nothing passed from one request to the next, or from one gateway to another. Its class: a retry policy that takes the cause of a failure to lie with the target, never with the work.

Why this works: gateways exchange which unanswered prompts were at each target that ended, and which of their parts survived elsewhere. The guilty part is the one with ends and without survivals; parts shared with sound requests survive all the time, so accounts, first parts and prefixes are never refused. Three ends apart from one another are needed, so a lost rack holds nothing.

A target that ended under a young request now counts among the attempts of the request, two at least. A response without a byte is followed by a poll of its target, like one that breaks off.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sys/unix"
 
+	"shallotcourse/internal/blame"
 	"shallotcourse/internal/conf"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
@@ -87,6 +88,7 @@
 	configs  *follow.Configs
 	fleets   *follow.Fleets
 	ledger   *ledger.Ledger
+	prompts  *blame.Tracker
 	peers    *peers.Peers
 	members  *peers.Members
 	planner  *plan.Planner
@@ -163,6 +165,7 @@
 	g.configs = follow.NewConfigs(g.store, d.clock, bootClock, d.logger)
 	g.fleets = follow.NewFleets(g.store, d.clock, bootClock, d.logger)
 	g.ledger = ledger.New(d.clock)
+	g.prompts = blame.New(blame.Options{Clock: d.clock, Log: d.logger, Instance: settings.Instance})
 	client := targetClient()
 	engines := platform.Engines{Client: client}
 	handlers := &deferredHandlers{}
@@ -175,8 +178,9 @@
 	g.members = peers.NewMembers(self, g.store, g.links, d.clock, d.logger, func(n int) { g.gatewayCount.Store(int64(n)) })
 	g.peers = peers.New(peers.Options{
 		Self: self, Incarnation: d.incarnation, Members: g.members, Links: g.links, Clock: d.clock, BootClock: bootClock, Log: d.logger,
-		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Retries: retries,
+		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Prompts: g.prompts, Retries: retries,
 	})
+	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
 	g.configs.SetRole(g.peers.Role)
 	g.fleets.SetRole(g.peers.Role)
 	handlers.set(g.peers)
@@ -187,7 +191,7 @@
 			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
-		Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
+		Prompts: g.prompts, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
--- a/internal/cmds/gateway_body_test.go
+++ b/internal/cmds/gateway_body_test.go
@@ -78,6 +78,30 @@
 	})
 }
 
+// Guards against a stream with neither a length nor chunks that is taken for
+// complete although its connection ended inside an event, and against a refusal
+// of one that is whole.
+func TestGatewayPassesOnUnframedStreams(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		t.Run(fmt.Sprintf("torn=%t", torn), func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			engines := []*sims.Engine{site.AddEngine("e1", "x", testModel).SetLayers(0, 8), site.AddEngine("e2", "x", testModel).SetLayers(0, 8)}
+			engines[0].SetFaults(sims.EngineFaults{Unframed: true, Torn: torn})
+			g := startGateway(t, "g1", store, nil).waitReady(t)
+			for range 4 {
+				a := g.get("/draft/x?events=9")
+				is.NoErr(a.err)
+				is.Equal(eventIDs(a.body), "1 2 3 4 5 6 7 8 9")
+			}
+			is.True(engines[0].Served() > 0)
+			engines[1].SetFaults(sims.EngineFaults{Unframed: true, Torn: torn})
+			a := g.get("/draft/x?events=30")
+			is.Equal(a.err != nil, torn) // broken off, and not complete
+		})
+	}
+}
+
 // Guards against requests that outlive their deadline, and against memory that
 // grows with the response, because a target sends a body without end.
 func TestGatewayEndsBodiesWithoutEnd(t *testing.T) {
--- a/internal/cmds/gateway_prompt_test.go
+++ b/internal/cmds/gateway_prompt_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/fault"
 	"shallotcourse/platform/sims"
 )
 
@@ -98,6 +101,16 @@
 	time.Sleep(knownEverywhere)
 	after, sent := sound.take()
 
+	a := gateways[0].get("/draft/x", "Prompt-Prefix", "f9:1,"+crashingPart+":4,c:9")
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.Equal(a.header.Get(fault.Header), string(fault.NotRun))
+	seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds > 60) // returning sooner is of no use
+	for _, g := range gateways {
+		is.True(strings.Contains(g.showStatus(t), crashingPart))
+	}
+
 	arrivals, crashes := site.Crashes()
 	late := 0
 	for _, at := range arrivals {
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -92,6 +92,11 @@
 		row(b.Service, strings.Join(b.DataCentres, ","), int(b.Requests), int(b.Best), fmt.Sprintf("%d-%d", b.Binding.From, b.Binding.To))
 	}
 	row()
+	row("HELD PROMPT PARTS", "LEFT", "SINCE", "ROUNDS", "EVIDENCE")
+	for _, h := range s.Holds {
+		row(strings.Join(h.Parts, ","), h.Left.Round(time.Second), h.Age.Round(time.Second).String()+" ago", h.Rounds, h.EvidenceText())
+	}
+	row()
 	row("TARGET", "SERVICE", "DATACENTRE", "CARD", "LAYERS", "WHY", "SINCE", "RUNNING", "STATE")
 	for _, target := range s.Targets {
 		why, since := "-", "-"
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"shallotcourse/internal/blame"
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/plan"
 	"shallotcourse/internal/topo"
@@ -29,6 +30,9 @@
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
+		// Holds holds the parts of prompts that are not sent to targets for some
+		// time, because targets have ended under them.
+		Holds []blame.Hold
 		// PlannerTerm is the newest lease term received from a planner on
 		// another gateway, 0 if there is none; PlannerSilent is the time since
 		// it was last received.
@@ -53,7 +57,7 @@
 	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
-		Routes: config.Routes(), Bounds: g.planner.Bounds(),
+		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -196,6 +196,20 @@
 	is.Equal(g.get("/look/x").status, http.StatusOK)
 }
 
+// showStatus returns what the status command prints of the gateway.
+func (g *testGateway) showStatus(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(g.status))
+	defer server.Close()
+	root, out := NewRoot(), &strings.Builder{}
+	root.SetArgs([]string{"gateway", "status", server.Listener.Addr().String()})
+	root.SetOut(out)
+	if err := root.Execute(); err != nil {
+		t.Fatal(err)
+	}
+	return out.String()
+}
+
 // Guards against a status that omits routes, placement or load.
 func TestGatewayStatus(t *testing.T) {
 	is := is.New(t)
@@ -207,15 +221,11 @@
 		from, to := e.Layers()
 		return to-from == 8 && target.Held.Len() == 8
 	})
-	server := httptest.NewServer(http.HandlerFunc(g.status))
-	defer server.Close()
-	root, out := NewRoot(), &strings.Builder{}
-	root.SetArgs([]string{"gateway", "status", server.Listener.Addr().String()})
-	root.SetOut(out)
-	is.NoErr(root.Execute())
+	status := g.showStatus(t)
 	for _, want := range []string{"/register/", "once", "plain:1", "e1", "0-8", "hole", "ready", "BINDING"} {
-		is.True(strings.Contains(out.String(), want)) // want
+		is.True(strings.Contains(status, want)) // want
 	}
+	root := NewRoot()
 	root.SetArgs([]string{"gateway", "status", "127.0.0.1:1"})
 	is.True(root.Execute() != nil)
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -47,6 +47,9 @@
 	// NoTarget means that the available targets do not cover the model or
 	// service.
 	NoTarget Code = "NoTarget"
+	// Held means that targets ended under a part of the prompt, and that requests
+	// with it are not sent for some time.
+	Held Code = "Held"
 	// Leaving means that the process or target accepts no new work.
 	Leaving Code = "Leaving"
 	// Unavailable means that a dependency did not answer.
@@ -139,7 +142,7 @@
 // later.
 func (e *Error) Retryable() bool {
 	switch e.Code {
-	case Overloaded, LimitReached, NoTarget, Leaving, Unavailable, Deadline, TargetLost:
+	case Overloaded, LimitReached, NoTarget, Held, Leaving, Unavailable, Deadline, TargetLost:
 		return true
 	}
 	return false
@@ -180,7 +183,7 @@
 		return http.StatusRequestEntityTooLarge
 	case LimitReached:
 		return http.StatusTooManyRequests
-	case Overloaded, NoTarget, Leaving, Unavailable:
+	case Overloaded, NoTarget, Held, Leaving, Unavailable:
 		return http.StatusServiceUnavailable
 	case Deadline:
 		return http.StatusGatewayTimeout
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"shallotcourse/internal/blame"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
@@ -58,6 +59,7 @@
 		Configs   *follow.Configs
 		Fleets    *follow.Fleets
 		Ledger    *ledger.Ledger
+		Prompts   *blame.Tracker
 		Retries   *limit.RetryLimiter
 		// Incarnation is the incarnation of this process.
 		Incarnation string
@@ -82,6 +84,8 @@
 		// groupStateRounds counts the ticks at which this gateway has sent
 		// GroupState messages as a leader; only Run uses it.
 		groupStateRounds int
+		// prompts builds the regular reports on prompts; only Run uses it.
+		prompts *blame.Reporter
 		// sentLoads holds the loads in the last two states sent to the leader,
 		// the older first.
 		sentLoads [2]map[string]wire.TargetLoad
@@ -131,7 +135,9 @@
 	p := &Peers{
 		Options: o, topology: Topology{Mesh: true}, unlinkedSince: map[string]time.Duration{}, avoidedUntil: map[string]time.Duration{},
 		lastReceived: map[string]received{}, syncState: syncState{pendingSyncs: map[uint64]time.Duration{}},
+		prompts: o.Prompts.NewReporter(),
 	}
+	o.Prompts.SetPeers(p.publishPrompts, p.ownsHold)
 	o.Members.setMayPrune(p.mayPrune)
 	return p
 }
@@ -162,6 +168,9 @@
 		p.sendToLeader(links, topology.Leader)
 	}
 	p.requestSync(links)
+	if report := p.prompts.Report(p.Topology().Leads); !report.Empty() {
+		p.publishPrompts(report)
+	}
 }
 
 // linksByInstance returns one link to each connected gateway.
@@ -245,6 +254,10 @@
 // LinkUp implements link.Handler.
 func (p *Peers) LinkUp(peer link.Peer) {
 	_ = level.Info(p.Log).Log("event", "PeerUp", "peer", peer.Hello().Instance, "incarnation", peer.Hello().Incarnation)
+	// The other gateway may have restarted or missed reports.
+	if report := p.Prompts.FullReport(); !report.Empty() {
+		p.send(peer, wire.SuspicionAlert{Prompts: &report})
+	}
 }
 
 // LinkDown implements link.Handler.
@@ -261,6 +274,7 @@
 		p.receiveGroupState(peer.Hello(), m)
 	case wire.SuspicionAlert:
 		p.receiveSuspicions(peer.Hello().Instance, m.Suspicions)
+		p.receivePrompts(peer.Hello().Instance, m.Prompts)
 	case wire.SyncRequest:
 		p.send(peer, p.syncResponse(m))
 	case wire.SyncResponse:
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -63,7 +63,8 @@
 // bounded by the caller's remaining time; 0 if a retry does not help.
 func (q *request) retryAfter(e *fault.Error) time.Duration {
 	after := q.baseRetryAfter(e)
-	if q.deadline.IsZero() || after <= minRetryAfter {
+	// A held request is refused again however often its caller returns.
+	if q.deadline.IsZero() || after <= minRetryAfter || e.Code == fault.Held {
 		return after
 	}
 	if most := max(minRetryAfter, time.Duration(retryAfterShare*float64(q.remaining()))); after > most {
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -118,12 +118,11 @@
 // probe polls a target whose stream broke off and marks it as suspected if it
 // does not answer. One broken stream alone is no reason to avoid a target.
 func (s *stream) probe(b brokenRun, cause error) {
-	r, err := s.fetchReport(context.Background(), b.target)
-	if err != nil {
+	if _, err := s.fetchReport(context.Background(), b.target); err != nil {
 		s.suspectIf(true, b.target, fault.New(fault.TargetLost, "a stream broke off and the target does not answer a poll").WithCause(cause))
 	}
-	if proof := proofOfEnd(b.target, r, err); proof != "" {
-		s.noteTargetEnded(b, proof)
+	if b.young {
+		s.confirmEnd(b)
 	}
 }
 
@@ -160,6 +159,9 @@
 		if h.Target.Address == address {
 			s.suspectIf(true, h.Target, fault.Newf(fault.TargetLost, "target %s reports a request that waits for this target", first.ID))
 			s.excluded[h.Target.ID] = true
+			if broken := s.brokenRun(h.Target); broken.young {
+				s.background(func() { s.confirmEnd(broken) })
+			}
 			return 0, nil
 		}
 	}
@@ -169,6 +171,9 @@
 // repath replaces the failing targets of the path; the others keep the state of
 // the tokens that they have processed.
 func (s *stream) repath(silent time.Duration) (time.Duration, *fault.Error) {
+	if h := s.Prompts.Held(s.headers.PromptParts); h != nil && !s.survived {
+		return 0, s.heldError(h).WithOutcome(s.outcome())
+	}
 	if s.repaths++; s.repaths > maxRepaths {
 		return 0, fault.New(fault.TargetLost, "the maximum number of path changes is reached").WithOutcome(s.outcome())
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"shallotcourse/internal/blame"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
@@ -65,6 +66,7 @@
 		Configs  *follow.Configs
 		Fleets   *follow.Fleets
 		Ledger   *ledger.Ledger
+		Prompts  *blame.Tracker
 		Retries  *limit.RetryLimiter
 		Returns  *limit.RetryPacer
 		// LoadLag returns the number of other gateways and the age of the load
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -48,6 +48,9 @@
 	// maxResumes is the maximum number of targets at which one stream is
 	// resumed.
 	maxResumes = 3
+	// minRuns is the number of targets that may run a stream although all but the
+	// last have ended before it had survived there.
+	minRuns = 2
 	// retryWaitShare is the part of Settings.StallLimit that a stream waits for
 	// the retry budget; callers give up after a pause of about that limit.
 	retryWaitShare = 0.6
@@ -71,6 +74,12 @@
 		// sentAt is when the request was last sent to a first target. beganAt is
 		// when that target's first event arrived; zero before.
 		sentAt, beganAt time.Time
+		// survived is true once the target has answered for so long, or to the end,
+		// that it will not end under this request.
+		survived bool
+		// youngLosses holds the IDs of first targets that broke the request off
+		// before it had survived there.
+		youngLosses map[string]bool
 		// excluded holds the IDs of targets that refused or stalled this
 		// request, or whose stream broke off.
 		excluded map[string]bool
@@ -107,6 +116,9 @@
 	eventStream struct {
 		status int
 		header http.Header
+		// unframed is true if the answer has neither a length nor chunks, so that
+		// it ends with its connection.
+		unframed bool
 	}
 
 	// wholeResponse is a response that is not a stream, with its body.
@@ -128,11 +140,15 @@
 // stream at another one.
 func (q *request) serveStream() {
 	s := &stream{
-		request: q, excluded: map[string]bool{}, lastEvent: q.headers.LastEvent, control: http.NewResponseController(q.w),
+		request: q, excluded: map[string]bool{}, youngLosses: map[string]bool{}, lastEvent: q.headers.LastEvent, control: http.NewResponseController(q.w),
 		tokens: expectedTokens(q.headers, q.service.Model),
 	}
 	var last *fault.Error
 	for {
+		if h := s.Prompts.Check(q.headers.PromptParts); h != nil {
+			s.fail(lessCertain(last, s.heldError(h)))
+			return
+		}
 		hops, err := s.findPath()
 		if err != nil {
 			s.fail(lessCertain(last, err))
@@ -142,6 +158,11 @@
 			s.fail(lessCertain(last, fault.New(fault.Overloaded, "the retry budget of the service is exhausted")))
 			return
 		}
+		if h := s.Prompts.Held(q.headers.PromptParts); h != nil {
+			// The hold is newer than the check above, which came before the waits.
+			s.fail(lessCertain(last, s.heldError(h)))
+			return
+		}
 		failure := s.run(hops)
 		if failure == nil {
 			q.recordOutcome(http.StatusOK, "Answered", nil)
@@ -199,17 +220,22 @@
 
 // mayResume reports whether one more target may run the request. Targets that
 // have restarted, left the list or become unresponsive do not count; a
-// suspected one counts, because it may still run the request.
+// suspected one counts, because it may still run the request. So does one that
+// ended before the request had survived there, which may be the reason.
 func (s *stream) mayResume() bool {
-	alive := 0
+	alive, lost := 0, 0
 	fleet := s.Fleets.Section().Value()
 	for _, t := range s.possibleRunners {
 		listed, ok := fleet.Target(t.ID)
-		if ok && listed.Started == t.Started && !s.Ledger.Unresponsive(t) {
+		switch {
+		case ok && listed.Started == t.Started && !s.Ledger.Unresponsive(t):
 			alive++
+		case s.youngLosses[t.ID]:
+			lost++
 		}
 	}
-	return s.route.Resumable && alive < s.route.Attempts && len(s.possibleRunners) <= maxResumes
+	return s.route.Resumable && alive < s.route.Attempts && alive+lost < max(s.route.Attempts, minRuns) &&
+		len(s.possibleRunners) <= maxResumes
 }
 
 // fail ends the request without the rest of its response.
@@ -279,14 +305,18 @@
 	s.ticket = s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops)
 	defer func() { s.ticket.Close() }()
 	s.sendCount++
-	s.sentAt, s.beganAt = s.Clock.Now(), time.Time{}
+	s.sentAt, s.beganAt, s.survived = s.Clock.Now(), time.Time{}, false
 	s.possibleRunners = append(s.possibleRunners, hops[0].Target)
 	s.pathLog += " " + pathText(hops)
 	u := s.startUpstream(hops)
 	defer u.cancel()
 	failure := s.relay(u)
-	if failure != nil && failure.Outcome == fault.NotRun {
+	switch {
+	case failure == nil:
+	case failure.Outcome == fault.NotRun:
 		s.possibleRunners = s.possibleRunners[:len(s.possibleRunners)-1]
+	case !s.survived:
+		s.youngLosses[hops[0].Target.ID] = true
 	}
 	return failure
 }
@@ -310,7 +340,8 @@
 	defer deadline.Stop()
 	heads, events := u.head, (chan event)(nil)
 	lastEventAt := s.Clock.Now()
-	suspicions := s.Ledger.Changed()
+	suspicions, holds := s.Ledger.Changed(), s.Prompts.Changed()
+	unframed := false
 	for {
 		select {
 		case h := <-heads:
@@ -323,11 +354,16 @@
 				return s.passOn(h.response)
 			case eventStream:
 				s.writeHead(h)
+				unframed = h.unframed
 			}
 			heads, events = nil, u.events
 		case ev, ok := <-events:
 			if !ok {
-				return s.noteEnd(<-u.end)
+				failure := s.noteEnd(<-u.end)
+				if failure == nil {
+					s.noteComplete(unframed)
+				}
+				return failure
 			}
 			progress, err := s.writeEvents(ev, events)
 			if err != nil {
@@ -341,6 +377,9 @@
 				s.Ledger.CountLatePause()
 			}
 			lastEventAt = now
+			if now.Sub(s.beganAt) >= youngAge {
+				s.noteSurvival()
+			}
 			silence.Reset(eventSilence)
 		case <-silence.C:
 			if silent := s.Clock.Now().Sub(lastEventAt); s.events > 0 && silent > s.maxSilence() {
@@ -356,6 +395,12 @@
 			if s.pathSuspected() {
 				silence.Reset(max(time.Millisecond, suspectedSilence-s.Clock.Now().Sub(lastEventAt)))
 			}
+		case <-holds:
+			holds = s.Prompts.Changed()
+			// A request that has begun to be answered proves the hold wrong or right.
+			if h := s.Prompts.Held(s.headers.PromptParts); h != nil && s.beganAt.IsZero() {
+				return s.heldError(h).WithOutcome(s.outcome())
+			}
 		case <-deadline.C:
 			return fault.New(fault.Deadline, "the stream did not end before the deadline of the route or the caller").WithOutcome(s.outcome())
 		case <-s.r.Context().Done():
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -45,7 +45,7 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, s.readNonStream(resp)
 	}
-	return resp, eventStream{resp.StatusCode, resp.Header}
+	return resp, eventStream{resp.StatusCode, resp.Header, resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 }
 
 // readNonStream reads a response that is not a stream; roundTrip has already
@@ -93,6 +93,9 @@
 	}
 	s.excluded[at.ID] = true
 	s.suspectIf(err.Code == fault.Unavailable, at, err)
+	if err.Code == fault.TargetLost {
+		s.probeBroken(err)
+	}
 	if err.Field != "" || err.Code == fault.Leaving {
 		s.background(func() { s.checkListing(at) })
 	}
@@ -118,8 +121,13 @@
 func (s *stream) noteEnd(failure *fault.Error) *fault.Error {
 	if failure != nil && s.r.Context().Err() == nil {
 		s.excluded[s.hops[0].Target.ID] = true
-		broken := s.brokenRun()
-		s.background(func() { s.probe(broken, failure) })
+		s.probeBroken(failure)
 	}
 	return failure
 }
+
+// probeBroken probes the first target, which broke off the response.
+func (s *stream) probeBroken(cause error) {
+	broken := s.brokenRun(s.hops[0].Target)
+	s.background(func() { s.probe(broken, cause) })
+}
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"shallotcourse/internal/blame"
 	"shallotcourse/internal/topo"
 )
 
@@ -63,6 +64,9 @@
 	// GatewayState or GroupState.
 	SuspicionAlert struct {
 		Suspicions []Suspicion `cbor:"Doubts"`
+		// Prompts is what the sender knows of parts of prompts under which targets
+		// end. It is also sent at regular times.
+		Prompts *blame.Report `cbor:",omitempty"`
 	}
 
 	// Member is a gateway.
