proxy: log the limits that targets name

The adapter decodes the limit of requests a second that a target names in its answers; only finite decimal numbers from 0 on count, all else is malformed. TargetLimit is logged when a gateway's own answers begin, change or stop to name one. No decision changes.

--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -230,6 +230,9 @@
 		return nil, fault.Newf(fault.TargetLost, "target %s gave no answer", t.ID).WithOutcome(fault.Unknown).WithCause(err)
 	}
 	a := q.Dialect.ReadResponse(resp.Header)
+	if resp.StatusCode != http.StatusMisdirectedRequest && (a.ID == "" || a.ID == q.headers.ID) {
+		q.noteLimit(t, a.Limit)
+	}
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest, a.NotRun:
 		_ = resp.Body.Close()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,6 +65,19 @@
 		// RefusedBy is the address of the target on the path that caused a
 		// refusal.
 		RefusedBy string
+		// Limit is the limit on requests that the target names.
+		Limit NamedLimit
+	}
+
+	// NamedLimit is the rate of requests that a target takes from all gateways
+	// together, as named in one of its responses.
+	NamedLimit struct {
+		// Named is true if the response names a limit at all.
+		Named bool
+		// PerSecond is finite and not negative. It is 0 if Malformed is not empty.
+		PerSecond float64
+		// Malformed is what the target sent instead of a limit.
+		Malformed string
 	}
 
 	// Report is a target's report of its incarnation, layers, pace and load.
