limit, proxy, chain, peers: keep to the limits that targets name

Cause: the header was not read. Its class: a statement of a target about all callers together that each gateway would at best have kept to alone, and learnt of from its own next answer, up to 4 s later.

Why this works: a limit is divided in fixed equal shares over as many gateways as can send one request every two seconds each, chosen alike by all from their list, so they keep to it without hearing one another. The last answer counts, and reaches all gateways at once. A target that has no place free begins no path, for streams that go on elsewhere too; what no target takes in time is refused at once.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -56,6 +56,8 @@
 		// SlowFactor multiplies the target's step time; 1 is the pace of its card,
 		// and lower values count as 1.
 		SlowFactor float64
+		// NotFirst is set if no chain may begin at the target at present.
+		NotFirst bool
 	}
 
 	// Hop is one target of a chain and the layers that it runs.
@@ -147,8 +149,8 @@
 // Choose returns the cheapest chain that covers the requested layers. If any
 // data centre holds all these layers, the chain stays within one, since prompts
 // would saturate the network between data centres. The failure is NoTarget if no
-// target holds some layer, and Overloaded if the targets that hold it have no
-// memory or time left.
+// target holds some layer, TargetLimit if no chain can begin because of NotFirst,
+// and Overloaded if the targets that hold the layers have no memory or time left.
 func Choose(m *topo.Model, candidates []Candidate, req Request) ([]Hop, error) {
 	usable := make([]*Candidate, 0, len(candidates))
 	byDC := map[string][]*Candidate{}
@@ -184,6 +186,8 @@
 		return best.hops, nil
 	case tooLate:
 		return nil, fault.New(fault.Overloaded, "the prompts queued at the targets exceed the time limit")
+	case req.begins() && slices.ContainsFunc(usable, func(c *Candidate) bool { return c.NotFirst && c.holds(req.Layers.From) }):
+		return nil, fault.New(fault.TargetLimit, "the targets that could begin a chain have reached the limits that they named")
 	}
 	return nil, fault.New(fault.Overloaded, "no chain of targets has enough free memory and slots")
 }
@@ -207,7 +211,7 @@
 	kept := map[*Candidate]bool{}
 	for _, cs := range byKind {
 		slices.SortFunc(cs, func(a, b *Candidate) int {
-			return cmp.Or(cmp.Compare(a.loadScore(), b.loadScore()), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(compareBool(a.NotFirst, b.NotFirst), cmp.Compare(a.loadScore(), b.loadScore()), cmp.Compare(a.ID, b.ID))
 		})
 		for _, c := range cs[:min(maxPerKind, len(cs))] {
 			kept[c] = true
@@ -220,6 +224,21 @@
 	return slices.DeleteFunc(usable, dropped)
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// begins reports whether the requested layers begin a chain.
+func (r Request) begins() bool { return r.PrevDataCentre == "" }
+
+func (c *Candidate) holds(layer int) bool { return c.Held.From <= layer && layer < c.Held.To }
+
 // loadScore is the sort key of targets with the same card and layers, the least
 // loaded lowest.
 func (c *Candidate) loadScore() float64 { return (1 + c.Load.TokenLayers) * max(1, c.SlowFactor) }
@@ -341,7 +360,7 @@
 		if t.Held.From > at || t.Held.To <= at || c == p.last || s.contains(p, c) {
 			continue
 		}
-		if p.last < 0 && !s.req.Forced && t.Slots > 0 && t.Load.First >= t.Slots {
+		if p.last < 0 && (t.NotFirst && s.req.begins() || !s.req.Forced && t.Slots > 0 && t.Load.First >= t.Slots) {
 			continue
 		}
 		cost := p.cost + s.crossingCost(p.last, c)
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -89,6 +89,7 @@
 	fleets   *follow.Fleets
 	ledger   *ledger.Ledger
 	prompts  *blame.Tracker
+	limits   *limit.TargetLimiter
 	peers    *peers.Peers
 	members  *peers.Members
 	planner  *plan.Planner
@@ -176,11 +177,13 @@
 		Instance: settings.Instance, Address: settings.Advertise, DataCentre: settings.DataCentre, MilliCores: int(1000 * settings.Processor),
 	}
 	g.members = peers.NewMembers(self, g.store, g.links, d.clock, d.logger, func(n int) { g.gatewayCount.Store(int64(n)) })
+	g.limits = limit.NewTargetLimiter(d.clock, limit.Gateway{Instance: self.Instance, DataCentre: self.DataCentre}, g.members)
 	g.peers = peers.New(peers.Options{
 		Self: self, Incarnation: d.incarnation, Members: g.members, Links: g.links, Clock: d.clock, BootClock: bootClock, Log: d.logger,
-		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Prompts: g.prompts, Retries: retries,
+		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Prompts: g.prompts, Limits: g.limits, Retries: retries,
 	})
 	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
+	d.metrics.NewGauge("shallotcourse_target_limits", func() float64 { return float64(len(g.limits.Limits())) })
 	g.configs.SetRole(g.peers.Role)
 	g.fleets.SetRole(g.peers.Role)
 	handlers.set(g.peers)
@@ -191,7 +194,7 @@
 			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
-		Prompts: g.prompts, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
+		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -97,6 +97,11 @@
 		row(strings.Join(h.Parts, ","), h.Left.Round(time.Second), h.Age.Round(time.Second).String()+" ago", h.Rounds, h.EvidenceText())
 	}
 	row()
+	row("LIMITED TARGETS", "PER SECOND", "FROM HERE", "NAMED", "TO")
+	for _, l := range s.Limits {
+		row(l.Target, l.PerSecond, fmt.Sprintf("%.2g", l.Share), l.Age.Round(time.Millisecond).String()+" ago", l.SeenBy)
+	}
+	row()
 	row("TARGET", "SERVICE", "DATACENTRE", "CARD", "LAYERS", "WHY", "SINCE", "RUNNING", "STATE")
 	for _, target := range s.Targets {
 		why, since := "-", "-"
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -9,6 +9,7 @@
 
 	"shallotcourse/internal/blame"
 	"shallotcourse/internal/chain"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/plan"
 	"shallotcourse/internal/topo"
 )
@@ -33,6 +34,8 @@
 		// Holds holds the parts of prompts that are not sent to targets for some
 		// time, because targets have ended under them.
 		Holds []blame.Hold
+		// Limits holds the limits that targets have named.
+		Limits []limit.TargetLimit
 		// PlannerTerm is the newest lease term received from a planner on
 		// another gateway, 0 if there is none; PlannerSilent is the time since
 		// it was last received.
@@ -57,7 +60,7 @@
 	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
-		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(),
+		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -44,6 +44,9 @@
 	// LimitReached means that the client account has reached its rate or
 	// concurrency limit.
 	LimitReached Code = "LimitReached"
+	// TargetLimit means that the targets which could take the request have reached
+	// the limits that they named.
+	TargetLimit Code = "TargetLimit"
 	// NoTarget means that the available targets do not cover the model or
 	// service.
 	NoTarget Code = "NoTarget"
@@ -142,7 +145,7 @@
 // later.
 func (e *Error) Retryable() bool {
 	switch e.Code {
-	case Overloaded, LimitReached, NoTarget, Held, Leaving, Unavailable, Deadline, TargetLost:
+	case Overloaded, LimitReached, TargetLimit, NoTarget, Held, Leaving, Unavailable, Deadline, TargetLost:
 		return true
 	}
 	return false
@@ -183,7 +186,7 @@
 		return http.StatusRequestEntityTooLarge
 	case LimitReached:
 		return http.StatusTooManyRequests
-	case Overloaded, NoTarget, Held, Leaving, Unavailable:
+	case Overloaded, TargetLimit, NoTarget, Held, Leaving, Unavailable:
 		return http.StatusServiceUnavailable
 	case Deadline:
 		return http.StatusGatewayTimeout
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -16,6 +16,7 @@
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/wire"
@@ -120,6 +121,23 @@
 	return slices.Collect(maps.Values(m.others)), m.version
 }
 
+// Version returns the version of the list.
+func (m *Members) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
+// Gateways implements limit.Gateways.
+func (m *Members) Gateways() []limit.Gateway {
+	others, _ := m.List()
+	out := make([]limit.Gateway, len(others))
+	for i, o := range others {
+		out[i] = limit.Gateway{Instance: o.Instance, DataCentre: o.DataCentre}
+	}
+	return out
+}
+
 // Others returns the number of the other gateways.
 func (m *Members) Others() int {
 	m.mu.Lock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -60,6 +60,7 @@
 		Fleets    *follow.Fleets
 		Ledger    *ledger.Ledger
 		Prompts   *blame.Tracker
+		Limits    *limit.TargetLimiter
 		Retries   *limit.RetryLimiter
 		// Incarnation is the incarnation of this process.
 		Incarnation string
@@ -138,6 +139,7 @@
 		prompts: o.Prompts.NewReporter(),
 	}
 	o.Prompts.SetPeers(p.publishPrompts, p.ownsHold)
+	o.Limits.SetPublish(p.publishLimits)
 	o.Members.setMayPrune(p.mayPrune)
 	return p
 }
@@ -168,9 +170,8 @@
 		p.sendToLeader(links, topology.Leader)
 	}
 	p.requestSync(links)
-	if report := p.prompts.Report(p.Topology().Leads); !report.Empty() {
-		p.publishPrompts(report)
-	}
+	p.reportPrompts()
+	p.reportLimits()
 }
 
 // linksByInstance returns one link to each connected gateway.
@@ -255,9 +256,7 @@
 func (p *Peers) LinkUp(peer link.Peer) {
 	_ = level.Info(p.Log).Log("event", "PeerUp", "peer", peer.Hello().Instance, "incarnation", peer.Hello().Incarnation)
 	// The other gateway may have restarted or missed reports.
-	if report := p.Prompts.FullReport(); !report.Empty() {
-		p.send(peer, wire.SuspicionAlert{Prompts: &report})
-	}
+	p.sendAll(peer)
 }
 
 // LinkDown implements link.Handler.
@@ -275,6 +274,7 @@
 	case wire.SuspicionAlert:
 		p.receiveSuspicions(peer.Hello().Instance, m.Suspicions)
 		p.receivePrompts(peer.Hello().Instance, m.Prompts)
+		p.receiveLimits(peer.Hello().Instance, m.Limits)
 	case wire.SyncRequest:
 		p.send(peer, p.syncResponse(m))
 	case wire.SyncResponse:
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -60,6 +60,9 @@
 		if retry && !q.Retries.Take(q.service.Name) {
 			return fault.New(fault.Overloaded, "the retry budget of the service is exhausted")
 		}
+		if !q.Limits.Take(t) {
+			return fault.Newf(fault.TargetLimit, "target %s has reached the limit that it named", t.ID)
+		}
 		tried = append(tried, t.ID)
 		q.sendCount++
 		q.pathLog += " " + t.ID
@@ -67,7 +70,7 @@
 		go func() { attempts <- q.sendPlain(ctx, t) }()
 		return nil
 	}
-	if err := send(false); err != nil {
+	if err := q.sendFirst(func() *fault.Error { return send(false) }); err != nil {
 		q.refuse(err)
 		return
 	}
@@ -111,6 +114,22 @@
 	}
 }
 
+// sendFirst calls send, again and again while the targets have reached their limits
+// and one is likely to take the request within capacityWaitShare of the objective.
+func (q *request) sendFirst(send func() *fault.Error) *fault.Error {
+	wait := limitWait{request: q, until: q.arrived.Add(time.Duration(capacityWaitShare * float64(q.route.Objective)))}
+	defer wait.end()
+	for {
+		err := send()
+		if err == nil || err.Code != fault.TargetLimit {
+			return err
+		}
+		if err := wait.sleep(err); err != nil {
+			return err
+		}
+	}
+}
+
 // interruption returns the error for a request whose deadline has passed or
 // whose caller has disconnected.
 func (q *request) interruption(last *fault.Error) *fault.Error {
@@ -154,12 +173,17 @@
 	loads := q.Ledger.TotalLoads()
 	var best *topo.Target
 	bestScore := 0.0
+	limited := false
 	targets := q.Fleets.Section().Value().ServiceTargets(q.service.Name)
 	for i := range targets {
 		t := &targets[i]
 		if t.State != topo.Ready || slices.Contains(tried, t.ID) {
 			continue
 		}
+		if !q.Limits.Ready(*t) {
+			limited = true
+			continue
+		}
 		score := q.latencies.expectedLatency(t.ID).Seconds() * (1 + float64(loads[t.ID].Running)/float64(max(1, t.Slots)))
 		if t.DataCentre != q.Settings.DataCentre {
 			score += 2 * time.Millisecond.Seconds()
@@ -172,7 +196,10 @@
 			best, bestScore = t, score
 		}
 	}
-	if best == nil {
+	switch {
+	case best == nil && limited:
+		return topo.Target{}, fault.Newf(fault.TargetLimit, "the targets of service %q have reached the limits that they named", q.service.Name)
+	case best == nil:
 		return topo.Target{}, fault.Newf(fault.NoTarget, "service %q has no target left to try", q.service.Name)
 	}
 	return *best, nil
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -78,7 +78,7 @@
 		return e.RetryAfter
 	}
 	switch e.Code {
-	case fault.Overloaded, fault.LimitReached:
+	case fault.Overloaded, fault.LimitReached, fault.TargetLimit:
 		return q.Returns.NextHint(q.service.Name, minRetryAfter)
 	case fault.NoTarget:
 		return minRepairRetryAfter + rand.N(maxRepairRetryAfter-minRepairRetryAfter)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -67,6 +67,7 @@
 		Fleets   *follow.Fleets
 		Ledger   *ledger.Ledger
 		Prompts  *blame.Tracker
+		Limits   *limit.TargetLimiter
 		Retries  *limit.RetryLimiter
 		Returns  *limit.RetryPacer
 		// LoadLag returns the number of other gateways and the age of the load
@@ -86,7 +87,6 @@
 		// drainStart is the time at which the drain started; nil before.
 		drainStart atomic.Pointer[time.Time]
 		reports    reportCache
-		limits     targetLimits
 		buffers    responseBuffers
 		latencies  latencyStats
 		// abortCtx is cancelled to end the streams that are still open at the
@@ -130,7 +130,6 @@
 	s.abortCtx, s.abort = context.WithCancel(context.Background())
 	s.reports.init()
 	s.latencies.init()
-	s.limits.named = map[string]NamedLimit{}
 	o.Metrics.NewGauge("shallotcourse_requests_open", func() float64 { return float64(s.openRequests.Load()) })
 	return s
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -182,8 +182,7 @@
 // the many streams that lose the same target share the free part of the budget,
 // which is divided among the gateways every half second.
 func (s *stream) takeRetry() bool {
-	wait := time.Duration(retryWaitShare * float64(s.Settings.StallLimit))
-	for until := s.Clock.Now().Add(wait); ; {
+	for until := s.Clock.Now().Add(s.retryWait()); ; {
 		if s.Retries.Take(s.service.Name) {
 			return true
 		}
@@ -193,6 +192,11 @@
 	}
 }
 
+// retryWait is how long a stream that has begun waits for what it needs to go on.
+func (s *stream) retryWait() time.Duration {
+	return time.Duration(retryWaitShare * float64(s.Settings.StallLimit))
+}
+
 // expectedTokens estimates the memory that a request uses at its end, in
 // tokens.
 func expectedTokens(a RequestHeaders, m *topo.Model) int {
@@ -263,7 +267,7 @@
 		if s.excluded[t.ID] || suspected[t.ID] {
 			continue
 		}
-		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace})
+		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: !s.Limits.Ready(t)})
 	}
 	return out
 }
@@ -279,22 +283,38 @@
 	})
 }
 
-// findPath returns a path with free capacity for the request. It waits for
-// capacity up to capacityWaitShare of the objective, but does not wait for
-// layers that no target holds.
+// findPath returns a path with free capacity for the request, and counts it
+// against the limit of the first target. It waits for capacity up to
+// capacityWaitShare of the objective, but does not wait for layers that no target
+// holds.
 func (s *stream) findPath() ([]chain.Hop, *fault.Error) {
 	until := s.arrived.Add(time.Duration(capacityWaitShare * float64(s.route.Objective)))
+	wait := limitWait{request: s.request, until: until}
+	if s.headWritten {
+		wait.until = s.Clock.Now().Add(s.retryWait())
+	}
+	defer wait.end()
 	for {
 		hops, err := s.choosePath(s.headWritten)
 		if err == nil {
-			return hops, nil
+			if s.Limits.Take(hops[0].Target) {
+				return hops, nil
+			}
+			// Another request has taken the place.
+			continue
 		}
 		f := fault.As(err)
-		if f.Code != fault.Overloaded || !s.Clock.Now().Before(until) {
+		switch {
+		case f.Code == fault.TargetLimit:
+			if f := wait.sleep(f); f != nil {
+				return nil, f
+			}
+		case f.Code != fault.Overloaded || !s.Clock.Now().Before(until):
 			return nil, f
-		}
-		if err := timer.Sleep(s.r.Context(), s.Clock, capacityPollInterval); err != nil {
-			return nil, fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
+		default:
+			if err := timer.Sleep(s.r.Context(), s.Clock, capacityPollInterval); err != nil {
+				return nil, fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
+			}
 		}
 	}
 }
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotcourse/internal/blame"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/topo"
 )
 
@@ -67,6 +68,9 @@
 		// Prompts is what the sender knows of parts of prompts under which targets
 		// end. It is also sent at regular times.
 		Prompts *blame.Report `cbor:",omitempty"`
+		// Limits holds limits that targets have named. It is also sent at regular
+		// times.
+		Limits []limit.TargetLimit `cbor:",omitempty"`
 	}
 
 	// Member is a gateway.
