--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -222,12 +222,20 @@
 	return s.mayResume()
 }
 
-// mayResume reports whether one more target may run the request. Targets that
-// have restarted, left the list or become unresponsive do not count; a
-// suspected one counts, because it may still run the request. So does one that
-// ended before the request had survived there, which may be the reason.
+// mayResume reports whether one more target may run the request. A target that
+// ended before the request had survived there counts, because the request may be
+// the reason.
 func (s *stream) mayResume() bool {
-	alive, lost := 0, 0
+	alive, lost := s.runners()
+	return s.route.Resumable && alive < s.route.Attempts && alive+lost < max(s.route.Attempts, minRuns) &&
+		len(s.possibleRunners) <= maxResumes
+}
+
+// runners returns how many of the targets that may have run the request may still
+// run it, and how many have ended before it had survived there. Targets that have
+// restarted, left the list or become unresponsive no longer run it; a suspected one
+// may.
+func (s *stream) runners() (alive, lost int) {
 	fleet := s.Fleets.Section().Value()
 	for _, t := range s.possibleRunners {
 		listed, ok := fleet.Target(t.ID)
@@ -238,8 +246,7 @@
 			lost++
 		}
 	}
-	return s.route.Resumable && alive < s.route.Attempts && alive+lost < max(s.route.Attempts, minRuns) &&
-		len(s.possibleRunners) <= maxResumes
+	return alive, lost
 }
 
 // fail ends the request without the rest of its response.
@@ -251,11 +258,21 @@
 		s.refuse(err)
 		return
 	}
+	s.noteCut(err)
 	s.recordOutcome(http.StatusOK, "Partial", err)
 	// Aborts the connection, so that the response does not look complete.
 	panic(http.ErrAbortHandler)
 }
 
+// noteCut logs what kept a request that has begun from going on.
+func (s *stream) noteCut(err *fault.Error) {
+	alive, lost := s.runners()
+	s.Metrics.GetOrCreateCounter(`shallotcourse_cut_answers_total{Code="` + string(err.Code) + `"}`).Inc()
+	_ = level.Warn(s.Log).Log("event", "AnswerCut", "request", s.headers.ID, "code", string(err.Code), "received", !s.firstByte.IsZero(),
+		"events", s.events, "lastEvent", s.lastEvent, "sends", s.sendCount, "alive", alive, "lost", lost, "attempts", s.route.Attempts,
+		"resumable", s.route.Resumable, "left", s.remaining().Round(time.Millisecond), "stopping", s.abortCtx.Err() != nil)
+}
+
 // candidates returns the targets of the service with their load, except
 // suspected and excluded ones.
 func (s *stream) candidates() []chain.Candidate {
