--- /dev/null
+++ b/internal/cmds/gateway_lost_test.go
@@ -0,0 +1,64 @@
+package cmds
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/platform/sims"
+)
+
+// Guards against a request that ends without an answer because its targets broke off
+// after the head of their responses, of which the caller has received nothing.
+func TestGatewayAnswersWhenTargetsBreakOffAfterTheHead(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		site.AddEngine(id, "x", testModel).SetLayers(0, 8).SetFaults(sims.EngineFaults{BreakHead: true})
+	}
+	g := startGateway(t, "g1", store, nil).waitReady(t)
+	for range 5 {
+		a := g.get("/draft/x")
+		is.NoErr(a.err)
+		is.Equal(a.status, http.StatusBadGateway)
+		is.Equal(a.header.Get(fault.Header), string(fault.Unknown))
+		is.Equal(a.header.Get("Response-Seal"), "")
+	}
+}
+
+// Guards against streams that are cut off because their targets, which are sound,
+// send nothing for a second.
+func TestGatewayWaitsForSilentTargets(t *testing.T) {
+	const want = "1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20 21 22 23 24 25 26 27 28 29 30"
+	for _, c := range []struct {
+		name    string
+		targets int
+	}{{"no other target", 1}, {"all targets", 4}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			engines := make([]*sims.Engine, c.targets)
+			for i := range engines {
+				engines[i] = site.AddEngine(string(rune('a'+i)), "x", sims.Model{Layers: 8, Token: 20 * time.Millisecond}).SetLayers(0, 8)
+			}
+			g := startGateway(t, "g1", store, nil).waitReady(t)
+			answers := make(chan testResponse)
+			for range 8 {
+				go func() { answers <- g.get("/draft/x?events=30") }()
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, e := range engines {
+				e.FallSilent(time.Second)
+			}
+			for range 8 {
+				a := <-answers
+				is.NoErr(a.err)
+				is.Equal(a.status, http.StatusOK)
+				is.Equal(eventIDs(a.body), want)
+			}
+		})
+	}
+}
