proxy: write the head of a stream together with its first event

Callers' connections were closed without a byte (LOST): neither an answer nor a refusal to a whole request. Cause: the head of a target's response marked the caller's answer as begun, although it waited in the buffer until the first event. When the target broke off then, and the request could not go on elsewhere, the gateway aborted the connection, so that a half answer does not look complete, where nothing had been answered at all. The class of fault: a state that is set when something is decided, not when it has happened.

The head is now kept until there is something to write with it, so a failure before that is an ordinary refusal, 502 with outcome Unknown. If the request goes on elsewhere, the caller gets the head, and so the seal, of the target whose events it gets. Which paths a request may take does not change: that still depends on whether a target has begun to answer. The test passes; those of recovery, refusals, prompts and whole bodies too, under -race.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -83,8 +83,11 @@
 		// excluded holds the IDs of targets that refused or stalled this
 		// request, or whose stream broke off.
 		excluded map[string]bool
-		// headWritten is true once the status and headers are written to the
-		// caller.
+		// begun is true once a target has sent the head of its response. head is the
+		// last such head until it is written to the caller, together with the first
+		// event; headWritten is true from then on.
+		begun       bool
+		head        eventStream
 		headWritten bool
 		// lastEvent is the ID of the last event written to the caller, or at
 		// first the one that the caller has asked to resume after.
@@ -307,12 +310,12 @@
 func (s *stream) findPath() ([]chain.Hop, *fault.Error) {
 	until := s.arrived.Add(time.Duration(capacityWaitShare * float64(s.route.Objective)))
 	wait := limitWait{request: s.request, until: until}
-	if s.headWritten {
+	if s.begun {
 		wait.until = s.Clock.Now().Add(s.retryWait())
 	}
 	defer wait.end()
 	for {
-		hops, err := s.choosePath(s.headWritten)
+		hops, err := s.choosePath(s.begun)
 		if err == nil {
 			if s.Limits.Take(hops[0].Target) {
 				return hops, nil
@@ -390,17 +393,13 @@
 			case wholeResponse:
 				return s.passOn(h.response)
 			case eventStream:
-				s.writeHead(h)
+				s.begun, s.head = true, h
 				unframed = h.unframed
 			}
 			heads, events = nil, u.events
 		case ev, ok := <-events:
 			if !ok {
-				failure := s.noteEnd(<-u.end)
-				if failure == nil {
-					s.noteComplete(unframed)
-				}
-				return failure
+				return s.endRun(<-u.end, unframed)
 			}
 			progress, err := s.writeEvents(ev, events)
 			if err != nil {
@@ -465,18 +464,30 @@
 }
 
 // writeHead writes the status and headers of the response, once.
-func (s *stream) writeHead(head eventStream) {
+func (s *stream) writeHead() {
 	if s.headWritten {
 		return
 	}
-	copyHeaders(s.w.Header(), head.header)
+	copyHeaders(s.w.Header(), s.head.header)
 	s.headWritten = true
-	s.w.WriteHeader(head.status)
+	s.w.WriteHeader(s.head.status)
+}
+
+// endRun returns the failure of a run whose response has ended, or nil if the
+// response is complete.
+func (s *stream) endRun(failure *fault.Error, unframed bool) *fault.Error {
+	if failure != nil {
+		return s.noteEnd(failure.WithOutcome(s.outcome()))
+	}
+	s.writeHead()
+	s.noteComplete(unframed)
+	return nil
 }
 
 // writeEvents writes an event and all that are queued behind it. It reports
 // whether one of them is more than a comment.
 func (s *stream) writeEvents(ev event, more <-chan event) (progress bool, failure *fault.Error) {
+	s.writeHead()
 	_ = s.control.SetWriteDeadline(s.Clock.Now().Add(writeTimeout))
 	for {
 		if _, err := s.w.Write(ev.raw); err != nil {
