proxy: stay with a silent target until another one has begun to answer

Cause: a first target that had sent nothing for 180 ms and did not answer a poll within 350 ms was left at once. Only then did the gateway look for attempts of the route, a retry and a path, and for a target that takes the request. If any of these was missing, the answer was cut, although the first target was sound and went on half a second later. The class of fault: something is given up on a suspicion before its substitute is secured.

TestGatewayWaitsForSilentTargets failed in each case ("unexpected EOF": no other target, all targets silent, no retries left).

Now a second run stands by: it is started after the last event if attempts, retry, limit and path allow it, and the first run goes on. The run that sends an event first is kept and the other one ended; a standby that is refused, fails or breaks off before an event changes nothing. Without one the stream waits until its caller has certainly left. No event can be missing or come twice, since a standby that began after event n is dropped when the first run sends event n+1.

Ruled out: to reserve a path and a retry first and leave then.

--- a/internal/cmds/gateway_lost_test.go
+++ b/internal/cmds/gateway_lost_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/conf"
 	"shallotcourse/internal/fault"
 	"shallotcourse/platform/sims"
 )
@@ -36,7 +38,8 @@
 	for _, c := range []struct {
 		name    string
 		targets int
-	}{{"no other target", 1}, {"all targets", 4}} {
+		retries int
+	}{{"no other target", 1, 100}, {"all targets", 4, 100}, {"no retries left", 4, 0}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			site, store, _ := testSite(t)
@@ -44,7 +47,9 @@
 			for i := range engines {
 				engines[i] = site.AddEngine(string(rune('a'+i)), "x", sims.Model{Layers: 8, Token: 20 * time.Millisecond}).SetLayers(0, 8)
 			}
-			g := startGateway(t, "g1", store, nil).waitReady(t)
+			g := startGateway(t, "g1", store, func(s *conf.Gateway) {
+				s.Repeats.Ratio, s.Repeats.Slack = 0, c.retries
+			}).waitReady(t)
 			answers := make(chan testResponse)
 			for range 8 {
 				go func() { answers <- g.get("/draft/x?events=30") }()
@@ -62,3 +67,37 @@
 		})
 	}
 }
+
+// Guards against streams that leave a silent target for one that then refuses them,
+// and are cut off although the silent one is sound.
+func TestGatewayKeepsSilentTargetUntilAnotherAccepts(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults sims.EngineFaults
+	}{
+		{"refuses", sims.EngineFaults{NotRun: true}},
+		{"fails", sims.EngineFaults{Status: http.StatusInternalServerError, Body: "failed"}},
+		{"breaks off after the head", sims.EngineFaults{BreakHead: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			one := site.AddEngine("a", "x", sims.Model{Layers: 8, Token: 20 * time.Millisecond}).SetLayers(0, 8)
+			g := startGateway(t, "g1", store, nil).waitReady(t)
+			answer := make(chan testResponse)
+			go func() { answer <- g.get("/draft/x?events=30") }()
+			eventually(t, "the target has begun", func() bool { return one.Running() == 1 })
+			two := site.AddEngine("b", "x", testModel)
+			two.SetFaults(c.faults)
+			two.SetLayers(0, 8)
+			eventually(t, "the other target is listed", func() bool { return g.fleets.Section().Value().Len() == 4 })
+			one.FallSilent(1200 * time.Millisecond)
+			a := <-answer
+			is.True(len(two.Arrivals()) > 0)
+			is.NoErr(a.err)
+			is.Equal(a.status, http.StatusOK)
+			is.True(strings.HasSuffix(eventIDs(a.body), " 28 29 30"))
+			is.Equal(a.header.Get("Response-Seal"), "seal-a")
+		})
+	}
+}
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -129,7 +129,7 @@
 // handleSilence looks for the cause of a silence and changes the path if a
 // target fails. It returns the silence to allow until the next check, or the
 // error that ends the stream at its first target.
-func (s *stream) handleSilence(lastEventAt time.Time) (time.Duration, *fault.Error) {
+func (s *stream) handleSilence() (time.Duration, *fault.Error) {
 	first := s.hops[0].Target
 	if s.Ledger.Suspected(first) {
 		return 0, fault.Newf(fault.TargetLost, "the first target %s is suspected", first.ID).WithOutcome(s.outcome())
@@ -139,7 +139,7 @@
 			return wait, failure
 		}
 	}
-	return s.repath(s.Clock.Now().Sub(lastEventAt))
+	return s.repath(s.Clock.Now().Sub(s.lastEventAt))
 }
 
 // findStalledTarget asks the first target which other target the request waits
--- /dev/null
+++ b/internal/proxy/standby.go
@@ -0,0 +1,136 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"shallotcourse/internal/chain"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/ledger"
+	"shallotcourse/internal/topo"
+)
+
+// streamRun is one run of a stream, which has been sent along a path. While the
+// current run is silent, a second one may stand by: silence does not prove that a
+// target has failed, and the other target may refuse the request. The run that sends
+// something first is kept.
+type streamRun struct {
+	hops     []chain.Hop
+	upstream *upstream
+	ticket   *ledger.Ticket
+	sentAt   time.Time
+	// head and received are what the target has sent while the run stood by. The
+	// last event is the only one that is more than a comment.
+	head     *eventStream
+	received []event
+}
+
+// startRun sends the request along hops.
+func (s *stream) startRun(hops []chain.Hop) *streamRun {
+	s.sendCount++
+	s.possibleRunners = append(s.possibleRunners, hops[0].Target)
+	s.pathLog += " " + pathText(hops)
+	return &streamRun{
+		hops: hops, upstream: s.startUpstream(hops), sentAt: s.Clock.Now(),
+		ticket: s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops),
+	}
+}
+
+// end ends the run, if it has not ended yet.
+func (r *streamRun) end() {
+	r.upstream.cancel()
+	r.ticket.Close()
+}
+
+// startStandby starts a second run elsewhere because of the failure that a silence
+// suggests. It does nothing if the request may not run on one more target, or if none
+// takes it now.
+func (s *stream) startStandby(failure *fault.Error) {
+	if s.standby != nil || s.sendCount >= maxSends+maxResumes || !s.mayContinue(failure) {
+		return
+	}
+	if s.Prompts.Held(s.headers.PromptParts) != nil {
+		return
+	}
+	first := s.hops[0].Target.ID
+	if !s.excluded[first] {
+		s.excluded[first] = true
+		defer delete(s.excluded, first)
+	}
+	hops, err := s.choosePath(s.begun)
+	if err != nil || !s.Retries.Take(s.service.Name) || !s.Limits.Take(hops[0].Target) {
+		return
+	}
+	_ = level.Info(s.Log).Log("event", "StandbyStarted", "request", s.headers.ID, "lastEvent", s.lastEvent, "path", pathText(hops), "cause", failure)
+	s.standby = s.startRun(hops)
+}
+
+// standbyHead returns the channel on which the head of the standby's response
+// arrives; nil if none is to arrive.
+func (s *stream) standbyHead() <-chan responseHead {
+	if s.standby == nil || s.standby.head != nil {
+		return nil
+	}
+	return s.standby.upstream.head
+}
+
+// standbyEvents returns the channel on which the standby's events arrive; nil before
+// its head.
+func (s *stream) standbyEvents() <-chan event {
+	if s.standby == nil || s.standby.head == nil {
+		return nil
+	}
+	return s.standby.upstream.events
+}
+
+// receiveStandbyHead records the head of the standby's response, and ends the standby
+// if no events follow.
+func (s *stream) receiveStandbyHead(h responseHead) {
+	target := s.standby.hops[0].Target
+	switch h := h.(type) {
+	case eventStream:
+		s.standby.head = &h
+		return
+	case refusedRequest:
+		_ = s.noteRefusal(s.standby.hops, h.err)
+		if h.err.Outcome == fault.NotRun {
+			s.removeRunner(target)
+		}
+	case brokenResponse, wholeResponse:
+		s.excluded[target.ID] = true
+	}
+	s.endStandby("it was not accepted")
+}
+
+// receiveStandbyEvent records an event of the standby, and reports whether the
+// request goes on with it. ok is false at the end of the response, which comes too
+// early.
+func (s *stream) receiveStandbyEvent(ev event, ok bool) bool {
+	if ok && len(s.standby.received) < eventQueueLength {
+		s.standby.received = append(s.standby.received, ev)
+		return !ev.comment
+	}
+	target := s.standby.hops[0].Target
+	s.excluded[target.ID] = true
+	s.probeBroken(target, fault.New(fault.TargetLost, "the response of the standby ended before an event"))
+	s.endStandby("it sent no event")
+	return false
+}
+
+// endStandby ends the standby, if there is one.
+func (s *stream) endStandby(why string) {
+	if s.standby == nil {
+		return
+	}
+	_ = level.Info(s.Log).Log("event", "StandbyEnded", "request", s.headers.ID, "target", s.standby.hops[0].Target.ID, "why", why)
+	s.standby.end()
+	s.standby = nil
+}
+
+// removeRunner removes a target that has refused the request from those that may
+// run it.
+func (s *stream) removeRunner(t topo.Target) {
+	s.possibleRunners = slices.DeleteFunc(s.possibleRunners, func(r topo.Target) bool { return r.ID == t.ID && r.Started == t.Started })
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -74,9 +74,13 @@
 		// sentAt is when the request was last sent to a first target. beganAt is
 		// when that target's first event arrived; zero before.
 		sentAt, beganAt time.Time
+		// lastEventAt is when the last event arrived, or the current run began.
+		lastEventAt time.Time
 		// survived is true once the target has answered for so long, or to the end,
 		// that it will not end under this request.
 		survived bool
+		// standby is the second run, while the current one is silent; nil otherwise.
+		standby *streamRun
 		// youngLosses holds the IDs of first targets that broke the request off
 		// before it had survived there.
 		youngLosses map[string]bool
@@ -146,33 +150,21 @@
 		request: q, excluded: map[string]bool{}, youngLosses: map[string]bool{}, lastEvent: q.headers.LastEvent, control: http.NewResponseController(q.w),
 		tokens: expectedTokens(q.headers, q.service.Model),
 	}
+	defer s.endStandby("the request has ended")
 	var last *fault.Error
 	for {
-		if h := s.Prompts.Check(q.headers.PromptParts); h != nil {
-			s.fail(lessCertain(last, s.heldError(h)))
-			return
-		}
-		hops, err := s.findPath()
+		next, err := s.nextRun()
 		if err != nil {
 			s.fail(lessCertain(last, err))
 			return
 		}
-		if s.sendCount > 0 && !s.takeRetry() {
-			s.fail(lessCertain(last, fault.New(fault.Overloaded, "the retry budget of the service is exhausted")))
-			return
-		}
-		if h := s.Prompts.Held(q.headers.PromptParts); h != nil {
-			// The hold is newer than the check above, which came before the waits.
-			s.fail(lessCertain(last, s.heldError(h)))
-			return
-		}
-		failure := s.run(hops)
+		failure := s.run(next)
 		if failure == nil {
 			q.recordOutcome(http.StatusOK, "Answered", nil)
 			return
 		}
 		last = lessCertain(last, failure)
-		if !s.mayContinue(failure) {
+		if !s.goesOn(failure) {
 			s.fail(last)
 			return
 		}
@@ -181,6 +173,29 @@
 	}
 }
 
+// nextRun returns the standby, or starts a run on a new path for which it waits.
+func (s *stream) nextRun() (*streamRun, *fault.Error) {
+	if r := s.standby; r != nil {
+		s.standby = nil
+		return r, nil
+	}
+	if h := s.Prompts.Check(s.headers.PromptParts); h != nil {
+		return nil, s.heldError(h)
+	}
+	hops, err := s.findPath()
+	if err != nil {
+		return nil, err
+	}
+	if s.sendCount > 0 && !s.takeRetry() {
+		return nil, fault.New(fault.Overloaded, "the retry budget of the service is exhausted")
+	}
+	if h := s.Prompts.Held(s.headers.PromptParts); h != nil {
+		// The hold is newer than the check above, which came before the waits.
+		return nil, s.heldError(h)
+	}
+	return s.startRun(hops), nil
+}
+
 // takeRetry takes a retry from the service's budget. It waits for one, because
 // the many streams that lose the same target share the free part of the budget,
 // which is divided among the gateways every half second.
@@ -214,9 +229,28 @@
 // the first event.
 func promptTokens(a RequestHeaders, m *topo.Model) int { return cmp.Or(a.PromptTokens, m.UsualPrompt) }
 
+// goesOn reports whether the stream goes on after a failure of its current run, with
+// the standby if there is one.
+func (s *stream) goesOn(failure *fault.Error) bool {
+	switch {
+	case s.standby == nil:
+	case failure.Code == fault.Held:
+		s.endStandby("its prompt is held back")
+	default:
+		// After a failed write, it is not known what the caller has received.
+		return !s.over() && failure.Code != fault.Canceled
+	}
+	return s.mayContinue(failure)
+}
+
+// over reports whether nobody waits for more of the response.
+func (s *stream) over() bool {
+	return s.r.Context().Err() != nil || s.abortCtx.Err() != nil || s.remaining() <= 0
+}
+
 // mayContinue reports whether the stream may continue at another target.
 func (s *stream) mayContinue(failure *fault.Error) bool {
-	if s.r.Context().Err() != nil || s.abortCtx.Err() != nil || s.remaining() <= 0 {
+	if s.over() || failure.Code == fault.Canceled {
 		return false
 	}
 	if failure.Outcome == fault.NotRun {
@@ -339,25 +373,23 @@
 	}
 }
 
-// run sends the request along hops and relays events until the stream ends.
-func (s *stream) run(hops []chain.Hop) *fault.Error {
-	s.hops = hops
-	s.ticket = s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops)
-	defer func() { s.ticket.Close() }()
-	s.sendCount++
-	s.sentAt, s.beganAt, s.survived = s.Clock.Now(), time.Time{}, false
-	s.possibleRunners = append(s.possibleRunners, hops[0].Target)
-	s.pathLog += " " + pathText(hops)
-	u := s.startUpstream(hops)
-	defer u.cancel()
-	failure := s.relay(u)
+// run relays the events of a run until the stream ends, or goes on with the standby.
+func (s *stream) run(r *streamRun) *fault.Error {
+	defer r.end()
+	s.hops, s.ticket = r.hops, r.ticket
+	s.sentAt, s.beganAt, s.survived = r.sentAt, time.Time{}, false
+	failure := s.relay(r)
+	first := r.hops[0].Target
 	switch {
 	case failure == nil:
+		return nil
 	case failure.Outcome == fault.NotRun:
-		s.possibleRunners = s.possibleRunners[:len(s.possibleRunners)-1]
+		s.removeRunner(first)
+		return failure
 	case !s.survived:
-		s.youngLosses[hops[0].Target.ID] = true
+		s.youngLosses[first.ID] = true
 	}
+	s.excluded[first.ID] = true
 	return failure
 }
 
@@ -373,21 +405,31 @@
 }
 
 // relay forwards the response and reacts to silence, suspicions and timeouts.
-func (s *stream) relay(u *upstream) *fault.Error {
+func (s *stream) relay(r *streamRun) *fault.Error {
+	u := r.upstream
 	silence := timer.New(s.Clock, firstEventSilence)
 	defer silence.Stop()
 	deadline := timer.New(s.Clock, s.remaining())
 	defer deadline.Stop()
 	heads, events := u.head, (chan event)(nil)
-	lastEventAt := s.Clock.Now()
+	s.lastEventAt = s.Clock.Now()
 	suspicions, holds := s.Ledger.Changed(), s.Prompts.Changed()
 	unframed := false
+	if r.head != nil {
+		s.begun, s.head, unframed = true, *r.head, r.head.unframed
+		heads, events = nil, u.events
+	}
+	for _, ev := range r.received {
+		if _, err := s.receiveEvent(ev, nil); err != nil {
+			return err
+		}
+	}
 	for {
 		select {
 		case h := <-heads:
 			switch h := h.(type) {
 			case refusedRequest:
-				return s.noteRefusal(h.err)
+				return s.noteRefusal(s.hops, h.err)
 			case brokenResponse:
 				return h.err
 			case wholeResponse:
@@ -401,35 +443,40 @@
 			if !ok {
 				return s.endRun(<-u.end, unframed)
 			}
-			progress, err := s.writeEvents(ev, events)
+			progress, err := s.receiveEvent(ev, events)
 			if err != nil {
 				return err
 			}
-			if !progress {
-				continue
+			if progress {
+				silence.Reset(eventSilence)
 			}
-			now := s.Clock.Now()
-			if s.events > 1 && s.route.Pause > 0 && now.Sub(lastEventAt) > s.route.Pause {
-				s.Ledger.CountLatePause()
-			}
-			lastEventAt = now
-			if now.Sub(s.beganAt) >= youngAge {
-				s.noteSurvival()
-			}
-			silence.Reset(eventSilence)
 		case <-silence.C:
-			if silent := s.Clock.Now().Sub(lastEventAt); s.events > 0 && silent > s.maxSilence() {
+			if silent := s.Clock.Now().Sub(s.lastEventAt); s.events > 0 && silent > s.maxSilence() {
 				return s.noteEnd(fault.Newf(fault.TargetLost, "no event for %s", silent.Round(time.Millisecond)).WithOutcome(fault.Partial))
 			}
-			wait, failure := s.handleSilence(lastEventAt)
-			if failure != nil {
+			if s.standby != nil {
+				silence.Reset(eventSilence)
+				continue
+			}
+			wait, failure := s.handleSilence()
+			if failure != nil && failure.Code == fault.Held {
 				return failure
 			}
+			if failure != nil {
+				s.startStandby(failure)
+				wait = eventSilence
+			}
 			silence.Reset(wait)
+		case h := <-s.standbyHead():
+			s.receiveStandbyHead(h)
+		case ev, ok := <-s.standbyEvents():
+			if s.receiveStandbyEvent(ev, ok) {
+				return fault.New(fault.TargetLost, "another target answers while this one is silent").WithOutcome(s.outcome())
+			}
 		case <-suspicions:
 			suspicions = s.Ledger.Changed()
 			if s.pathSuspected() {
-				silence.Reset(max(time.Millisecond, suspectedSilence-s.Clock.Now().Sub(lastEventAt)))
+				silence.Reset(max(time.Millisecond, suspectedSilence-s.Clock.Now().Sub(s.lastEventAt)))
 			}
 		case <-holds:
 			holds = s.Prompts.Changed()
@@ -447,6 +494,25 @@
 	}
 }
 
+// receiveEvent writes an event, and those that are queued behind it, to the caller. It
+// reports whether one of them is more than a comment.
+func (s *stream) receiveEvent(ev event, more <-chan event) (progress bool, failure *fault.Error) {
+	progress, failure = s.writeEvents(ev, more)
+	if failure != nil || !progress {
+		return progress, failure
+	}
+	now := s.Clock.Now()
+	if s.events > 1 && s.route.Pause > 0 && now.Sub(s.lastEventAt) > s.route.Pause {
+		s.Ledger.CountLatePause()
+	}
+	s.lastEventAt = now
+	s.endStandby("the current target goes on")
+	if now.Sub(s.beganAt) >= youngAge {
+		s.noteSurvival()
+	}
+	return true, nil
+}
+
 // maxSilence is the silence after the first event from which a target that is not
 // known to fail is left all the same. Targets hold a stream that waits for
 // another one for StallLimit, and callers leave after a multiple of the objective
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -84,9 +84,9 @@
 // noteRefusal excludes the target that caused a refusal from the next paths of
 // this request. Depending on the error it also marks the target as suspected
 // or checks its entry in the target list.
-func (s *stream) noteRefusal(err *fault.Error) *fault.Error {
-	at := s.hops[0].Target
-	for _, h := range s.hops {
+func (s *stream) noteRefusal(hops []chain.Hop, err *fault.Error) *fault.Error {
+	at := hops[0].Target
+	for _, h := range hops {
 		if err.Field != "" && h.Target.Address == err.Field {
 			at = h.Target
 		}
@@ -94,12 +94,12 @@
 	s.excluded[at.ID] = true
 	s.suspectIf(err.Code == fault.Unavailable, at, err)
 	if err.Code == fault.TargetLost {
-		s.probeBroken(err)
+		s.probeBroken(hops[0].Target, err)
 	}
 	if err.Field != "" || err.Code == fault.Leaving {
 		s.background(func() { s.checkListing(at) })
 	}
-	_ = level.Info(s.Log).Log("event", "SendRefused", "request", s.headers.ID, "target", at.ID, "first", s.hops[0].Target.ID,
+	_ = level.Info(s.Log).Log("event", "SendRefused", "request", s.headers.ID, "target", at.ID, "first", hops[0].Target.ID,
 		"outcome", string(err.Outcome), "err", err)
 	return err
 }
@@ -121,13 +121,13 @@
 func (s *stream) noteEnd(failure *fault.Error) *fault.Error {
 	if failure != nil && s.r.Context().Err() == nil {
 		s.excluded[s.hops[0].Target.ID] = true
-		s.probeBroken(failure)
+		s.probeBroken(s.hops[0].Target, failure)
 	}
 	return failure
 }
 
-// probeBroken probes the first target, which broke off the response.
-func (s *stream) probeBroken(cause error) {
-	broken := s.brokenRun(s.hops[0].Target)
+// probeBroken probes a first target, which broke off the response.
+func (s *stream) probeBroken(t topo.Target, cause error) {
+	broken := s.brokenRun(t)
 	s.background(func() { s.probe(broken, cause) })
 }
