proxy, ledger: count silent targets among those that may run a stream

A stream ran on three targets where its route allows two (BUDGET), when two targets in a row were silent for a second and a half and went on. Found while looking for the cause of the cut streams elsewhere.

Cause: after two polls of the planner without an answer a target counts as unresponsive, about 1.3 s after its last event, and unresponsive targets were taken for ended when the attempts of a stream are counted. Silence proves no end: same class as the cut streams, a suspicion taken for a fact.

Only proof counts now: a poll that is refused a connection, finds another start time or another target at the address. Gateways note it when they poll a target whose stream broke off, which they did already; so a target whose process ended is no longer counted at once, where it took 1.3 s before. Unresponsive targets are avoided as before.

--- a/internal/cmds/gateway_lost_test.go
+++ b/internal/cmds/gateway_lost_test.go
@@ -101,3 +101,37 @@
 		})
 	}
 }
+
+// Guards against a stream that runs on more targets than its route allows, because
+// targets that are sound but silent for longer than a second are taken for ended.
+func TestGatewayCountsSilentTargetsOfAStream(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	engines := make([]*sims.Engine, 4)
+	for i := range engines {
+		engines[i] = site.AddEngine(string(rune('a'+i)), "x", sims.Model{Layers: 8, Token: 20 * time.Millisecond}).SetLayers(0, 8)
+	}
+	g := startGateway(t, "g1", store, nil).waitReady(t)
+	answer := make(chan testResponse)
+	go func() { answer <- g.get("/draft/x?events=20") }()
+	served := func() (n int) {
+		for _, e := range engines {
+			n += e.Served()
+		}
+		return n
+	}
+	for runs := 1; runs <= 2; runs++ {
+		eventually(t, "a target has begun", func() bool { return served() == runs })
+		time.Sleep(100 * time.Millisecond)
+		for _, e := range engines {
+			if e.Running() > 0 {
+				e.FallSilent(1500 * time.Millisecond)
+			}
+		}
+	}
+	a := <-answer
+	is.Equal(served(), 2)
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.True(strings.HasSuffix(eventIDs(a.body), " 20"))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -26,6 +26,9 @@
 	// failureMemory is the time without a failure after which the next one counts
 	// as the first.
 	failureMemory = 12 * time.Second
+	// endMemory is how long the end of a target is remembered. It is longer than
+	// any request lasts that may have run there.
+	endMemory = time.Minute
 )
 
 type (
@@ -55,6 +58,8 @@
 		suspicions  map[string]suspicion
 		// unresponsive holds the targets that the planner found unresponsive.
 		unresponsive map[string]suspicion
+		// ended holds the incarnations of targets that have certainly ended, by ID.
+		ended map[string]endedTarget
 		// changed is closed and replaced when a suspicion or an unresponsive
 		// target is added.
 		changed chan struct{}
@@ -86,6 +91,12 @@
 		duration time.Duration
 	}
 
+	// endedTarget is an incarnation that has ended, and when that was learned.
+	endedTarget struct {
+		started int64
+		at      time.Time
+	}
+
 	// Ticket is the record of a request in flight.
 	Ticket struct {
 		ledger *Ledger
@@ -101,6 +112,7 @@
 func New(clock timer.Service) *Ledger {
 	return &Ledger{
 		clock: clock, ownLoads: map[string]chain.Load{}, peerLoads: map[string]peerLoad{}, suspicions: map[string]suspicion{}, unresponsive: map[string]suspicion{},
+		ended:   map[string]endedTarget{},
 		changed: make(chan struct{}),
 	}
 }
@@ -327,6 +339,27 @@
 	return l.isUnresponsive(t, l.clock.Now())
 }
 
+// RecordEnd records that an incarnation of a target has certainly ended.
+func (l *Ledger) RecordEnd(t topo.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for id, e := range l.ended {
+		if now.Sub(e.at) > endMemory {
+			delete(l.ended, id)
+		}
+	}
+	l.ended[t.ID] = endedTarget{t.Started, now}
+}
+
+// Ended reports whether the incarnation of a target has certainly ended.
+func (l *Ledger) Ended(t topo.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.ended[t.ID]
+	return ok && e.started == t.Started
+}
+
 func (l *Ledger) isUnresponsive(t topo.Target, now time.Time) bool {
 	d, ok := l.unresponsive[t.ID]
 	return ok && d.started == t.Started && now.Before(d.until)
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -69,6 +69,13 @@
 	return ""
 }
 
+// noteProof records that a target has ended if a poll proves it.
+func (s *stream) noteProof(t topo.Target, r Report, err error) {
+	if proofOfEnd(t, r, err) != "" {
+		s.Ledger.RecordEnd(t)
+	}
+}
+
 // confirmEnd records the end of a target if a poll proves it. A connection that is
 // reset proves nothing: the target may have too many, or be about to end.
 func (s *stream) confirmEnd(b brokenRun) {
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -118,7 +118,9 @@
 // probe polls a target whose stream broke off and marks it as suspected if it
 // does not answer. One broken stream alone is no reason to avoid a target.
 func (s *stream) probe(b brokenRun, cause error) {
-	if _, err := s.fetchReport(context.Background(), b.target); err != nil {
+	r, err := s.fetchReport(context.Background(), b.target)
+	s.noteProof(b.target, r, err)
+	if err != nil {
 		s.suspectIf(true, b.target, fault.New(fault.TargetLost, "a stream broke off and the target does not answer a poll").WithCause(cause))
 	}
 	if b.young {
@@ -147,6 +149,7 @@
 // request is not stalled.
 func (s *stream) findStalledTarget(first topo.Target) (time.Duration, *fault.Error) {
 	r, err := s.fetchReport(s.r.Context(), first)
+	s.noteProof(first, r, err)
 	if err != nil {
 		s.suspectIf(s.r.Context().Err() == nil, first, err)
 		return 0, fault.Newf(fault.TargetLost, "the first target %s does not answer a poll", first.ID).WithOutcome(s.outcome()).WithCause(err)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -270,14 +270,14 @@
 
 // runners returns how many of the targets that may have run the request may still
 // run it, and how many have ended before it had survived there. Targets that have
-// restarted, left the list or become unresponsive no longer run it; a suspected one
-// may.
+// certainly ended, restarted or left the list no longer run it; suspected and
+// unresponsive ones may.
 func (s *stream) runners() (alive, lost int) {
 	fleet := s.Fleets.Section().Value()
 	for _, t := range s.possibleRunners {
 		listed, ok := fleet.Target(t.ID)
 		switch {
-		case ok && listed.Started == t.Started && !s.Ledger.Unresponsive(t):
+		case ok && listed.Started == t.Started && !s.Ledger.Ended(t):
 			alive++
 		case s.youngLosses[t.ID]:
 			lost++
