proxy: a response without length that ends before its first event is broken off

If the target ended after the head, the end was taken for that of a complete stream without events.

Evidence: TestGatewayDoesNotCompleteStreamsWithoutEvents got 200 in place of 502. A stream of a model has an event at least, so such an end is now a lost target, and the stream goes on elsewhere or is refused. What cannot be told from a complete answer is one that ends right after a later event: the form has no mark for it.

--- a/internal/cmds/gateway_lost_test.go
+++ b/internal/cmds/gateway_lost_test.go
@@ -135,3 +135,15 @@
 	is.Equal(a.status, http.StatusOK)
 	is.True(strings.HasSuffix(eventIDs(a.body), " 20"))
 }
+
+// Guards against an empty answer that looks complete, because the target's response
+// had no length and its connection ended before the first event.
+func TestGatewayDoesNotCompleteStreamsWithoutEvents(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	site.AddEngine("e1", "x", testModel).SetLayers(0, 8).SetFaults(sims.EngineFaults{Unframed: true})
+	g := startGateway(t, "g1", store, nil).waitReady(t)
+	a := g.get("/draft/x?events=0")
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusBadGateway)
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -540,8 +540,12 @@
 }
 
 // endRun returns the failure of a run whose response has ended, or nil if the
-// response is complete.
+// response is complete. One that ends with its connection before the first event has
+// been broken off.
 func (s *stream) endRun(failure *fault.Error, unframed bool) *fault.Error {
+	if failure == nil && unframed && s.beganAt.IsZero() {
+		failure = fault.New(fault.TargetLost, "the target's connection ended before the first event")
+	}
 	if failure != nil {
 		return s.noteEnd(failure.WithOutcome(s.outcome()))
 	}
