chain, place: leave out targets with layers or cards that the model has not

What callers saw: requests refused as overloaded while targets in two data centres held all layers and had room, if a third entry of one of them claimed more layers than the model has, or a card that no one knows.

Cause: Choose took a target for a holder of every layer within its range, and the paths of other data centres are not searched if one holds all. It had no room for a request, so no path was found; a stream that had begun was sent there. place.Plan left out such ranges only where no order had changed them.

Evidence: choose.txtar (layers beyond the model; a card that the model does not run on) gave Overloaded on the code before; plan.txtar (targets with impossible layers are left out) gave a best of 1000 instead of 500.

Why this works: both ask the model whether the target may run it, so that they count the same targets. That guards what targets report of themselves too, which replaces their entries.

Measured: the scripts pass, and the tests of chain, place, plan and proxy with the race detector.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -156,7 +156,7 @@
 	byDC := map[string][]*Candidate{}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.State == topo.Ready && c.Held.Len() > 0 && !req.Excluded[c.ID] {
+		if c.State == topo.Ready && c.Held.Len() > 0 && m.Runs(c.Target) && !req.Excluded[c.ID] {
 			usable = append(usable, c)
 			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -111,8 +111,7 @@
 func split(m *topo.Model, targets []Target) []group {
 	byDC := map[string][]Target{}
 	for _, t := range targets {
-		valid := t.Next.From >= 0 && t.Next.From <= t.Next.To && t.Next.To <= m.Layers
-		if valid && m.MaxLayers(t.Card) > 0 {
+		if m.Runs(t.Target) && m.Contains(t.Next) && m.MaxLayers(t.Card) > 0 {
 			byDC[t.DataCentre] = append(byDC[t.DataCentre], t)
 		}
 	}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -173,6 +173,17 @@
 	return t
 }
 
+// Runs reports whether a target may run layers of the model: the model knows its
+// card, and the layers that it holds are layers of the model.
+func (m *Model) Runs(t Target) bool {
+	_, ok := m.Cards[t.Card]
+	return ok && m.Contains(t.Held)
+}
+
+// Contains reports whether a range, which may be empty, is one of the model's
+// layers.
+func (m *Model) Contains(l Layers) bool { return 0 <= l.From && l.From <= l.To && l.To <= m.Layers }
+
 // StepTime is the time of a step through all layers on a card of pace 1 while n
 // requests of usual size generate tokens.
 func (m *Model) StepTime(n float64) time.Duration {
