--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 # Fuzzes each decoder that reads from outside for some seconds. A failing input
 # stays in testdata/fuzz of the package and is a test from then on.
 FUZZTIME ?= 3s
-FUZZERS := internal/proxy:FuzzEventReader platform:FuzzDecodeTarget platform:FuzzDecodeConfig platform:FuzzRequestHeaders \
+FUZZERS := internal/proxy:FuzzEventReader platform:FuzzDecodeTarget platform:FuzzReport platform:FuzzDecodeConfig platform:FuzzRequestHeaders \
   internal/wire:FuzzDecode internal/conf:FuzzParseGateway
 fuzz:
 	@set -e; for f in $(FUZZERS); do \
