chain: do not pass through one address twice

What callers saw: nothing seen. A chain through both entries names one target twice, which targets answer with 400; callers do not repeat that.

Cause: the search for a chain compared the indexes of the entries, which are one per ID.

Why this works: entries with the same address count as one target within a chain. Which of them is the right one is for the target to say, which refuses requests for another ID.

Candidates of three tests had no address and have one each now.

--- a/internal/chain/bench_test.go
+++ b/internal/chain/bench_test.go
@@ -27,7 +27,7 @@
 				}
 				from := i * 7 % (80 - layers + 1)
 				cs[i] = chain.Candidate{Target: topo.Target{
-					ID: fmt.Sprintf("t%04d", i), DataCentre: fmt.Sprintf("dc%d", i%5), Card: card,
+					ID: fmt.Sprintf("t%04d", i), Address: fmt.Sprintf("10.0.0.1:%d", 1+i), DataCentre: fmt.Sprintf("dc%d", i%5), Card: card,
 					Held: topo.Layers{From: from, To: from + layers},
 				}}
 			}
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -118,6 +118,8 @@
 		// dataCentre.
 		dataCentres int
 		dataCentre  []int
+		// sameAddress holds the index of the first target with the same address.
+		sameAddress []int
 		// cheapest is scratch space for the cheapest partial chain per data centre.
 		cheapest []partialChain
 	}
@@ -318,8 +320,8 @@
 }
 
 func newChainSearch(m *topo.Model, cs []*Candidate, req Request) *chainSearch {
-	s := &chainSearch{req: req, targets: make([]searchTarget, len(cs)), bounds: rangeBounds(cs, req.Layers), dataCentre: make([]int, len(cs))}
-	numbers := map[string]int{}
+	s := &chainSearch{req: req, targets: make([]searchTarget, len(cs)), bounds: rangeBounds(cs, req.Layers), dataCentre: make([]int, len(cs)), sameAddress: make([]int, len(cs))}
+	numbers, addresses := map[string]int{}, make(map[string]int, len(cs))
 	for i, c := range cs {
 		s.targets[i] = searchTarget{
 			Candidate: c, used: c.Load.TokenLayers, capacity: m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes, layerTime: layerTime(m, c),
@@ -330,6 +332,10 @@
 			numbers[c.DataCentre] = n
 		}
 		s.dataCentre[i] = n
+		if _, known := addresses[c.Address]; !known {
+			addresses[c.Address] = i
+		}
+		s.sameAddress[i] = addresses[c.Address]
 	}
 	s.dataCentres = len(numbers)
 	s.partials = make([][]partialChain, len(s.bounds))
@@ -357,7 +363,7 @@
 	}
 	for c := range s.targets {
 		t := &s.targets[c]
-		if t.Held.From > at || t.Held.To <= at || c == p.last || s.contains(p, c) {
+		if t.Held.From > at || t.Held.To <= at || s.contains(p, c) {
 			continue
 		}
 		if p.last < 0 && (t.NotFirst && s.req.begins() || !s.req.Forced && t.Slots > 0 && t.Load.First >= t.Slots) {
@@ -392,10 +398,11 @@
 	return slices.DeleteFunc(s.cheapest, func(p partialChain) bool { return p.hops == 0 })
 }
 
-// contains reports whether a partial chain contains a target.
+// contains reports whether a partial chain contains a target, or another entry
+// with its address. Targets refuse chains that name one address twice.
 func (s *chainSearch) contains(p partialChain, c int) bool {
 	for p.last >= 0 {
-		if p.last == c {
+		if s.sameAddress[p.last] == s.sameAddress[c] {
 			return true
 		}
 		p = s.previous(p)
--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -43,6 +43,9 @@
 				if l.Bool("draining") {
 					c.State = topo.Draining
 				}
+				if c.Address = l.Text("address"); c.Address == "" {
+					c.Address = c.ID + ":80"
+				}
 				candidates = append(candidates, c)
 				return nil
 			case "choose":
@@ -102,7 +105,7 @@
 	}
 	candidate := func(id string, unread, running int) chain.Candidate {
 		return chain.Candidate{
-			Target: topo.Target{ID: id, DataCentre: "x", Card: "Mid", Held: topo.Layers{To: 80}},
+			Target: topo.Target{ID: id, Address: id + ":80", DataCentre: "x", Card: "Mid", Held: topo.Layers{To: 80}},
 			Load:   chain.Load{Unread: unread, Running: running},
 		}
 	}
@@ -127,7 +130,7 @@
 	for i := range 600 {
 		from := 5 * (i % 2)
 		all = append(all, chain.Candidate{
-			Target: topo.Target{ID: fmt.Sprintf("t%03d", i), DataCentre: "x", Card: "Fast", Held: topo.Layers{From: from, To: from + 5}},
+			Target: topo.Target{ID: fmt.Sprintf("t%03d", i), Address: fmt.Sprintf("10.0.0.1:%d", 1+i), DataCentre: "x", Card: "Fast", Held: topo.Layers{From: from, To: from + 5}},
 			Load:   chain.Load{TokenLayers: float64(4500 - 5*(i%300)), Running: 3},
 		})
 	}
--- a/internal/pipes/pipes_test.go
+++ b/internal/pipes/pipes_test.go
@@ -41,7 +41,7 @@
 func planned() []chain.Stage {
 	var targets []place.Target
 	for i, card := range cards {
-		targets = append(targets, place.Target{Target: topo.Target{ID: fmt.Sprintf("t%02d", i), DataCentre: "x", Card: card}})
+		targets = append(targets, place.Target{Target: topo.Target{ID: fmt.Sprintf("t%02d", i), Address: fmt.Sprintf("10.0.0.1:%d", 1+i), DataCentre: "x", Card: card}})
 	}
 	var out []chain.Stage
 	next := 0
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -32,7 +32,7 @@
 			for i := range targets {
 				from := i % 4 * 20
 				targets[i] = topo.Target{
-					ID: fmt.Sprintf("t%04d", i), Service: "llm", Card: "A", DataCentre: fmt.Sprintf("dc%d", i/4%3),
+					ID: fmt.Sprintf("t%04d", i), Address: fmt.Sprintf("10.0.0.1:%d", 1+i), Service: "llm", Card: "A", DataCentre: fmt.Sprintf("dc%d", i/4%3),
 					Held: topo.Layers{From: from, To: from + 20}, Slots: 192,
 				}
 				work.Open(977, 774, []chain.Hop{{Target: targets[i], Layers: targets[i].Held}})
