proxy: read the lines of events as a whole

What callers saw: nothing seen. After a line of more than 4 KB a stream could have resumed from an ID that is the end of that line, or its event been counted and flushed as two.

Cause: the reader looked at the last part of a long line only, as it came from its buffer of 4 KB: a part that begins with "id:" was an ID, and an empty one the end of the event.

Evidence: TestEventReaderLongLines on the code before: an event with a line of 4096 bytes ended before its ID.

Why this works: a line is looked at once it is complete, from where it begins in the event.

--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -39,9 +39,10 @@
 // without an error and right after an event.
 func (e *eventReader) next() (event, error) {
 	ev := event{comment: true}
+	start := 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		part, err := e.r.ReadSlice('\n')
+		ev.raw = append(ev.raw, part...)
 		switch {
 		case len(ev.raw) > maxEventBytes:
 			return ev, fault.Newf(fault.TooLarge, "an event exceeds %d bytes", maxEventBytes).WithOutcome(fault.Partial)
@@ -52,7 +53,8 @@
 		case err != nil:
 			return ev, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(ev.raw[start:], "\r\n")
+		start = len(ev.raw)
 		if len(text) == 0 {
 			return ev, nil
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -34,6 +34,26 @@
 	is.True(fault.Is(err, fault.TooLarge))
 }
 
+// Guards against a part of a long line that is taken for an ID, from which the
+// stream would then resume, or for the end of its event.
+func TestEventReaderLongLines(t *testing.T) {
+	is := is.New(t)
+	for _, line := range []string{
+		"data: " + strings.Repeat("x", eventBuffer-len("data: ")) + "id: 9", "data: " + strings.Repeat("x", eventBuffer-len("data: ")),
+		"id: 7\ndata: " + strings.Repeat("x", 3*eventBuffer-len("id: 7\ndata: ")) + ": y",
+	} {
+		got, err := newEventReader(strings.NewReader(line + "\nid: 3\n\n")).next()
+		is.NoErr(err)
+		is.Equal(string(got.raw), line+"\nid: 3\n\n")
+		is.Equal(got.id, "3")
+		is.True(!got.comment)
+	}
+	got, err := newEventReader(strings.NewReader("data: " + strings.Repeat("x", eventBuffer-len("data: ")) + "id: 9\n\n")).next()
+	is.NoErr(err)
+	is.Equal(got.id, "")
+	is.True(!got.comment)
+}
+
 // Guards against a status that implies that a request has not run where that is
 // not certain, and against a Retry-After with a status for which a retry does
 // not help.
