proxy: check that the response that resumes a stream continues it

On the stand-in, in the middle of their stream, a JSON error or a text with status 200, the head of another response, events that they had, or an event without an ID; or a stream that lacked events and ended as if it were complete.

Cause: of a response that resumes a stream only status, ID and seal were checked; everything up to an empty line was an event. Other statuses, other IDs, missing seals and heads between chunks were rejected before.

Why this works: the response must have the type of the stream, its first event an ID after the last one, and each event a field of server-sent events. What fails breaks off like a lost target, so that the stream goes on elsewhere, or is cut where no other target may run it. First responses are passed on as they are.

Open: events that a target skips. The IDs of events increase, and need not be consecutive.

--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -25,6 +25,8 @@
 		// comment is true if the event has no fields, only comments. A target that
 		// sends such events makes no progress.
 		comment bool
+		// named is true if it has a field that server-sent events define.
+		named bool
 	}
 
 	// eventReader splits a body into events, each ended by an empty line.
@@ -59,6 +61,10 @@
 			return ev, nil
 		}
 		ev.comment = ev.comment && text[0] == ':'
+		switch name, _, _ := bytes.Cut(text, []byte(":")); string(name) {
+		case "id", "data", "event", "retry":
+			ev.named = true
+		}
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -18,13 +18,15 @@
 	is := is.New(t)
 	r := newEventReader(strings.NewReader("id: 1\ndata: a\n\nid:2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: 3\nda"))
 	for _, want := range []event{
-		{[]byte("id: 1\ndata: a\n\n"), "1", false}, {[]byte("id:2\r\ndata: b\r\ndata: c\r\n\r\n"), "2", false}, {[]byte(": note\n\n"), "", true},
+		{[]byte("id: 1\ndata: a\n\n"), "1", false, true}, {[]byte("id:2\r\ndata: b\r\ndata: c\r\n\r\n"), "2", false, true},
+		{[]byte(": note\n\n"), "", true, false},
 	} {
 		got, err := r.next()
 		is.NoErr(err)
 		is.Equal(string(got.raw), string(want.raw))
 		is.Equal(got.id, want.id)
 		is.Equal(got.comment, want.comment)
+		is.Equal(got.named, want.named)
 	}
 	_, err := r.next()
 	is.Equal(fault.As(err).Outcome, fault.Partial)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/go-kit/log/level"
 
@@ -12,25 +14,78 @@
 	"shallotcourse/internal/topo"
 )
 
+// continuation describes the stream that a response continues. It is nil for the
+// first response of a stream.
+type continuation struct {
+	// contentType is that of the head that has been written.
+	contentType string
+	// lastEvent is the ID of the last event that has been written.
+	lastEvent string
+}
+
+// checkHead fails if a response is of another type than the stream, such as the
+// description of an error.
+func (c *continuation) checkHead(h http.Header) *fault.Error {
+	if c == nil || mediaType(h.Get("Content-Type")) == mediaType(c.contentType) {
+		return nil
+	}
+	return fault.Newf(fault.TargetLost, "the target continued a stream with the type %.40q", h.Get("Content-Type")).WithOutcome(fault.Partial)
+}
+
+// checkEvent fails if an event that follows others is no event, or if the first
+// one of a response does not come after the last event of the stream.
+func (c *continuation) checkEvent(ev event, first bool) *fault.Error {
+	switch {
+	case ev.comment, first && c == nil:
+		return nil
+	case !ev.named:
+		return fault.New(fault.TargetLost, "the target sent text that is no event").WithOutcome(fault.Partial)
+	case first && c.lastEvent != "" && !isLater(ev.id, c.lastEvent):
+		return fault.Newf(fault.TargetLost, "the target went on with event %.40q after %.40q", ev.id, c.lastEvent).WithOutcome(fault.Partial)
+	}
+	return nil
+}
+
+// isLater reports whether an event ID may follow another one. IDs are increasing
+// numbers; of others it is only known that they differ.
+func isLater(id, last string) bool {
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != "" && id != last
+	}
+	return a > b
+}
+
+func mediaType(contentType string) string {
+	base, _, _ := strings.Cut(contentType, ";")
+	return strings.ToLower(strings.TrimSpace(base))
+}
+
 // startUpstream sends the request to the first target in the background; the
 // response and its events arrive on the channels of the result.
 func (s *stream) startUpstream(hops []chain.Hop) *upstream {
 	ctx, cancel := context.WithCancel(s.r.Context())
 	u := &upstream{cancel: cancel, head: make(chan responseHead, 1), events: make(chan event, eventQueueLength), end: make(chan *fault.Error, 1)}
 	send := TargetHeaders{LastEvent: s.lastEvent, Hops: HopsOf(hops)}
+	var begun *continuation
+	if s.headWritten {
+		begun = &continuation{contentType: s.w.Header().Get("Content-Type"), lastEvent: s.lastEvent}
+	}
 	go func() {
-		resp, head := s.readHead(ctx, hops[0].Target, send)
+		resp, head := s.readHead(ctx, hops[0].Target, send, begun)
 		u.head <- head
 		if resp != nil {
-			u.end <- s.readEvents(ctx, resp.Body, u.events)
+			u.end <- s.readEvents(ctx, resp, u.events, begun)
 		}
 	}()
 	return u
 }
 
 // readHead sends the request and reads the head of the response, and its body
-// unless it is a stream. The response is nil unless it is a stream.
-func (s *stream) readHead(ctx context.Context, t topo.Target, send TargetHeaders) (resp *http.Response, head responseHead) {
+// unless it is a stream. The response is nil unless it is a stream. For a stream
+// that has begun it must continue that one.
+func (s *stream) readHead(ctx context.Context, t topo.Target, send TargetHeaders, begun *continuation) (resp *http.Response, head responseHead) {
 	var failure *fault.Error
 	defer func() {
 		if failure != nil {
@@ -45,7 +100,17 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, s.readNonStream(resp)
 	}
-	return resp, eventStream{resp.StatusCode, resp.Header, resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
+	if err := begun.checkHead(resp.Header); err != nil {
+		_ = resp.Body.Close()
+		return nil, brokenResponse{err}
+	}
+	return resp, eventStream{resp.StatusCode, resp.Header, isUnframed(resp)}
+}
+
+// isUnframed reports whether a response has neither a length nor chunks, so that
+// it ends with its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // readNonStream reads a response that is not a stream; roundTrip has already
@@ -60,19 +125,26 @@
 
 // readEvents sends the events of a stream to the channel and returns the error
 // that ended the stream, or nil if it ended properly.
-func (s *stream) readEvents(ctx context.Context, body io.ReadCloser, events chan<- event) (failure *fault.Error) {
+func (s *stream) readEvents(ctx context.Context, resp *http.Response, events chan<- event, begun *continuation) (failure *fault.Error) {
 	defer close(events)
 	defer s.catchPanic(&failure)
-	defer func() { _ = body.Close() }()
-	r := newEventReader(body)
-	for {
+	defer func() { _ = resp.Body.Close() }()
+	r := newEventReader(resp.Body)
+	for first := true; ; {
 		ev, err := r.next()
+		if err == io.EOF && first && begun != nil && isUnframed(resp) {
+			return fault.New(fault.TargetLost, "the connection ended before the first event").WithOutcome(fault.Partial)
+		}
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
 			return fault.New(fault.TargetLost, "the target's stream broke off").WithOutcome(fault.Partial).WithCause(err)
 		}
+		if failure := begun.checkEvent(ev, first); failure != nil {
+			return failure
+		}
+		first = first && ev.comment
 		select {
 		case events <- ev:
 		case <-ctx.Done():
