proxy: count refusals of other requests as unknown outcomes

What callers saw: on the stand-in, 503 with Retry-After ("not run, try again") for requests that a target had run, and such requests run at a second target.

Cause: roundTrip looked at the not-run mark and at status 421 before it compared the ID of the response. New connections protect from responses that arrive late, not from a target that writes another request's refusal.

Why this works: the ID is compared first. Refusals need not name one, as that of a malformed request cannot; without an ID a response counts as this request's own only if the connection carried no other before. What is not the request's own has an unknown outcome, and only repeatable requests are sent again.

--- a/internal/cmds/gateway_resume_test.go
+++ b/internal/cmds/gateway_resume_test.go
@@ -76,3 +76,27 @@
 		})
 	}
 }
+
+// Guards against a stream that a target runs and that is refused or sent to a
+// second target, because the target wrote the refusal of another request.
+func TestGatewayStreamsAndRefusalsOfOthers(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			engines := []*sims.Engine{site.AddEngine("e1", "x", testModel), site.AddEngine("e2", "x", testModel), site.AddEngine("e3", "x", testModel)}
+			for _, e := range engines {
+				e.SetLayers(0, 8).SetFaults(sims.EngineFaults{StaleRefusal: status})
+			}
+			g := startGateway(t, "g1", store, nil).waitReady(t)
+			a := g.get("/draft/x?events=6")
+			is.NoErr(a.err)
+			is.Equal(a.status, http.StatusBadGateway)
+			served := 0
+			for _, e := range engines {
+				served += e.Served()
+			}
+			is.Equal(served, 2) // as many as the route allows
+		})
+	}
+}
--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -248,6 +248,9 @@
 		{"all refuse", sims.ServiceFaults{NotRun: true}, true, http.StatusServiceUnavailable, 0},
 		{"failure of the target", sims.ServiceFaults{Fail: true}, true, http.StatusInternalServerError, 1},
 		{"answer of another request", sims.ServiceFaults{OtherID: true}, true, http.StatusBadGateway, 1},
+		{"refusal of another request", sims.ServiceFaults{StaleRefusal: http.StatusServiceUnavailable}, true, http.StatusBadGateway, 1},
+		{"421 of another request", sims.ServiceFaults{StaleRefusal: http.StatusMisdirectedRequest}, true, http.StatusBadGateway, 1},
+		{"429 of another request", sims.ServiceFaults{StaleRefusal: http.StatusTooManyRequests}, true, http.StatusBadGateway, 1},
 		{"broken answer", sims.ServiceFaults{Short: true}, true, http.StatusBadGateway, 1},
 		{"no answer in time", sims.ServiceFaults{Delay: 3500 * time.Millisecond}, true, http.StatusGatewayTimeout, 1},
 	} {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -246,8 +246,11 @@
 // body unread. The outcome of an error is NotRun only if the target certainly
 // has not run the request.
 func (q *request) roundTrip(ctx context.Context, t topo.Target, send TargetHeaders) (*http.Response, *fault.Error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(info.Reused)
+	}}
 	req := q.outgoing(httptrace.WithClientTrace(ctx, trace), t, send)
 	resp, err := q.Client.Transport.RoundTrip(req)
 	if err != nil {
@@ -261,6 +264,9 @@
 		q.noteLimit(t, a.Limit)
 	}
 	switch {
+	case !q.isOwnResponse(a, reused.Load()):
+		_ = resp.Body.Close()
+		return nil, fault.Newf(fault.TargetLost, "target %s sent the response of another request", t.ID).WithOutcome(fault.Unknown)
 	case resp.StatusCode == http.StatusMisdirectedRequest, a.NotRun:
 		_ = resp.Body.Close()
 		f := fault.Newf(fault.Overloaded, "target %s did not run the request (status %d)", t.ID, resp.StatusCode)
@@ -269,9 +275,6 @@
 			f.Code = fault.Leaving
 		}
 		return nil, f
-	case a.ID != "" && a.ID != q.headers.ID:
-		_ = resp.Body.Close()
-		return nil, fault.Newf(fault.TargetLost, "target %s sent the response of another request", t.ID).WithOutcome(fault.Unknown)
 	case resp.StatusCode/100 == 2 && !a.Sealed, resp.Header.Get("Content-Encoding") != "":
 		_ = resp.Body.Close()
 		return nil, fault.Newf(fault.TargetLost, "target %s sent an unsealed or encoded response", t.ID).WithOutcome(fault.Unknown)
@@ -279,6 +282,16 @@
 	return resp, nil
 }
 
+// isOwnResponse reports whether a response is that of this request. Refusals need
+// not name an ID; without one a response belongs to the request that was the first
+// on its connection.
+func (q *request) isOwnResponse(a ResponseHeaders, reused bool) bool {
+	if a.ID == "" {
+		return !reused
+	}
+	return a.ID == q.headers.ID
+}
+
 // readResponse reads the body. For a server error it returns both the response
 // and an error, so that the response can be passed on if no other target may
 // run the request.
