engine: send each order on a connection of its own

What callers saw: nothing seen. An engine that writes an earlier response once more on a kept connection gave the next order a wrong outcome: "not run" for one that it had carried out, or the reverse.

Cause: orders used the kept connections of the other calls. Responses name no request, and net/http closes a connection for bytes that arrive while it is idle, but takes them as the response if a request was sent first.

Why this works: on a connection of one request there is no earlier response. Orders are rare, so the round trip for the new connection does not count.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -33,9 +33,11 @@
 type Client struct {
 	baseURL    string
 	httpClient *http.Client
-	// streamClient opens a new connection for each stream. An idle connection
-	// may have been lost, and the body of a stream cannot be sent again.
-	streamClient *http.Client
+	// noReuseClient opens a new connection for each stream and each order. An
+	// idle connection may have been lost, and the body of a stream cannot be sent
+	// again; and it may hold a late response to an earlier request, which would be
+	// taken as the outcome of an order.
+	noReuseClient *http.Client
 }
 
 // NewClient returns a client for the engine at a base URL.
@@ -45,7 +47,7 @@
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
-	}}, streamClient: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+	}}, noReuseClient: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
 }
 
 // OpenSession opens a session, or returns the state of a session that is
@@ -84,7 +86,7 @@
 // called when a connection is available, just before the order is written to
 // it. If the guard returns an error, the order is not sent.
 func (c *Client) SendOrder(ctx context.Context, o Order, guard func() error) error {
-	_, err := doJSONGuarded[struct{}](ctx, c, http.MethodPost, "/orders", o, guard)
+	_, err := doJSONGuarded[struct{}](ctx, c, c.noReuseClient, http.MethodPost, "/orders", o, guard)
 	return err
 }
 
@@ -101,12 +103,12 @@
 // doJSON sends a request with a JSON body, if there is one, and decodes the
 // JSON response.
 func doJSON[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
-	return doJSONGuarded[T](ctx, c, method, path, body, nil)
+	return doJSONGuarded[T](ctx, c, c.httpClient, method, path, body, nil)
 }
 
 // doJSONGuarded is doJSON with a guard, which is called before the body is
 // sent.
-func doJSONGuarded[T any](ctx context.Context, c *Client, method, path string, body any, guard func() error) (T, error) {
+func doJSONGuarded[T any](ctx context.Context, c *Client, client *http.Client, method, path string, body any, guard func() error) (T, error) {
 	var out T
 	var payload io.Reader
 	if body != nil {
@@ -123,7 +125,7 @@
 	if err != nil {
 		return out, fault.New(fault.Internal, "invalid engine URL").WithCause(err)
 	}
-	resp, err := c.httpClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return out, transportError(ctx, err)
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return fault.New(fault.Internal, "invalid engine URL").WithCause(err)
 	}
-	resp, err := c.streamClient.Do(req)
+	resp, err := c.noReuseClient.Do(req)
 	if err != nil {
 		return transportError(ctx, err)
 	}
