peers: count only possible rows as gateways

What callers saw: nothing seen. Rows with an address that cannot be dialled, without a data centre or with the address of the gateway itself counted as gateways until they were pruned: a share of the limits went to them, and a gateway dialled them, or itself. None ended a process or kept the other rows from being read.

Cause: refresh compared the name with the key of the row only.

Evidence: TestGatewayOddMembers on the code before lists o10 with the address 10.0.0.1:80/x.

Why this works: a row counts only with an address and a port, a data centre and a processor share that is not negative, as the settings of every gateway have them. Open: a second row with the address of another gateway.

Measured: the test passes three times with the race detector, as do the tests of internal/peers.

--- a/internal/cmds/gateway_odd_test.go
+++ b/internal/cmds/gateway_odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -82,3 +83,40 @@
 	is.True(served > 30)
 	is.Equal(failed, nil)
 }
+
+// Guards against odd rows among those of the gateways that end a gateway, keep it
+// from reading the others, or count as gateways.
+func TestGatewayOddMembers(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	g := startGateway(t, "g1", store, nil).waitReady(t)
+	ownAddress := g.settings.Advertise
+	for key, row := range map[string]string{
+		"o01": `null`, "o02": `{`, "o03": strings.Repeat(`{"Instance":`, 20000), "o04": "\xff", "o05": `{"Instance":"another","Address":"10.0.0.1:80","DataCentre":"x"}`,
+		"o06": `{"Instance":"o06","DataCentre":"x"}`, "o07": `{"Instance":"o07","Address":"10.0.0.1:99999","DataCentre":"x"}`,
+		"o08": `{"Instance":"o08","Address":"10.0.0.1:0","DataCentre":"x"}`, "o09": `{"Instance":"o09","Address":":80","DataCentre":"x"}`,
+		"o10": `{"Instance":"o10","Address":"10.0.0.1:80/x","DataCentre":"x"}`, "o11": `{"Instance":"o11","Address":"a@10.0.0.1:80","DataCentre":"x"}`,
+		"o12": `{"Instance":"o12","Address":"10.0.0.1:80\r\n","DataCentre":"x"}`, "o13": `{"Instance":"o13","Address":"10.0.0.1:80"}`,
+		"o14": `{"Instance":"o14","Address":"10.0.0.1:80","DataCentre":"x","Power":-1}`,
+		"o15": `{"Instance":"o15","Address":"10.0.0.1:80","DataCentre":"x","Power":1e300}`,
+		"o16": `{"Instance":"o16","Address":"` + ownAddress + `","DataCentre":"x"}`,
+		"o17": `{"Instance":"o17","Address":"10.0.0.1:+80","DataCentre":"x"}`, "o18": `{"Instance":"o18","Address":5,"DataCentre":"x"}`,
+		"": `{"Instance":"","Address":"10.0.0.1:80","DataCentre":"x"}`,
+	} {
+		site.Store.Put("gateways", key, []byte(row))
+	}
+	other := startGateway(t, "g2", store, nil).waitReady(t)
+	eventually(t, "the gateways know one another", func() bool {
+		members, _ := g.members.List()
+		return len(members) >= 1 && len(g.links.Peers()) > 0 && other.members.Others() >= 1
+	})
+	time.Sleep(time.Second)
+	for _, gateway := range []*testGateway{g, other} {
+		members, _ := gateway.members.List()
+		for _, m := range members {
+			// Only the gateway at an address knows that another row names it too.
+			is.True(m.Instance == "g1" || m.Instance == "g2" || m.Instance == "o16" && gateway == other)
+		}
+		is.Equal(gateway.get("/look/x").status, http.StatusOK)
+	}
+}
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -192,7 +193,7 @@
 	members := map[string]Member{}
 	for _, r := range rows {
 		var other Member
-		if err := json.Unmarshal(r.Value, &other); err != nil || other.Instance != r.Key {
+		if err := json.Unmarshal(r.Value, &other); err != nil || other.Instance != r.Key || !m.isPossible(other) {
 			_ = level.Error(m.log).Log("event", "MemberMalformed", "key", r.Key, "err", err)
 			continue
 		}
@@ -211,6 +212,14 @@
 	return m.prune(ctx, members, rowsByName)
 }
 
+// isPossible reports whether a row can be that of a gateway. No other gateway has
+// the address of this one.
+func (m *Members) isPossible(other Member) bool {
+	address, err := netip.ParseAddrPort(other.Address)
+	return err == nil && address.Port() > 0 && other.Instance != "" && other.DataCentre != "" && other.MilliCores >= 0 &&
+		(other.Instance == m.self.Instance || other.Address != m.self.Address)
+}
+
 func (m *Members) writeRow(ctx context.Context) error {
 	value, err := json.Marshal(m.self)
 	if err != nil {
