--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -25,6 +25,8 @@
 		// comment is true if the event has no fields, only comments. A target that
 		// sends such events makes no progress.
 		comment bool
+		// named is true if it has a field that server-sent events define.
+		named bool
 	}
 
 	// eventReader splits a body into events, each ended by an empty line.
@@ -39,9 +41,10 @@
 // without an error and right after an event.
 func (e *eventReader) next() (event, error) {
 	ev := event{comment: true}
+	start := 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		part, err := e.r.ReadSlice('\n')
+		ev.raw = append(ev.raw, part...)
 		switch {
 		case len(ev.raw) > maxEventBytes:
 			return ev, fault.Newf(fault.TooLarge, "an event exceeds %d bytes", maxEventBytes).WithOutcome(fault.Partial)
@@ -52,11 +55,16 @@
 		case err != nil:
 			return ev, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(ev.raw[start:], "\r\n")
+		start = len(ev.raw)
 		if len(text) == 0 {
 			return ev, nil
 		}
 		ev.comment = ev.comment && text[0] == ':'
+		switch name, _, _ := bytes.Cut(text, []byte(":")); string(name) {
+		case "id", "data", "event", "retry":
+			ev.named = true
+		}
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -18,13 +18,15 @@
 	is := is.New(t)
 	r := newEventReader(strings.NewReader("id: 1\ndata: a\n\nid:2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: 3\nda"))
 	for _, want := range []event{
-		{[]byte("id: 1\ndata: a\n\n"), "1", false}, {[]byte("id:2\r\ndata: b\r\ndata: c\r\n\r\n"), "2", false}, {[]byte(": note\n\n"), "", true},
+		{[]byte("id: 1\ndata: a\n\n"), "1", false, true}, {[]byte("id:2\r\ndata: b\r\ndata: c\r\n\r\n"), "2", false, true},
+		{[]byte(": note\n\n"), "", true, false},
 	} {
 		got, err := r.next()
 		is.NoErr(err)
 		is.Equal(string(got.raw), string(want.raw))
 		is.Equal(got.id, want.id)
 		is.Equal(got.comment, want.comment)
+		is.Equal(got.named, want.named)
 	}
 	_, err := r.next()
 	is.Equal(fault.As(err).Outcome, fault.Partial)
@@ -34,6 +36,26 @@
 	is.True(fault.Is(err, fault.TooLarge))
 }
 
+// Guards against a part of a long line that is taken for an ID, from which the
+// stream would then resume, or for the end of its event.
+func TestEventReaderLongLines(t *testing.T) {
+	is := is.New(t)
+	for _, line := range []string{
+		"data: " + strings.Repeat("x", eventBuffer-len("data: ")) + "id: 9", "data: " + strings.Repeat("x", eventBuffer-len("data: ")),
+		"id: 7\ndata: " + strings.Repeat("x", 3*eventBuffer-len("id: 7\ndata: ")) + ": y",
+	} {
+		got, err := newEventReader(strings.NewReader(line + "\nid: 3\n\n")).next()
+		is.NoErr(err)
+		is.Equal(string(got.raw), line+"\nid: 3\n\n")
+		is.Equal(got.id, "3")
+		is.True(!got.comment)
+	}
+	got, err := newEventReader(strings.NewReader("data: " + strings.Repeat("x", eventBuffer-len("data: ")) + "id: 9\n\n")).next()
+	is.NoErr(err)
+	is.Equal(got.id, "")
+	is.True(!got.comment)
+}
+
 // Guards against a status that implies that a request has not run where that is
 // not certain, and against a Retry-After with a status for which a retry does
 // not help.
