cmds: answer requests that arrive while a process stops

What callers saw: connections closed without a response at a planned stop, although the process had read a whole request.

Cause: http.Server.Shutdown. From its call on, the server returns without an answer when it has read a request, and it closes idle connections without a look at what has arrived on them. A request that was read just after the last one ended was dropped.

Why this works: a stop no longer calls Shutdown. Requests are answered as long as connections are open, and each answer closes its connection. Connections that still await a request after 200 ms are interrupted in the read of its first byte; one on which bytes have arrived meanwhile is served. A connection with unread bytes is closed for writing and read before it is closed, so that no reset overtakes the answer.

What a caller cannot avoid remains: a request that crosses the close of a connection that was idle for all of that time.

--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,8 @@
 		metrics     *metrics.Set
 		incarnation string
 
+		// stopping is set when the listeners are about to close.
+		stopping  atomic.Bool
 		mu        sync.Mutex
 		servers   []*http.Server
 		listeners []*stopListener
@@ -99,7 +102,8 @@
 		return fault.Newf(fault.BadInput, "cannot listen on %s for %s", address, name).WithCause(err)
 	}
 	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: int(headerBytes),
+		Handler: d.trackRequests(l.conns, h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: int(headerBytes),
+		ConnState: l.conns.noteState, ConnContext: l.conns.withConn,
 	}
 	d.mu.Lock()
 	d.servers, d.listeners = append(d.servers, server), append(d.listeners, l)
@@ -113,6 +117,18 @@
 	return nil
 }
 
+// trackRequests marks the connections of requests as in use, and asks callers to
+// close them while the daemon stops.
+func (d *daemon) trackRequests(conns *connSet, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conns.noteRequest(r)
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // wait returns nil when ctx is done, or the error of the first listener that
 // fails.
 func (d *daemon) wait(ctx context.Context) error {
@@ -126,8 +142,9 @@
 
 // shutdown closes the listeners and waits until the responses in progress have
 // been written, for the given time at most. By then, requests are refused at
-// once, also those on connections that a listener has still accepted.
+// once, also those that arrive late on open connections.
 func (d *daemon) shutdown(limit time.Duration) {
+	d.stopping.Store(true)
 	ctx, cancel := timer.WithTimeout(context.Background(), d.clock, limit)
 	defer cancel()
 	d.mu.Lock()
@@ -137,9 +154,8 @@
 	for i, l := range listeners {
 		wg.Go(func() {
 			l.Stop(ctx)
-			if err := servers[i].Shutdown(ctx); err != nil {
-				_ = servers[i].Close()
-			}
+			l.conns.end(ctx)
+			_ = servers[i].Close()
 		})
 	}
 	wg.Wait()
--- a/internal/cmds/listen.go
+++ b/internal/cmds/listen.go
@@ -26,6 +26,7 @@
 type stopListener struct {
 	*net.TCPListener
 	clock  timer.Service
+	conns  *connSet
 	closed chan struct{}
 
 	mu sync.Mutex
@@ -47,7 +48,7 @@
 	if !ok {
 		return nil, fault.Newf(fault.Internal, "the listener on %s is no TCP listener", address)
 	}
-	return &stopListener{TCPListener: t, clock: clock, closed: make(chan struct{})}, nil
+	return &stopListener{TCPListener: t, clock: clock, conns: newConnSet(clock), closed: make(chan struct{})}, nil
 }
 
 // Accept implements net.Listener. Once the listener has stopped and its queue is
@@ -58,7 +59,7 @@
 		c, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			return c, nil
+			return l.conns.add(c), nil
 		case errors.Is(err, os.ErrDeadlineExceeded) && (!stopping && l.isStopping() || l.queued()):
 			// Stop has interrupted the call, or the deadline passed before the
 			// call looked at the queue.
@@ -109,7 +110,7 @@
 }
 
 // Close implements net.Listener. Only the first call has an effect, so that
-// http.Server.Shutdown does not fail after Stop.
+// http.Server.Close does not fail after Stop.
 func (l *stopListener) Close() error {
 	l.once.Do(func() {
 		l.closeErr = l.TCPListener.Close()
