cmds: later signals do not end a process that stops

What callers saw: all connections closed or reset in the middle of a planned stop, when a second SIGTERM arrived, or a SIGHUP after the background tasks of a gateway had ended.

Cause: the handlers were removed after the first SIGTERM, and that of SIGHUP with the background tasks, before the last answers were written; entries and agents had none for SIGHUP. From then on the next signal had its default action. Signals come in series and overlap.

Why this works: the handlers stay until the process ends. A platform that does not wait has SIGKILL. The documented way for a person to end a process at once remains, for interrupts only: TestSecondInterruptEndsAtOnce. SIGHUP stops an entry or agent as SIGTERM does. A gateway closes its listeners before its background tasks end, as the entry does.

--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -100,7 +101,7 @@
 	if err := a.listen(); err != nil {
 		return err
 	}
-	signaled, cancel := signals(ctx)
+	signaled, cancel := signals(ctx, syscall.SIGHUP)
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- a.agent.Run(signaled) }()
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -86,12 +86,22 @@
 	return log.With(logger, "time", log.TimestampFormat(now, "2006-01-02T15:04:05.000Z07:00"))
 }
 
-// signals returns a context that ends at the first SIGTERM or interrupt. A
-// second signal ends the process at once.
-func signals(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	context.AfterFunc(ctx, stop)
-	return ctx, stop
+// signals returns a context that ends at the first SIGTERM or interrupt, or one of
+// the given signals. The handlers remain until the process ends, so that no later
+// signal cuts requests; only a second interrupt ends the process at once.
+func signals(ctx context.Context, more ...os.Signal) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	received := make(chan os.Signal, 8)
+	signal.Notify(received, append(more, syscall.SIGTERM, os.Interrupt)...)
+	go func() {
+		for s := range received {
+			if s == os.Interrupt {
+				signal.Reset(os.Interrupt)
+			}
+			cancel()
+		}
+	}()
+	return ctx, cancel
 }
 
 // serve listens on an address and serves requests there until the daemon shuts
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
@@ -93,7 +94,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	signaled, cancel := signals(ctx)
+	signaled, cancel := signals(ctx, syscall.SIGHUP)
 	defer cancel()
 	if err := e.wait(signaled); err != nil {
 		return err
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -136,11 +136,12 @@
 	g := newGateway(file, settings, lines)
 	_ = level.Info(g.logger).Log("event", "Start", "incarnation", g.incarnation, "dataCentre", settings.DataCentre,
 		"store", settings.Store, "firstStart", settings.FirstStart)
-	defer g.close()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
+	// The last requests are answered before the background tasks end.
+	defer g.close()
 	for _, run := range []func(context.Context){
 		g.configs.Run, g.fleets.Run, g.peers.Run, g.members.Run, g.planner.Run, g.reload,
 	} {
@@ -274,8 +275,8 @@
 // settings take effect at the next start.
 func (g *gatewayDaemon) reload(ctx context.Context) {
 	reloads := make(chan os.Signal, 1)
+	// Stays until the process ends, since a SIGHUP would end it.
 	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/cmds/process_test.go
+++ b/internal/cmds/process_test.go
@@ -167,6 +167,15 @@
 	}
 }
 
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // awaitListener waits until an address accepts connections.
 func awaitListener(t *testing.T, address string) net.Conn {
 	t.Helper()
--- /dev/null
+++ b/internal/cmds/signal_test.go
@@ -0,0 +1,55 @@
+package cmds
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// series sends the signals in turn until the process has ended.
+func (p *process) series(pause time.Duration, signals ...syscall.Signal) {
+	for n := 0; p.running(); n++ {
+		p.signal(signals[n%len(signals)])
+		time.Sleep(pause)
+	}
+}
+
+// Guards against a second SIGTERM, or a SIGHUP during a stop, that ends the process
+// and cuts the requests that it has accepted.
+func TestSignalsInSeriesCutNothing(t *testing.T) {
+	t.Run("entry", func(t *testing.T) {
+		p := startEntryProcess(t)
+		_ = awaitListener(t, p.callers).Close()
+		counts := callUntilGone(p, 10, func(int) string { return requestText("/v1/models") }, func() {
+			p.series(5*time.Millisecond, syscall.SIGTERM, syscall.SIGHUP)
+		})
+		counts.check(t, p)
+	})
+	t.Run("gateway", func(t *testing.T) {
+		_, store := processSite(t)
+		p := startGatewayProcess(t, store)
+		p.awaitServing(t)
+		counts := callUntilGone(p, 10, plainAndStream, func() {
+			p.series(5*time.Millisecond, syscall.SIGHUP, syscall.SIGTERM)
+		})
+		counts.check(t, p)
+	})
+}
+
+// Guards against an operator who cannot end a process that stops slowly.
+func TestSecondInterruptEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, store := processSite(t)
+	p := startGatewayProcess(t, store)
+	p.awaitServing(t)
+	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGINT)
+	time.Sleep(100 * time.Millisecond)
+	is.True(p.running())
+	p.signal(syscall.SIGINT)
+	is.Equal(p.end(t), "signal: interrupt")
+	is.True(!strings.Contains(p.log.String(), "event=Stopped"))
+}
