cmds: install the handlers of signals before listening

What callers saw: a process that accepted connections ended at once by a SIGTERM or SIGHUP shortly after its start, with connections open. A stop that overlaps a start is planned work like any other.

Cause: all listeners were open before the handlers were installed; that of SIGHUP in a goroutine.

Evidence: TestSignalsAtTheStart on the code before: "signal: hangup != exit status 0" and "signal: terminated != exit status 0" for the entry, "signal: terminated != exit status 0" for the gateway, each in the first start.

Why this works: the handlers are the first thing that a daemon installs. A signal that came meanwhile stops the process once it listens.

--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -86,6 +86,8 @@
 // runAgent runs an agent until a signal arrives or the platform's instance list
 // marks it as Leaving. It returns when the work in flight has ended.
 func runAgent(ctx context.Context, settings conf.Agent, logs io.Writer) error {
+	signaled, cancel := signals(ctx, syscall.SIGHUP)
+	defer cancel()
 	a := newAgentDaemon(settings, logs)
 	defer a.shutdown(closeTimeout)
 	defer a.links.Stop()
@@ -101,8 +103,6 @@
 	if err := a.listen(); err != nil {
 		return err
 	}
-	signaled, cancel := signals(ctx, syscall.SIGHUP)
-	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- a.agent.Run(signaled) }()
 	failure := a.wait(signaled)
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -88,7 +88,8 @@
 
 // signals returns a context that ends at the first SIGTERM or interrupt, or one of
 // the given signals. The handlers remain until the process ends, so that no later
-// signal cuts requests; only a second interrupt ends the process at once.
+// signal cuts requests; only a second interrupt ends the process at once. It is
+// called before the process listens.
 func signals(ctx context.Context, more ...os.Signal) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	received := make(chan os.Signal, 8)
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -76,6 +76,8 @@
 // runEntry runs an entry until a signal arrives and its open requests have
 // ended.
 func runEntry(ctx context.Context, settings conf.Entry, logs io.Writer) error {
+	signaled, cancel := signals(ctx, syscall.SIGHUP)
+	defer cancel()
 	e := newEntryDaemon(settings, logs)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -94,8 +96,6 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	signaled, cancel := signals(ctx, syscall.SIGHUP)
-	defer cancel()
 	if err := e.wait(signaled); err != nil {
 		return err
 	}
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -129,6 +129,10 @@
 // runGateway runs a gateway until a signal arrives and its open requests have
 // ended.
 func runGateway(ctx context.Context, file string, settings conf.Gateway, logs io.Writer) error {
+	signaled, cancel := signals(ctx)
+	defer cancel()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMegabytes) * (1 << 20)))
 	debug.SetGCPercent(gatewayGCPercent)
 	lines := spool.New(logs, timer.System{})
@@ -143,15 +147,14 @@
 	// The last requests are answered before the background tasks end.
 	defer g.close()
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.fleets.Run, g.peers.Run, g.members.Run, g.planner.Run, g.reload,
+		g.configs.Run, g.fleets.Run, g.peers.Run, g.members.Run, g.planner.Run,
+		func(ctx context.Context) { g.reload(ctx, reloads) },
 	} {
 		wg.Go(func() { run(work) })
 	}
 	if err := g.listen(); err != nil {
 		return err
 	}
-	signaled, cancel := signals(ctx)
-	defer cancel()
 	if err := g.wait(signaled); err != nil {
 		return err
 	}
@@ -271,12 +274,9 @@
 	return nil
 }
 
-// reload checks the settings file at each SIGHUP and logs the result. New
+// reload checks the settings file at each signal and logs the result. New
 // settings take effect at the next start.
-func (g *gatewayDaemon) reload(ctx context.Context) {
-	reloads := make(chan os.Signal, 1)
-	// Stays until the process ends, since a SIGHUP would end it.
-	signal.Notify(reloads, syscall.SIGHUP)
+func (g *gatewayDaemon) reload(ctx context.Context, reloads <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/cmds/signal_test.go
+++ b/internal/cmds/signal_test.go
@@ -39,6 +39,33 @@
 	})
 }
 
+// Guards against a signal that ends a process which accepts connections already
+// and has not installed its handlers yet.
+func TestSignalsAtTheStart(t *testing.T) {
+	_, store, _ := testSite(t)
+	for _, c := range []struct {
+		name  string
+		start func() *process
+	}{
+		{"entry", func() *process { return startEntryProcess(t) }},
+		{"gateway", func() *process { return startGatewayProcess(t, store) }},
+	} {
+		for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+			for range 2 {
+				t.Run(c.name+" "+s.String(), func(t *testing.T) {
+					t.Parallel()
+					p := c.start()
+					_ = awaitListener(t, p.links).Close()
+					p.signal(s)
+					time.Sleep(10 * time.Millisecond)
+					p.signal(syscall.SIGTERM)
+					is.New(t).Equal(p.end(t), "exit status 0")
+				})
+			}
+		}
+	}
+}
+
 // Guards against an operator who cannot end a process that stops slowly.
 func TestSecondInterruptEndsAtOnce(t *testing.T) {
 	is := is.New(t)
