proxy: abort the connection of a caller that has left

What callers saw: "HTTP/1.1 200 OK" with "Content-Length: 0", a false success, after they had closed their side of the connection behind a whole request. The end of that side counts as a caller that has left.

Cause: nothing was written for a request whose caller had left, so that the server sent an empty response with status 200 when the handler returned.

Evidence: TestGatewaySendsNoFalseSuccess on the code before: that response for a repeatable call, for one that runs once and for a stream.

Why this works: the handler aborts after the outcome is recorded, as it does where a stream breaks off, so that the server sends nothing and closes the connection.

--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -28,12 +28,14 @@
 
 // refuse sends an error of the gateway itself to the caller and logs it. A
 // status that implies that the request has not run is sent only if that is
-// certain.
+// certain. If the caller has left, it aborts the connection and does not return.
 func (q *request) refuse(err error) {
 	e := fault.As(err)
 	if e.Code == fault.Canceled {
 		q.recordOutcome(e.Status(), "Canceled", err)
-		return
+		// Without it, the server would send an empty response with status 200 to
+		// a caller that has only closed its side of the connection.
+		panic(http.ErrAbortHandler)
 	}
 	status := e.Status()
 	if e.Outcome != fault.NotRun && impliesNotRun(status) {
