proxy: send refusals before the rest of a slow body

What callers saw: no answer to a request whose body came slowly, although it was refused at once: 401 and 404 arrived only when the body had, and never while the caller paused.

Cause: net/http reads up to 256 KB of a body that the handler has left before it sends the response, if the connection can be used again, and without a deadline.

Evidence: TestGatewayRefusesBeforeTheBody on the code before, with half a body of 20,000 bytes: "i/o timeout" 1 s after the head for 401 and 404, with a length and in chunks. 413 and the 503 of a stop were sent at once.

Why this works: a refusal before the body was read closes its connection, which makes the server send it first. The rest of the body is read and dropped for 500 ms at most, so that no reset destroys the refusal, and is never taken for a request.

--- a/internal/cmds/gateway_caller_test.go
+++ b/internal/cmds/gateway_caller_test.go
@@ -1,8 +1,11 @@
 package cmds
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -46,3 +49,56 @@
 		})
 	}
 }
+
+// Guards against a refusal that waits for the rest of a body that comes slowly,
+// against a reset that destroys it, and against a body that is taken for the next
+// request.
+func TestGatewayRefusesBeforeTheBody(t *testing.T) {
+	const bodyBytes = 20_000
+	_, store, _ := testSite(t)
+	g := startGateway(t, "g1", store, nil).waitReady(t)
+	next := requestText("/open/x")
+	body := strings.Repeat("x", bodyBytes/2) + next + strings.Repeat("x", bodyBytes/2-len(next))
+	for _, c := range []struct {
+		path, key, length string
+		status            int
+		drain             bool
+	}{
+		{"/register/x", "other", fmt.Sprint(bodyBytes), http.StatusUnauthorized, false},
+		{"/nothing/x", testKey, fmt.Sprint(bodyBytes), http.StatusNotFound, false},
+		{"/register/x", testKey, "100000000", http.StatusRequestEntityTooLarge, false},
+		{"/register/x", "other", "chunked", http.StatusUnauthorized, false},
+		{"/register/x", testKey, fmt.Sprint(bodyBytes), http.StatusServiceUnavailable, true},
+	} {
+		t.Run(fmt.Sprintf("%d %s", c.status, c.length), func(t *testing.T) {
+			is := is.New(t)
+			if c.drain {
+				g.server.StartDrain()
+				eventually(t, "new requests are refused", g.server.RefusesNew)
+			}
+			length, before, after := "Content-Length: "+c.length, "", ""
+			if c.length == "chunked" {
+				length, before, after = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n", bodyBytes), "\r\n0\r\n\r\n"
+			}
+			conn := g.dial(t)
+			_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer %s\r\nRequest-Id: %s\r\n%s\r\n\r\n%s%s",
+				c.path, c.key, requestID(), length, before, body[:bodyBytes/2])
+			is.NoErr(err)
+			in := bufio.NewReader(conn)
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Second)))
+			resp, err := http.ReadResponse(in, nil)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.True(resp.Close)
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.WriteString(conn, body[bodyBytes/2:]+after)
+			is.NoErr(err)
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+			rest, err := io.ReadAll(in)
+			is.Equal(string(rest), "")
+			is.NoErr(err) // closed, and not reset
+		})
+	}
+}
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -24,6 +24,9 @@
 	// long.
 	minRepairRetryAfter = 1200 * time.Millisecond
 	maxRepairRetryAfter = 3 * time.Second
+	// abandonedBodyTime bounds the read of a body behind a refusal, so that a
+	// caller that still sends is not reset before it has read the refusal.
+	abandonedBodyTime = 500 * time.Millisecond
 )
 
 // refuse sends an error of the gateway itself to the caller and logs it. A
@@ -37,6 +40,7 @@
 		// a caller that has only closed its side of the connection.
 		panic(http.ErrAbortHandler)
 	}
+	q.abandonBody()
 	status := e.Status()
 	if e.Outcome != fault.NotRun && impliesNotRun(status) {
 		status = http.StatusBadGateway
@@ -53,6 +57,18 @@
 	q.recordOutcome(status, string(e.Outcome), err)
 }
 
+// abandonBody makes the server send the response before the rest of the request's
+// body, which it would otherwise await without a deadline, and bounds the time in
+// which it reads and drops that rest.
+func (q *request) abandonBody() {
+	if q.bodyRead || q.r.ContentLength == 0 {
+		return
+	}
+	q.w.Header().Set("Connection", "close")
+	// A writer that does not support deadlines belongs to no connection.
+	_ = http.NewResponseController(q.w).SetReadDeadline(q.Clock.Now().Add(abandonedBodyTime))
+}
+
 func impliesNotRun(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -108,8 +108,10 @@
 		// request.
 		version uint64
 		account string
-		body    []byte
-		arrived time.Time
+		// bodyRead is true once body holds the whole body.
+		bodyRead bool
+		body     []byte
+		arrived  time.Time
 		// deadline is the earlier of the caller's and the route's deadline.
 		deadline time.Time
 		// sendCount is the number of requests sent to targets. possibleRuns is
@@ -283,7 +285,7 @@
 	if int64(len(body)) > limit {
 		return fault.Newf(fault.TooLarge, "the request body exceeds %d bytes", limit)
 	}
-	q.body = body
+	q.body, q.bodyRead = body, true
 	return nil
 }
 
