entry: send refusals before the rest of a slow body

What callers saw: a 401 that arrived only when the rest of a slow body had.

Why this works: an error that is written before the body was read to its end closes the connection, and the rest is dropped for 500 ms at most. One after it keeps the connection.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -24,10 +24,21 @@
 
 const contentJSON = "application/json"
 
+// abandonedBodyTime bounds the read of a body behind a refusal, so that a caller
+// that still sends is not reset before it has read the refusal.
+const abandonedBodyTime = 500 * time.Millisecond
+
 // callerHandler handles the request of an authenticated caller. It returns its
 // failure, unless it has already written the failure to the body.
 type callerHandler func(w http.ResponseWriter, r *http.Request, account string) error
 
+// callerBody is the body of a request.
+type callerBody struct {
+	io.ReadCloser
+	// ended is true once the body has been read to its end.
+	ended bool
+}
+
 func (e *Entry) routes() http.Handler {
 	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	m.Methods(http.MethodPost).Path("/v1/completions").Handler(e.authenticated(e.completions))
@@ -51,27 +62,52 @@
 		// the request or the request is refused.
 		e.metrics.open.Add(1)
 		defer e.metrics.open.Add(-1)
-		account, ok := e.authenticate(r)
-		if !ok {
-			e.writeError(w, fault.New(fault.Unauthorized, "API key is missing or wrong"))
-			return
-		}
-		if e.draining.Load() {
-			w.Header().Set("Connection", "close")
-			e.writeError(w, fault.New(fault.Leaving, "entry is shutting down").WithRetryAfter(time.Second))
-			return
-		}
-		if n := headerBytes(r.Header); n > e.bounds.HeaderBytes {
-			e.writeError(w, fault.Newf(fault.TooLarge, "header has %d bytes; allowed: %d", n, e.bounds.HeaderBytes))
-			return
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, e.bounds.BodyBytes)
-		if err := h(w, r, account); err != nil {
+		body := &callerBody{ReadCloser: r.Body, ended: r.ContentLength == 0}
+		r.Body = body
+		if err := e.admitCaller(h, w, r); err != nil {
+			if !body.ended {
+				e.abandonBody(w)
+			}
 			e.writeError(w, fault.As(err))
 		}
 	})
 }
 
+// admitCaller authenticates the caller, applies the size limits and calls h.
+func (e *Entry) admitCaller(h callerHandler, w http.ResponseWriter, r *http.Request) error {
+	account, ok := e.authenticate(r)
+	if !ok {
+		return fault.New(fault.Unauthorized, "API key is missing or wrong")
+	}
+	if e.draining.Load() {
+		w.Header().Set("Connection", "close")
+		return fault.New(fault.Leaving, "entry is shutting down").WithRetryAfter(time.Second)
+	}
+	if n := headerBytes(r.Header); n > e.bounds.HeaderBytes {
+		return fault.Newf(fault.TooLarge, "header has %d bytes; allowed: %d", n, e.bounds.HeaderBytes)
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, e.bounds.BodyBytes)
+	return h(w, r, account)
+}
+
+// abandonBody makes the server send the response before the rest of the request's
+// body, which it would otherwise await without a deadline, and bounds the time in
+// which it reads and drops that rest.
+func (e *Entry) abandonBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	// A writer that does not support deadlines belongs to no connection.
+	_ = http.NewResponseController(w).SetReadDeadline(e.cfg.Timer.Now().Add(abandonedBodyTime))
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
 // authenticate returns the account whose API key the request carries. Keys are
 // looked up by their digest, so that response times reveal nothing about them.
 func (e *Entry) authenticate(r *http.Request) (string, bool) {
