proxy: answer calls that outlast a planned stop

What callers saw: a closed connection for a call that was accepted during a stop and that its target had not answered at the end.

Cause: only streams are ended before the listeners close; calls had to end by themselves, within 500 ms.

Evidence: TestGatewayStopAnswersSlowCalls on the code before: "unexpected EOF".

Why this works: 100 ms before the end of that time, calls that are still open are answered with 502 and the outcome Unknown, as their targets may still run them.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -64,6 +64,9 @@
 	// gatewayCloseTimeout bounds the shutdown of the listeners after a drain,
 	// which ends streamAbortMargin before the end of StopTimeout.
 	gatewayCloseTimeout = 500 * time.Millisecond
+	// callAbortTime is the time after the start of that shutdown at which the
+	// requests that are still open are answered with an error.
+	callAbortTime = 400 * time.Millisecond
 	// leaveTimeout bounds the store calls of a stop, which release the
 	// planner's lease and delete the gateway's row.
 	leaveTimeout = 500 * time.Millisecond
@@ -317,6 +320,7 @@
 // refuses new requests, and the platform kills the process at the end of its
 // stop time.
 func (g *gatewayDaemon) close() {
+	defer g.clock.After(callAbortTime, g.server.AbortCalls)()
 	g.shutdown(gatewayCloseTimeout)
 	_ = level.Info(g.logger).Log("event", "Stopped", "open", g.server.OpenRequests())
 }
--- a/internal/cmds/process_test.go
+++ b/internal/cmds/process_test.go
@@ -306,6 +306,30 @@
 	}
 }
 
+// Guards against a planned stop that closes the connections of calls that outlast
+// it, without an answer.
+func TestGatewayStopAnswersSlowCalls(t *testing.T) {
+	is := is.New(t)
+	site, store, plain := testSite(t)
+	site.AddEngine("e1", "x", testModel).SetLayers(0, 8)
+	p := startGatewayProcess(t, store)
+	p.awaitServing(t)
+	for _, s := range plain {
+		s.SetFaults(sims.ServiceFaults{Delay: 10 * time.Second})
+	}
+	p.signal(syscall.SIGTERM)
+	time.Sleep(2800 * time.Millisecond) // requests are accepted for 3 s
+	conn, err := net.Dial("tcp", p.callers)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, requestText("/register/x"))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway) // it may have run
+	is.Equal(p.end(t), "exit status 0")
+}
+
 // processSite returns a site with a target for each kind of request.
 func processSite(t *testing.T) (*sims.Site, string) {
 	t.Helper()
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -107,6 +107,9 @@
 			if q.route.Semantics == topo.Repeatable && q.possibleRuns < q.route.Attempts && send(true) == nil {
 				q.possibleRuns++
 			}
+		case <-q.abortCalls:
+			q.refuse(fault.New(fault.Leaving, "the gateway stopped before the response").WithOutcome(fault.Unknown))
+			return
 		case <-ctx.Done():
 			q.refuse(q.interruption(last))
 			return
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -93,6 +94,10 @@
 		// end of the drain.
 		abortCtx context.Context
 		abort    context.CancelFunc
+		// abortCalls is closed to end the other requests that are still open
+		// just before the listeners close.
+		abortCalls     chan struct{}
+		abortCallsOnce sync.Once
 	}
 
 	// request is the state of one caller's request.
@@ -128,7 +133,7 @@
 
 // New returns a Server with the given dependencies.
 func New(o Options) *Server {
-	s := &Server{Options: o}
+	s := &Server{Options: o, abortCalls: make(chan struct{})}
 	s.abortCtx, s.abort = context.WithCancel(context.Background())
 	s.reports.init()
 	s.latencies.init()
@@ -163,6 +168,10 @@
 // another gateway.
 func (s *Server) AbortStreams() { s.abort() }
 
+// AbortCalls ends the other requests that are still open with an error. Their
+// targets may still run them.
+func (s *Server) AbortCalls() { s.abortCallsOnce.Do(func() { close(s.abortCalls) }) }
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.openRequests.Add(1)
