--- a/internal/cmds/process_test.go
+++ b/internal/cmds/process_test.go
@@ -35,6 +35,8 @@
 	// process is an entry or gateway that runs as a process of its own.
 	process struct {
 		cmd *exec.Cmd
+		// file is the settings file.
+		file string
 		// log is the output; it is read after the end.
 		log bytes.Buffer
 		// callers and links are the addresses of two of its listeners.
@@ -91,7 +93,7 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{cmd: exec.Command(os.Args[0], role, "--config", file), exited: make(chan struct{})}
+	p := &process{cmd: exec.Command(os.Args[0], role, "--config", file), file: file, exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	p.cmd.Env = append(os.Environ(), runVariable+"=1")
 	if err := p.cmd.Start(); err != nil {
--- a/internal/cmds/signal_test.go
+++ b/internal/cmds/signal_test.go
@@ -1,6 +1,8 @@
 package cmds
 
 import (
+	"fmt"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -39,6 +41,37 @@
 	})
 }
 
+// Guards against a change of the settings or of the configuration that cuts
+// requests, before a stop or during one.
+func TestChangesBesideAStopCutNothing(t *testing.T) {
+	site, store := processSite(t)
+	p := startGatewayProcess(t, store)
+	p.awaitServing(t)
+	settings, err := os.ReadFile(p.file)
+	is.New(t).NoErr(err)
+	change := func(n int) {
+		text := settings
+		if n%2 == 0 {
+			text = settings[:len(settings)/2]
+		}
+		_ = os.WriteFile(p.file, text, 0o600)
+		p.signal(syscall.SIGHUP)
+		site.WriteConfig(testKey, fmt.Sprintf("key-%d", 2+n%2))
+		time.Sleep(20 * time.Millisecond)
+	}
+	counts := callUntilGone(p, 10, plainAndStream, func() {
+		for n := range 50 {
+			change(n)
+		}
+		p.signal(syscall.SIGTERM)
+		for n := 0; p.running(); n++ {
+			change(n)
+		}
+	})
+	counts.check(t, p)
+	is.New(t).True(strings.Count(p.log.String(), "event=Reload") > 50)
+}
+
 // Guards against a signal that ends a process which accepts connections already
 // and has not installed its handlers yet.
 func TestSignalsAtTheStart(t *testing.T) {
