soak: stop gateways by signals in series, under callers that stay

SIGHUP and SIGTERM in turn every 30 ms until a gateway has ended, while four callers send one request after another on its connections. Each request must get an answer, and the process must end by itself.

--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -34,7 +34,7 @@
 // faults lists the faults that the soak draws from. A fault that is listed twice
 // is drawn twice as often.
 var faults = []fault{
-	killGateway, stopGateway, pauseGateway,
+	killGateway, stopGateway, stopInSeries, pauseGateway,
 	cutConnections(linkRelay), silenceConnections(linkRelay), delayMessages(linkRelay), holdDirection(linkRelay),
 	cutConnections(storeRelay), silenceConnections(storeRelay), holdDirection(storeRelay),
 	failStoreRequests, storeOutage, loseWriteAnswers, dropStoreHistory, rotateKeys,
