--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -64,6 +64,9 @@
 	// gatewayCloseTimeout bounds the shutdown of the listeners after a drain,
 	// which ends streamAbortMargin before the end of StopTimeout.
 	gatewayCloseTimeout = 500 * time.Millisecond
+	// callAbortTime is the time after the start of that shutdown at which the
+	// requests that are still open are answered with an error.
+	callAbortTime = 400 * time.Millisecond
 	// leaveTimeout bounds the store calls of a stop, which release the
 	// planner's lease and delete the gateway's row.
 	leaveTimeout = 500 * time.Millisecond
@@ -129,6 +132,10 @@
 // runGateway runs a gateway until a signal arrives and its open requests have
 // ended.
 func runGateway(ctx context.Context, file string, settings conf.Gateway, logs io.Writer) error {
+	signaled, cancel := signals(ctx)
+	defer cancel()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMegabytes) * (1 << 20)))
 	debug.SetGCPercent(gatewayGCPercent)
 	lines := spool.New(logs, timer.System{})
@@ -136,21 +143,21 @@
 	g := newGateway(file, settings, lines)
 	_ = level.Info(g.logger).Log("event", "Start", "incarnation", g.incarnation, "dataCentre", settings.DataCentre,
 		"store", settings.Store, "firstStart", settings.FirstStart)
-	defer g.close()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
+	// The last requests are answered before the background tasks end.
+	defer g.close()
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.fleets.Run, g.peers.Run, g.members.Run, g.planner.Run, g.reload,
+		g.configs.Run, g.fleets.Run, g.peers.Run, g.members.Run, g.planner.Run,
+		func(ctx context.Context) { g.reload(ctx, reloads) },
 	} {
 		wg.Go(func() { run(work) })
 	}
 	if err := g.listen(); err != nil {
 		return err
 	}
-	signaled, cancel := signals(ctx)
-	defer cancel()
 	if err := g.wait(signaled); err != nil {
 		return err
 	}
@@ -270,12 +277,9 @@
 	return nil
 }
 
-// reload checks the settings file at each SIGHUP and logs the result. New
+// reload checks the settings file at each signal and logs the result. New
 // settings take effect at the next start.
-func (g *gatewayDaemon) reload(ctx context.Context) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
+func (g *gatewayDaemon) reload(ctx context.Context, reloads <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -316,6 +320,7 @@
 // refuses new requests, and the platform kills the process at the end of its
 // stop time.
 func (g *gatewayDaemon) close() {
+	defer g.clock.After(callAbortTime, g.server.AbortCalls)()
 	g.shutdown(gatewayCloseTimeout)
 	_ = level.Info(g.logger).Log("event", "Stopped", "open", g.server.OpenRequests())
 }
