blame, proxy: hold no parts of prompts because targets are lost one after another

In TestGatewayHoldsNothingWhenTargetsAreLost six of sixteen targets are lost at once, then one every 0.4 s; on the code before, sound requests with one first part are refused for two minutes (LOST).

Cause: three ends under a part, 250 ms between the first and the last, sufficed. A lost rack and one more target meet that, and so do targets that are lost one after another faster than a request needs to survive (a second). Its class: a verdict reached sooner than the evidence for the defence can arrive.

TestBlame: "targets are lost one after another right after the start", "the same in groups" and "a rack is lost, then single targets" want sent, got "held doc,f1"; "slow targets end late under a part" and "reports are lost, and two targets end within 200 ms" want sent, got "held bad".

Why this works: ends count by occasions, 200 ms or more apart, of which three are needed, or two with five ends and three seconds between them. A request that a target has been answering for 0.3 s keeps its parts from being held until it survives or ends; gateways report such parts, leaders relay them with their age. After six occasions and four seconds it no longer does.

Tests found them there: while the likeliest part was being answered its neighbour was held ("a likely part is being answered": want sent, got "held f1"); after five ends at once one more was not enough ("many targets end at once": want held, got sent), so that BUDGET's three requests could be used up; relays exceeded the bound of a report (TestBlameBounded); a request went on speaking for its parts after it had survived, to its end (TestGatewayRequestSpeaksForItsPartsOnce).

The case "reports are lost" had two ends 100 ms apart. It keeps its check with 200 ms, which loses the same twelve reports; with the old timing it is a case of its own: not held at the third end, held at the fourth, before BUDGET begins to count. All other cases are unchanged.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -3,10 +3,10 @@
 //
 // A gateway records, for each target that ended, the prompts of the requests that
 // the target had not begun to answer or had begun only shortly before. Gateways
-// exchange these records. A part is held back once several targets have ended
-// under different prompts that contain it, while no request with it survived
-// anywhere. Parts that sound requests share with the cause survive elsewhere, and
-// many targets that end at once, such as a rack, are one occasion only.
+// exchange these records. A part is held back once targets have ended on several
+// occasions under different prompts that contain it, while no request with it
+// survived anywhere. Parts that sound requests share with the cause survive
+// elsewhere, and many targets that end at once, such as a rack, are one occasion.
 package blame
 
 import (
@@ -23,13 +23,20 @@
 )
 
 const (
-	// minEnds is the number of targets that must have ended under a part, and
-	// minPrompts that of the different prompts with it.
-	minEnds    = 3
-	minPrompts = 2
-	// minSpread is the minimum time between the first and the last of these ends.
-	// Targets that are lost together end within less.
-	minSpread = 250 * time.Millisecond
+	// minOccasions is the number of occasions on which targets must have ended under
+	// a part, and minPrompts that of the different prompts with it. Targets that
+	// are lost together end on one occasion, within occasionTime.
+	minOccasions = 3
+	minPrompts   = 2
+	occasionTime = 200 * time.Millisecond
+	// burstEnds is the number of ends from which two occasions suffice if they are
+	// trustTime apart: a request with a sound part would have survived meanwhile.
+	burstEnds = 5
+	// certainOccasions and certainTime are the number of occasions and the time since
+	// the first from which a request that is just being answered does not speak
+	// for its parts; it has to survive.
+	certainOccasions = 2 * minOccasions
+	certainTime      = 4 * time.Second
 	// trustTime is how long a request that survived speaks for the parts of its
 	// prompt.
 	trustTime = 3 * time.Second
@@ -64,6 +71,11 @@
 		// endsWith is the number of ends with a case that shares the part.
 		endsWith  map[string]int
 		survivors survivors
+		// running counts this gateway's requests with each shared part that are
+		// being answered and have not survived yet. runningElsewhere holds when
+		// another gateway last had some.
+		running          map[string]int
+		runningElsewhere map[string]time.Time
 		// holds is keyed by holdKey. It contains released holds for some time.
 		holds map[string]*hold
 		// changed is closed and replaced when a hold is added or renewed.
@@ -98,8 +110,9 @@
 // gateways.
 func New(o Options) *Tracker {
 	return &Tracker{
-		Options: o, endsWith: map[string]int{}, holds: map[string]*hold{}, changed: make(chan struct{}), publish: func(Report) {},
-		owns: func(string) bool { return true },
+		Options: o, endsWith: map[string]int{}, running: map[string]int{}, runningElsewhere: map[string]time.Time{},
+		holds: map[string]*hold{}, changed: make(chan struct{}),
+		publish: func(Report) {}, owns: func(string) bool { return true },
 	}
 }
 
@@ -127,6 +140,24 @@
 	}
 }
 
+// Running records that a target has begun to answer a request and goes on, until
+// the returned function is called. That must be when the request has survived, at
+// the latest.
+func (t *Tracker) Running(prompt []string) (done func()) {
+	t.addRunning(prompt, 1)
+	return func() { t.addRunning(prompt, -1) }
+}
+
+func (t *Tracker) addRunning(prompt []string, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range shared(prompt) {
+		if t.running[part] += n; t.running[part] <= 0 {
+			delete(t.running, part)
+		}
+	}
+}
+
 // Ended records that a target ended under a request that it had not begun to
 // answer, or had begun shortly before.
 func (t *Tracker) Ended(target topo.Target, prompt []string) {
@@ -215,7 +246,7 @@
 
 // judgeCase judges if a new case can make a difference. The caller holds the lock.
 func (t *Tracker) judgeCase(c Case, now time.Time) {
-	frequent := func(part string) bool { return t.endsWith[part] >= minEnds }
+	frequent := func(part string) bool { return t.endsWith[part] >= minOccasions }
 	if slices.ContainsFunc(shared(c.Prompt), frequent) && len(t.matchingHolds(c.Prompt)) == 0 {
 		t.judge(now)
 	}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -132,6 +132,8 @@
 				}
 			case "end":
 				n.get(t, l.Text("at")).Ended(topo.Target{ID: l.Text("target"), Started: 1}, strings.Split(l.Text("prompt"), ","))
+			case "running":
+				n.get(t, l.Text("at")).Running(strings.Split(l.Text("prompt"), ","))
 			case "survived":
 				n.get(t, l.Text("at")).Survived(strings.Split(l.Text("prompt"), ","))
 			case "wait":
@@ -197,6 +199,27 @@
 	}
 	is.True(b.Check([]string{"p49", "new", "z"}) != nil)
 	is.True(b.Check([]string{"other", "new", "z"}) == nil)
+
+	last := r.Ends[len(r.Ends)-1].Cases
+	for i := range 3 {
+		running := map[string]time.Duration{}
+		for _, c := range last[10*i : 10*(i+1)] {
+			running[c.Prompt[1]] = 0
+		}
+		for j := range 40 {
+			running[fmt.Sprintf("made-up-%d-%d", i, j)] = 0
+		}
+		b.Merge(fmt.Sprintf("g%d", i+1), blame.Report{Running: running})
+	}
+	is.Equal(len(b.NewReporter().Report(true).Running), 30) // only suspects
+	for _, e := range r.Ends {
+		for _, c := range e.Cases {
+			b.Merge("g1", blame.Report{Running: map[string]time.Duration{c.Prompt[1]: 0}})
+			b.Running(c.Prompt)
+		}
+	}
+	is.True(len(b.NewReporter().Report(true).Running) <= 64)
+	is.True(len(b.NewReporter().Report(false).Running) <= 64)
 }
 
 // Guards against a report of another gateway with impossible values that changes
@@ -211,8 +234,15 @@
 			{Target: "t", Cases: []blame.Case{{Prompt: nil}, {Prompt: []string{"b"}}}},
 		},
 		Survivals: map[string]time.Duration{"a": -time.Hour, "b": time.Hour},
+		Running:   map[string]time.Duration{"a": -time.Hour, "b": time.Hour},
 		Holds:     []blame.Hold{{}, {Parts: []string{"a"}, Left: 100 * time.Hour}, {Parts: []string{"a"}, Left: -100 * time.Hour}},
 	})
 	is.True(fresh.Empty())
 	is.True(b.FullReport().Empty())
+
+	b.Ended(topo.Target{ID: "t"}, []string{"a", "b"})
+	b.Merge("g1", blame.Report{Running: map[string]time.Duration{"a": -time.Hour}})
+	is.Equal(len(b.NewReporter().Report(true).Running), 0)
+	b.Merge("g1", blame.Report{Running: map[string]time.Duration{"a": time.Hour}})
+	is.Equal(len(b.NewReporter().Report(true).Running), 0)
 }
--- a/internal/blame/judge.go
+++ b/internal/blame/judge.go
@@ -34,7 +34,8 @@
 }
 
 // worstPart returns what speaks against the part that explains the most ends, or
-// nil if that is too little or if two parts explain them equally well.
+// nil if that is too little, if two parts explain them equally well, or if a
+// request with the part may be about to survive.
 func (t *Tracker) worstPart(now time.Time) *tally {
 	var worst *tally
 	tied := false
@@ -50,7 +51,9 @@
 			tied = tied || !x.alwaysWith(worst)
 		}
 	}
-	if tied {
+	// While it is open whether the part is the cause, no other part is held for the
+	// same ends.
+	if worst == nil || tied || !worst.certain(now) && t.isRunning(worst.part, now) {
 		return nil
 	}
 	return worst
@@ -65,7 +68,7 @@
 		explaining := t.holdsOn(e)
 		for _, c := range e.cases {
 			for _, part := range shared(c.Prompt) {
-				if t.endsWith[part] < minEnds {
+				if t.endsWith[part] < minOccasions {
 					continue
 				}
 				survived := t.survivors.last(part)
@@ -96,23 +99,43 @@
 // sufficient reports whether the ends are too many, too different and too far
 // apart for chance.
 func (x *tally) sufficient() bool {
-	if len(x.ends) < minEnds || len(x.prompts) < minPrompts {
+	occasions := x.occasions()
+	if len(x.ends) < minOccasions || len(x.prompts) < minPrompts {
 		return false
 	}
-	first, last := x.ends[0].at, x.ends[0].at
-	for _, e := range x.ends {
-		if e.at.Before(first) {
-			first = e.at
-		}
-		if e.at.After(last) {
-			last = e.at
+	return len(occasions) >= minOccasions || len(x.ends) >= burstEnds && occasions[len(occasions)-1].Sub(occasions[0]) >= trustTime
+}
+
+// certain reports whether requests that are just being answered change nothing.
+func (x *tally) certain(now time.Time) bool {
+	occasions := x.occasions()
+	return len(occasions) >= certainOccasions && now.Sub(occasions[0]) >= certainTime
+}
+
+// occasions returns the times of the occasions on which the ends happened.
+func (x *tally) occasions() []time.Time {
+	times := make([]time.Time, len(x.ends))
+	for i, e := range x.ends {
+		times[i] = e.at
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	var out []time.Time
+	for _, at := range times {
+		if len(out) == 0 || at.Sub(out[len(out)-1]) >= occasionTime {
+			out = append(out, at)
 		}
 	}
-	return last.Sub(first) >= minSpread
+	return out
+}
+
+// isRunning reports whether some gateway has a request with the part that is being
+// answered and has not survived yet.
+func (t *Tracker) isRunning(part string, now time.Time) bool {
+	return t.running[part] > 0 || now.Sub(t.runningElsewhere[part]) < runningTime
 }
 
 // compare returns a positive number if more speaks against x than against y: more
-// ends, an earlier survival, or the same ends under prompts that all contain y, too.
+// ends, an earlier survival, or as many ends under prompts that all contain y too.
 // A nil y loses.
 func (x *tally) compare(y *tally) int {
 	if y == nil {
--- a/internal/blame/report.go
+++ b/internal/blame/report.go
@@ -15,8 +15,12 @@
 	// survivalInterval is the minimum time between two reports that the same part
 	// has survived.
 	survivalInterval = time.Second
-	// maxReportedSurvivals bounds the survivals in a report.
-	maxReportedSurvivals = 64
+	// runningTime is how long a report of running requests counts. It takes three
+	// reports to pass from a group of gateways to another one.
+	runningTime = 800 * time.Millisecond
+	// maxReportedParts bounds the parts that survived, and those that are being
+	// answered, in a report.
+	maxReportedParts = 64
 )
 
 type (
@@ -27,7 +31,10 @@
 		// Survivals maps parts that are in cases to the time since a request with
 		// them survived.
 		Survivals map[string]time.Duration `cbor:",omitempty"`
-		Holds     []Hold                   `cbor:",omitempty"`
+		// Running maps parts that are in cases to the time since a request with them
+		// was last being answered.
+		Running map[string]time.Duration `cbor:",omitempty"`
+		Holds   []Hold                   `cbor:",omitempty"`
 	}
 
 	// End is the end of a target.
@@ -41,7 +48,7 @@
 )
 
 // Empty reports whether there is nothing to tell.
-func (r Report) Empty() bool { return len(r.Ends)+len(r.Survivals)+len(r.Holds) == 0 }
+func (r Report) Empty() bool { return len(r.Ends)+len(r.Survivals)+len(r.Running)+len(r.Holds) == 0 }
 
 // Reporter builds the reports of a Tracker at regular times.
 type Reporter struct {
@@ -66,7 +73,7 @@
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	t.judge(now)
-	out := Report{Holds: t.reportHolds(now), Survivals: r.survivals(now)}
+	out := Report{Holds: t.reportHolds(now), Survivals: r.survivals(now), Running: t.suspectsRunning(now, relay)}
 	for _, e := range t.ends {
 		if now.Sub(e.learned) > repeatTime {
 			continue
@@ -90,7 +97,7 @@
 		out.Ends = append(out.Ends, m)
 	}
 	for part := range t.endsWith {
-		if at := t.survivors.last(part); now.Sub(at) <= evidenceTime && len(out.Survivals) < maxReportedSurvivals {
+		if at := t.survivors.last(part); now.Sub(at) <= evidenceTime && len(out.Survivals) < maxReportedParts {
 			out.Survivals[part] = now.Sub(at)
 		}
 	}
@@ -123,7 +130,7 @@
 		if now.Sub(at) > evidenceTime || !at.After(last.survived) || now.Sub(last.at) < survivalInterval {
 			continue
 		}
-		if len(out) == maxReportedSurvivals {
+		if len(out) == maxReportedParts {
 			break
 		}
 		r.reported[part] = reportedSurvival{at: now, survived: at}
@@ -132,6 +139,29 @@
 	return out
 }
 
+// suspectsRunning returns the parts in cases that are in requests which are being
+// answered here, or with relay at any gateway. The caller holds the lock.
+func (t *Tracker) suspectsRunning(now time.Time, relay bool) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for part := range t.endsWith {
+		if t.running[part] > 0 && len(out) < maxReportedParts {
+			out[part] = 0
+		}
+	}
+	for part, at := range t.runningElsewhere {
+		if now.Sub(at) >= runningTime {
+			delete(t.runningElsewhere, part)
+			continue
+		}
+		// The age stays that of the first report, so that relays do not confirm one
+		// another.
+		if _, here := out[part]; relay && !here && len(out) < maxReportedParts {
+			out[part] = now.Sub(at)
+		}
+	}
+	return out
+}
+
 // Merge adds the report of another gateway. It returns the ends and holds that
 // were new to this one.
 func (t *Tracker) Merge(from string, m Report) Report {
@@ -143,6 +173,11 @@
 			t.survivors.add(part, now.Add(-age))
 		}
 	}
+	for part, age := range m.Running {
+		if at := now.Add(-age); age >= 0 && age < runningTime && t.endsWith[part] > 0 && at.After(t.runningElsewhere[part]) {
+			t.runningElsewhere[part] = at
+		}
+	}
 	var fresh Report
 	for _, h := range m.Holds {
 		if t.mergeHold(h, now) {
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -22,6 +22,9 @@
 	youngAge = time.Second
 	// maxEndPolls is the number of polls of a target that resets connections.
 	maxEndPolls = 3
+	// runningAge is the time after its first event from which a request counts as
+	// running: a target that ends under a request does so sooner, unless it is slow.
+	runningAge = 300 * time.Millisecond
 	// loggedPromptParts bounds the parts of a prompt in a log line.
 	loggedPromptParts = 8
 )
@@ -97,12 +100,32 @@
 	s.Prompts.Ended(b.target, s.headers.PromptParts)
 }
 
+// noteProgress records, once for each run, that the target goes on answering, and
+// later that it will not end under the request.
+func (s *stream) noteProgress(now time.Time) {
+	switch age := now.Sub(s.beganAt); {
+	case age >= youngAge:
+		s.noteSurvival()
+	case age >= runningAge && s.endRunning == nil:
+		s.endRunning = s.Prompts.Running(s.headers.PromptParts)
+	}
+}
+
+// noteNotRunning ends the record that the target goes on answering.
+func (s *stream) noteNotRunning() {
+	if s.endRunning != nil {
+		s.endRunning()
+		s.endRunning = nil
+	}
+}
+
 // noteSurvival records, once for each run, that the target will not end under the
 // request.
 func (s *stream) noteSurvival() {
 	if !s.survived {
 		s.survived = true
 		s.Prompts.Survived(s.headers.PromptParts)
+		s.noteNotRunning()
 	}
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -77,6 +77,8 @@
 		// survived is true once the target has answered for so long, or to the end,
 		// that it will not end under this request.
 		survived bool
+		// endRunning ends the record that the target goes on answering; nil before it.
+		endRunning func()
 		// youngLosses holds the IDs of first targets that broke the request off
 		// before it had survived there.
 		youngLosses map[string]bool
@@ -331,6 +333,7 @@
 	u := s.startUpstream(hops)
 	defer u.cancel()
 	failure := s.relay(u)
+	s.noteNotRunning()
 	switch {
 	case failure == nil:
 	case failure.Outcome == fault.NotRun:
@@ -397,9 +400,7 @@
 				s.Ledger.CountLatePause()
 			}
 			lastEventAt = now
-			if now.Sub(s.beganAt) >= youngAge {
-				s.noteSurvival()
-			}
+			s.noteProgress(now)
 			silence.Reset(eventSilence)
 		case <-silence.C:
 			if silent := s.Clock.Now().Sub(lastEventAt); s.events > 0 && silent > s.maxSilence() {
