blame: hold a part three seconds after the first of five ends, also while it is being answered

What callers saw: nothing; found by going through BUDGET's bound, which counts from contactMs (3 s) after the fifth end. A part was being answered at slow targets and under it five targets ended at once: no hold at the next end ten seconds later, since six occasions were needed. Three further requests, each sent twice, would have broken the rule.

Cause: the bound at which a running request no longer counts was set by occasions and by four seconds, not by what BUDGET allows. Its class: two bounds on the same evidence that were not derived from one another.

Evidence: "slow targets end late under a part, many at once, later another one" on the code before: want "held bad", got "sent".

Why this works: a sound request survives after one second. After five ends and three seconds without a survival there was time for that three times over, so one rule serves for bursts and for slow targets.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -29,14 +29,10 @@
 	minOccasions = 3
 	minPrompts   = 2
 	occasionTime = 200 * time.Millisecond
-	// burstEnds is the number of ends from which two occasions suffice if they are
-	// trustTime apart: a request with a sound part would have survived meanwhile.
-	burstEnds = 5
-	// certainOccasions and certainTime are the number of occasions and the time since
-	// the first from which a request that is just being answered does not speak
-	// for its parts; it has to survive.
-	certainOccasions = 2 * minOccasions
-	certainTime      = 4 * time.Second
+	// certainEnds is the number of ends with which, from trustTime after the first
+	// on, two occasions suffice and a request that is just being answered no longer
+	// speaks for its parts: one with a sound part would have survived meanwhile.
+	certainEnds = 5
 	// trustTime is how long a request that survived speaks for the parts of its
 	// prompt.
 	trustTime = 3 * time.Second
--- a/internal/blame/judge.go
+++ b/internal/blame/judge.go
@@ -103,13 +103,12 @@
 	if len(x.ends) < minOccasions || len(x.prompts) < minPrompts {
 		return false
 	}
-	return len(occasions) >= minOccasions || len(x.ends) >= burstEnds && occasions[len(occasions)-1].Sub(occasions[0]) >= trustTime
+	return len(occasions) >= minOccasions || len(x.ends) >= certainEnds && occasions[len(occasions)-1].Sub(occasions[0]) >= trustTime
 }
 
 // certain reports whether requests that are just being answered change nothing.
 func (x *tally) certain(now time.Time) bool {
-	occasions := x.occasions()
-	return len(occasions) >= certainOccasions && now.Sub(occasions[0]) >= certainTime
+	return len(x.ends) >= certainEnds && now.Sub(x.occasions()[0]) >= trustTime
 }
 
 // occasions returns the times of the occasions on which the ends happened.
