blame: ends of targets count for two minutes

What callers saw: nothing; found by reading. With a request each 16 s, each of which ends two targets, no part was ever held: ends counted for 30 s, in which there were two occasions. BUDGET counts the fifth end and what comes after it, however far apart.

Cause: the time for which ends count was chosen for frequent requests. What protects sound parts is that a survival clears them, at any age, not that ends are forgotten.

Evidence: "requests with the part come seldom" on the code before: want "held bad", got "sent".

Why this works: two minutes are as long as the first hold, and the number of ends stays bounded by 64. A seldom part that survives between is not held ("targets are lost now and then").

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -37,7 +37,7 @@
 	// prompt.
 	trustTime = 3 * time.Second
 	// evidenceTime is how long the end of a target counts.
-	evidenceTime = 30 * time.Second
+	evidenceTime = 2 * time.Minute
 	// maxEnds bounds the ends that are kept, and maxCases the prompts of each. The
 	// oldest ends and the later prompts are dropped.
 	maxEnds  = 64
