soak: targets and instances of plain services that name limits

Cause: the soak had no target that names a limit, so a gateway that stays refused after the limit has ended would not have been seen.

The check is that of all faults: answers are right, and all gateways serve again within the bound after the last one. The rule LIMIT is not checked.

--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -39,6 +39,7 @@
 	cutConnections(storeRelay), silenceConnections(storeRelay), holdDirection(storeRelay),
 	failStoreRequests, storeOutage, loseWriteAnswers, dropStoreHistory, rotateKeys,
 	killEngine, killEngine, drainEngine, breakStreams, slowService, failService,
+	limitEngine, limitService,
 }
 
 // injectFaults draws faults until the given time, single ones and series of
