--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -81,6 +81,8 @@
 		survived bool
 		// standby is the second run, while the current one is silent; nil otherwise.
 		standby *streamRun
+		// endRunning ends the record that the target goes on answering; nil before it.
+		endRunning func()
 		// youngLosses holds the IDs of first targets that broke the request off
 		// before it had survived there.
 		youngLosses map[string]bool
@@ -379,6 +381,7 @@
 	s.hops, s.ticket = r.hops, r.ticket
 	s.sentAt, s.beganAt, s.survived = r.sentAt, time.Time{}, false
 	failure := s.relay(r)
+	s.noteNotRunning()
 	first := r.hops[0].Target
 	switch {
 	case failure == nil:
@@ -507,9 +510,7 @@
 	}
 	s.lastEventAt = now
 	s.endStandby("the current target goes on")
-	if now.Sub(s.beganAt) >= youngAge {
-		s.noteSurvival()
-	}
+	s.noteProgress(now)
 	return true, nil
 }
 
