limit, proxy, plan, peers: nothing new to targets that say that they leave

What callers saw: requests that were sent to a target after it had said in its answers that it leaves, and that it cut off as it ended.

Cause: the header was not read. What a target says of its leaving reached a gateway only through the target list, which lags by a heartbeat, stands still while the store is away, and may come back older.

Why this works: TargetLimiter already holds what targets say in their answers, by incarnation, and tells all gateways at once. A leave is one more such entry. It is read from each answer to a request, poll or order, except a 421 and the answer to another request, and counts for the incarnation that was asked and earlier ones. It is kept while that incarnation is listed and ten minutes more. Paths, substitutes, repeats, calls, polls and the planner ask one place, Standing. Streams that run at such a target go on; if another part of their path fails, they resume elsewhere rather than change the path, and the end of the target proves nothing about their prompts.

BenchmarkChoosePath lacked its Limits.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -31,6 +31,7 @@
 	"shallotcourse/internal/proxy"
 	"shallotcourse/internal/spool"
 	"shallotcourse/internal/timer"
+	"shallotcourse/internal/topo"
 	"shallotcourse/internal/wire"
 	"shallotcourse/platform"
 )
@@ -168,7 +169,9 @@
 	g.ledger = ledger.New(d.clock)
 	g.prompts = blame.New(blame.Options{Clock: d.clock, Log: d.logger, Instance: settings.Instance})
 	client := targetClient()
-	engines := platform.Engines{Client: client}
+	engines := platform.Engines{Client: client, Answered: func(t topo.Target, status int, a proxy.ResponseHeaders) {
+		g.server.NoteAnswer(t, status, a)
+	}}
 	handlers := &deferredHandlers{}
 	g.links = d.newLinkGroup(linkSettings{times: settings.Links, hello: g.hello, handler: handlers})
 	bounds := limit.RetryBounds{Window: settings.Repeats.Window.Duration, Ratio: settings.Repeats.Ratio, Slack: settings.Repeats.Slack}
@@ -184,6 +187,7 @@
 	})
 	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
 	d.metrics.NewGauge("shallotcourse_target_limits", func() float64 { return float64(len(g.limits.Limits())) })
+	d.metrics.NewGauge("shallotcourse_targets_leaving", func() float64 { return float64(len(g.limits.Leaving())) })
 	g.configs.SetRole(g.peers.Role)
 	g.fleets.SetRole(g.peers.Role)
 	handlers.set(g.peers)
@@ -200,7 +204,7 @@
 	g.planner = plan.New(plan.Options{
 		Instance: settings.Instance, Incarnation: d.incarnation, Source: g.store, Clock: d.clock, BootClock: bootClock, Log: d.logger,
 		Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Peers: g.peers, Engines: engines,
-		FirstStart: settings.FirstStart, NoRequestsYet: func() bool { return g.server.TotalRequests() == 0 },
+		Limits: g.limits, FirstStart: settings.FirstStart, NoRequestsYet: func() bool { return g.server.TotalRequests() == 0 },
 	})
 	return g
 }
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -102,6 +102,11 @@
 		row(l.Target, l.PerSecond, fmt.Sprintf("%.2g", l.Share), l.Age.Round(time.Millisecond).String()+" ago", l.SeenBy)
 	}
 	row()
+	row("LEAVING TARGETS", "SAID", "TO")
+	for _, l := range s.Leaving {
+		row(l.Target, l.Age.Round(time.Millisecond).String()+" ago", l.SeenBy)
+	}
+	row()
 	row("TARGET", "SERVICE", "DATACENTRE", "CARD", "LAYERS", "WHY", "SINCE", "RUNNING", "STATE")
 	for _, target := range s.Targets {
 		why, since := "-", "-"
@@ -118,6 +123,8 @@
 	switch {
 	case t.State == topo.Draining:
 		return "draining"
+	case t.Leaving:
+		return "leaving"
 	case t.Doubted:
 		return "doubted"
 	case t.Loading:
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -36,6 +36,8 @@
 		Holds []blame.Hold
 		// Limits holds the limits that targets have named.
 		Limits []limit.TargetLimit
+		// Leaving holds the targets that have said that they leave.
+		Leaving []limit.TargetLimit
 		// PlannerTerm is the newest lease term received from a planner on
 		// another gateway, 0 if there is none; PlannerSilent is the time since
 		// it was last received.
@@ -48,6 +50,8 @@
 		Load chain.Load
 		// Doubted is true while the target is suspected after a failure.
 		Doubted bool
+		// Leaving is true once the target has said that it leaves.
+		Leaving bool
 		// Placed is the reason and the time of the target's placement; nil
 		// if this gateway did not decide it.
 		Placed *plan.Placement `json:",omitempty"`
@@ -61,10 +65,11 @@
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
+		Leaving: g.limits.Leaving(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
-		row := targetStatus{Target: t, Load: loads[t.ID], Doubted: g.ledger.Suspected(t)}
+		row := targetStatus{Target: t, Load: loads[t.ID], Doubted: g.ledger.Suspected(t), Leaving: g.limits.Standing(t).Leaving}
 		if placement, ok := placements[t.ID]; ok && placement.Layers == t.Held {
 			row.Placed = &placement
 		}
--- a/internal/limit/target.go
+++ b/internal/limit/target.go
@@ -44,7 +44,8 @@
 )
 
 type (
-	// TargetLimit is what a target named in its last answer to any gateway.
+	// TargetLimit is what a target said of itself in an answer to any gateway: the
+	// limit that the last answer named, or that it leaves.
 	TargetLimit struct {
 		Target string
 		// Started is the start time of the target's incarnation.
@@ -57,6 +58,9 @@
 		// Age is the time since the answer, and SeenBy the gateway that got it.
 		Age    time.Duration
 		SeenBy string
+		// Leaving is set in an entry which says that the target leaves, and nothing
+		// about a limit.
+		Leaving bool `cbor:",omitempty"`
 		// Share is the part of PerSecond that the reporting gateway uses itself.
 		Share float64 `cbor:"-"`
 	}
@@ -70,7 +74,8 @@
 		Gateways() []Gateway
 	}
 
-	// TargetLimiter keeps the requests of all gateways to a target within the
+	// TargetLimiter holds what targets say in their answers of whether they take
+	// requests now. It keeps the requests of all gateways to a target within the
 	// limit that the target names. Each gateway of a fixed choice gets an equal
 	// share, so that gateways that cannot hear one another keep to the limit too.
 	// It is safe for concurrent use.
@@ -83,6 +88,8 @@
 		mu sync.Mutex
 		// limits is keyed by the target's ID.
 		limits map[string]*namedLimit
+		// leaves is keyed by the target's ID.
+		leaves map[string]*leave
 		// waiting counts the requests that wait for the limits of a service's
 		// targets.
 		waiting map[string]int
@@ -120,8 +127,8 @@
 // NewTargetLimiter returns a TargetLimiter without limits.
 func NewTargetLimiter(clock timer.Service, self Gateway, gateways Gateways) *TargetLimiter {
 	return &TargetLimiter{
-		clock: clock, self: self, gateways: gateways, start: clock.Now(), limits: map[string]*namedLimit{}, waiting: map[string]int{},
-		publish: func([]TargetLimit) {},
+		clock: clock, self: self, gateways: gateways, start: clock.Now(), limits: map[string]*namedLimit{}, leaves: map[string]*leave{},
+		waiting: map[string]int{}, publish: func([]TargetLimit) {},
 	}
 }
 
@@ -164,6 +171,9 @@
 // apply records what a target named, unless something newer is known, and reports
 // whether that is a change. The caller holds the lock.
 func (l *TargetLimiter) apply(m TargetLimit) bool {
+	if m.Leaving {
+		return l.applyLeave(m)
+	}
 	now := l.clock.Now()
 	at := now.Add(-m.Age)
 	k := l.limits[m.Target]
@@ -201,18 +211,13 @@
 	delete(l.limits, oldest)
 }
 
-// Ready reports whether a request may be sent to a target now.
-func (l *TargetLimiter) Ready(t topo.Target) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	k := l.inForce(t)
-	return k == nil || k.share > 0 && !l.clock.Now().Before(k.next)
-}
-
 // Take reports whether a request may be sent to a target now, and counts it if so.
 func (l *TargetLimiter) Take(t topo.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.isLeaving(t) {
+		return false
+	}
 	k := l.inForce(t)
 	if k == nil {
 		return true
@@ -308,7 +313,7 @@
 	defer l.mu.Unlock()
 	free := 0
 	for _, t := range targets {
-		if k := l.inForce(t); k != nil && k.share > 0 && until.After(k.next) {
+		if k := l.inForce(t); k != nil && !l.isLeaving(t) && k.share > 0 && until.After(k.next) {
 			free += 1 + int(until.Sub(later(k.next, l.clock.Now())).Seconds()*k.share)
 		}
 	}
@@ -329,7 +334,7 @@
 func (l *TargetLimiter) Limits() []TargetLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.collect(func(k *namedLimit) bool { return !k.ended })
+	return sortedByTarget(l.collect(func(k *namedLimit) bool { return !k.ended }))
 }
 
 // Describe returns the limits in force of some targets for the log.
@@ -346,14 +351,17 @@
 	return strings.Join(out, "; ")
 }
 
-// Report returns what other gateways need: changes, and limits that an answer has
+// Report returns what other gateways need: changes, new leaves, and limits that an answer has
 // confirmed since they were last reported. With relay, it also contains what other
 // gateways have seen; with all, everything.
 func (l *TargetLimiter) Report(relay, all bool) []TargetLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	return l.collect(func(k *namedLimit) bool {
+	out := l.collectLeaves(func(k *leave) bool {
+		return all || (relay || k.seenBy == l.self.Instance) && now.Sub(k.learnedAt) <= changeRepeatTime
+	})
+	return sortedByTarget(append(out, l.collect(func(k *namedLimit) bool {
 		switch {
 		case all:
 			return true
@@ -364,7 +372,7 @@
 			return true
 		}
 		return false
-	})
+	})...))
 }
 
 // collect returns the limits that the filter selects, and drops those that are too
@@ -383,18 +391,22 @@
 			})
 		}
 	}
-	slices.SortFunc(out, func(a, b TargetLimit) int { return strings.Compare(a.Target, b.Target) })
 	return out
 }
 
+func sortedByTarget(limits []TargetLimit) []TargetLimit {
+	slices.SortFunc(limits, func(a, b TargetLimit) int { return strings.Compare(a.Target, b.Target) })
+	return limits
+}
+
 // Merge records what other gateways have been told, and returns what changed.
 func (l *TargetLimiter) Merge(limits []TargetLimit) []TargetLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var fresh []TargetLimit
 	for _, m := range limits {
-		valid := m.Target != "" && m.PerSecond >= 0 && m.PerSecond <= maxNamedRate && m.Age >= 0 && m.Age <= targetLimitMaxAge
-		if valid && l.apply(m) {
+		valid := m.Leaving || m.PerSecond >= 0 && m.PerSecond <= maxNamedRate && m.Age <= targetLimitMaxAge
+		if valid && m.Target != "" && m.Age >= 0 && l.apply(m) {
 			fresh = append(fresh, m)
 		}
 	}
--- a/internal/limit/target_test.go
+++ b/internal/limit/target_test.go
@@ -98,7 +98,9 @@
 
 // Guards against requests beyond a limit that was named (LIMIT): one that changes,
 // ends or comes from an earlier incarnation, an older answer that arrives late, a
-// target that takes none; and against callers that wait for what cannot come.
+// target that takes none; and against callers that wait for what cannot come. Also
+// against requests to a target that has said that it leaves (DRAIN), and against one
+// that is held back because an earlier incarnation said so.
 func TestTargetLimiter(t *testing.T) {
 	script.Run(t, "testdata/target/*.txtar", func(t *testing.T) func(script.Line) []string {
 		f := newLimitFleet()
@@ -123,6 +125,35 @@
 				f.get(t, l.Text("at")).Merge([]limit.TargetLimit{{Target: "t", Started: 1, Ended: l.Bool("ended"), PerSecond: 5, Age: l.Duration("age")}})
 			case "restart":
 				target.Started++
+			case "list-lags":
+				target.Started--
+			case "leaves":
+				f.get(t, l.Text("at")).Leaves(target)
+			case "late-leave":
+				f.get(t, l.Text("at")).Merge([]limit.TargetLimit{{Target: "t", Started: int64(l.Int("started")), PerSecond: -1, Leaving: true, Age: time.Second}})
+			case "list":
+				for _, g := range f.gateways {
+					g.NoteList(topo.NewFleet(1, []topo.Target{target}))
+				}
+			case "unlisted":
+				for range l.Duration("for") / time.Minute {
+					f.clock.Advance(time.Minute)
+					for _, g := range f.gateways {
+						g.NoteList(topo.Fleet{})
+					}
+				}
+			case "link":
+				from, to := f.get(t, l.Text("from")), f.get(t, l.Text("to"))
+				to.cut = false
+				to.Merge(from.Report(true, true))
+			case "leaving":
+				var out []string
+				for _, g := range f.gateways {
+					if g.Standing(target).Leaving {
+						out = append(out, g.Instance)
+					}
+				}
+				return []string{fmt.Sprintf("known to %v, %d kept", out, len(f.gateways[0].Leaving()))}
 			case "wait":
 				for range l.Duration("for") / (100 * time.Millisecond) {
 					f.clock.Advance(100 * time.Millisecond)
@@ -243,6 +274,14 @@
 	is.Equal(len(g.Merge([]limit.TargetLimit{
 		{PerSecond: 1}, {Target: "a", PerSecond: -1}, {Target: "a", PerSecond: 1e300}, {Target: "a", PerSecond: 1, Age: -time.Second},
 		{Target: "a", PerSecond: 1, Age: time.Hour}, {Target: "a", Ended: true},
+		{Leaving: true}, {Target: "a", Leaving: true, Age: -time.Second},
 	})), 0)
 	is.Equal(len(g.Limits()), 0)
+	is.Equal(len(g.Leaving()), 0)
+	for i := range 3000 {
+		g.Leaves(topo.Target{ID: fmt.Sprint(i), Started: 1})
+		f.clock.Advance(time.Millisecond)
+	}
+	is.Equal(len(g.Leaving()), 1024)
+	is.True(g.Standing(topo.Target{ID: "2999", Started: 1}).Leaving) // the newest are kept
 }
--- a/internal/peers/alert.go
+++ b/internal/peers/alert.go
@@ -56,8 +56,9 @@
 	return true
 }
 
-// reportLimits sends the regular report on the limits that targets have named.
+// reportLimits sends the regular report on what targets have said of themselves.
 func (p *Peers) reportLimits() {
+	p.Limits.NoteList(p.Fleets.Section().Value().Fleet)
 	if limits := p.Limits.Report(p.Topology().Leads, false); len(limits) > 0 {
 		p.publishLimits(limits)
 	}
@@ -76,6 +77,10 @@
 		return
 	}
 	for _, l := range fresh {
+		if l.Leaving {
+			_ = level.Info(p.Log).Log("event", "TargetLeaves", "from", from, "target", l.Target, "born", l.Started, "age", l.Age, "seenBy", l.SeenBy)
+			continue
+		}
 		_ = level.Info(p.Log).Log("event", "TargetLimit", "from", from, "target", l.Target, "born", l.Started, "named", !l.Ended, "limit", l.PerSecond,
 			"age", l.Age, "seenBy", l.SeenBy)
 	}
--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -13,6 +13,7 @@
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/place"
 	"shallotcourse/internal/proxy"
 	"shallotcourse/internal/timer"
@@ -165,6 +166,7 @@
 		p := New(Options{
 			Source: &memoryTable{}, Clock: timer.System{}, BootClock: func() time.Duration { return now }, Log: log.NewNopLogger(),
 			Metrics: metrics.NewSet(), Engines: engines, Fleets: follow.NewFleets(nil, timer.System{}, nil, log.NewNopLogger()),
+			Limits: limit.NewTargetLimiter(timer.System{}, limit.Gateway{}, nil),
 		})
 		is.True(p.lease.hold(context.Background(), 0, time.Hour))
 		p.leaseChecked.Store(int64(p.lease.checked))
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -15,6 +15,7 @@
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/peers"
 	"shallotcourse/internal/place"
 	"shallotcourse/internal/proxy"
@@ -85,6 +86,7 @@
 		Ledger                *ledger.Ledger
 		Peers                 *peers.Peers
 		Engines               proxy.Engines
+		Limits                *limit.TargetLimiter
 		// FirstStart says that the whole deployment starts for the first time, and
 		// NoRequestsYet reports whether no request has arrived yet. While both hold,
 		// loads are fast and their number is not limited.
@@ -346,8 +348,8 @@
 	return false
 }
 
-// serviceTargets returns the targets of a service that are ready and responsive,
-// and the number of loads in progress.
+// serviceTargets returns the targets of a service that are ready, responsive and
+// not leaving, and the number of loads in progress.
 func (p *Planner) serviceTargets(ctx context.Context, s topo.Service) ([]place.Target, int) {
 	now := p.BootClock()
 	var out []place.Target
@@ -356,7 +358,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.Fleets.Section().Value().ServiceTargets(s.Name) {
-		if t.State != topo.Ready || p.checkUnresponsive(ctx, t) {
+		if t.State != topo.Ready || p.Limits.Standing(t).Leaving || p.checkUnresponsive(ctx, t) {
 			continue
 		}
 		v := place.Target{
@@ -401,9 +403,12 @@
 	return p.settled
 }
 
-// mayAct returns an error unless the lease was checked a short time ago. A pause
-// of the process may lie between a plan and its orders.
-func (p *Planner) mayAct() error {
+// mayAct returns an error unless the lease was checked a short time ago and the
+// target takes orders. A pause of the process may lie between a plan and its orders.
+func (p *Planner) mayAct(t topo.Target) error {
+	if err := p.takesWork(t); err != nil {
+		return err
+	}
 	checked := time.Duration(p.leaseChecked.Load())
 	if age := p.BootClock() - checked; checked == 0 || age > maxUnchecked {
 		return fault.Newf(fault.Leaving, "the planner's lease was last checked %s ago", age.Round(time.Millisecond))
@@ -420,6 +425,23 @@
 	return load
 }
 
+// askBeforeOrder returns the state of a target that is to get an order, unless it has
+// said since the plan was made that it takes none.
+func (p *Planner) askBeforeOrder(ctx context.Context, t topo.Target) (proxy.Report, error) {
+	if err := p.takesWork(t); err != nil {
+		return proxy.Report{}, err
+	}
+	return p.Engines.Report(ctx, t)
+}
+
+// takesWork returns an error if the target has said that it takes no work.
+func (p *Planner) takesWork(t topo.Target) error {
+	if p.Limits.Standing(t).TakesWork() {
+		return nil
+	}
+	return fault.Newf(fault.Leaving, "target %s has said that it takes no work", t.ID)
+}
+
 // sendOrder sends an order in the background. The order stays on record if its
 // answer is lost, since the target may still carry it out.
 func (p *Planner) sendOrder(ctx context.Context, o place.Order, load time.Duration) {
@@ -437,13 +459,13 @@
 		}
 		call, cancel := timer.WithTimeout(ctx, p.Clock, orderTimeout)
 		defer cancel()
-		r, err := p.Engines.Report(call, t)
+		r, err := p.askBeforeOrder(call, t)
 		if err == nil && (r.Held != t.Held || r.Loading || r.Started != t.Started) {
 			err = fault.Newf(fault.Conflict, "the target holds layers %d to %d", r.Held.From, r.Held.To)
 			p.applyReport(t, r)
 		}
 		if err == nil {
-			err = p.mayAct()
+			err = p.mayAct(t)
 		}
 		if err == nil {
 			t.Sequence = r.Sequence
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -12,6 +12,7 @@
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
@@ -40,6 +41,7 @@
 			fleets.ApplySync(1, targets, time.Second, "g")
 			s := New(Options{
 				Clock: clock, Log: logger, Metrics: metrics.NewSet(), Fleets: fleets, Ledger: work,
+				Limits:  limit.NewTargetLimiter(clock, limit.Gateway{}, nil),
 				LoadLag: func() (int, time.Duration) { return 30, 200 * time.Millisecond }, Settings: Settings{DataCentre: "dc1"},
 			})
 			q := &request{Server: s, r: httptest.NewRequest("GET", "/", nil), service: topo.Service{Name: "llm", Model: model}}
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -70,8 +70,12 @@
 }
 
 // confirmEnd records the end of a target if a poll proves it. A connection that is
-// reset proves nothing: the target may have too many, or be about to end.
+// reset proves nothing: the target may have too many, or be about to end. Nor does
+// the end of a target that has said that it leaves.
 func (s *stream) confirmEnd(b brokenRun) {
+	if s.Limits.Standing(b.target).Leaving {
+		return
+	}
 	for range maxEndPolls {
 		r, err := s.fetchReport(context.Background(), b.target)
 		if proof := proofOfEnd(b.target, r, err); proof != "" {
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
@@ -19,6 +21,42 @@
 	leave func()
 }
 
+// noteAnswer records what a target says of itself in a response to this request. The
+// response of another instance or to another request says nothing about it.
+func (q *request) noteAnswer(t topo.Target, status int, a ResponseHeaders) {
+	if status == http.StatusMisdirectedRequest || a.ID != "" && a.ID != q.headers.ID {
+		return
+	}
+	q.noteLimit(t, a.Limit)
+	q.noteLeaving(t, a, q.headers.ID)
+}
+
+// NoteAnswer records what a target says of itself in a response to a poll or an
+// order. Only responses to requests name limits.
+func (s *Server) NoteAnswer(t topo.Target, status int, a ResponseHeaders) {
+	if status != http.StatusMisdirectedRequest && a.ID == "" {
+		s.noteLeaving(t, a, "")
+	}
+}
+
+func (s *Server) noteLeaving(t topo.Target, a ResponseHeaders, request string) {
+	if a.Leaving && s.Limits.Leaves(t) {
+		s.Metrics.GetOrCreateCounter("shallotcourse_target_leaves_total").Inc()
+		_ = level.Warn(s.Log).Log("event", "TargetLeaves", "target", t.ID, "born", t.Started, "service", t.Service, "request", request)
+	}
+}
+
+// refusesWork returns the failure of a path with a target that takes no work. It may
+// have said so since the path was chosen.
+func (s *stream) refusesWork(hops []chain.Hop) *fault.Error {
+	for _, h := range hops {
+		if !s.Limits.Standing(h.Target).TakesWork() {
+			return fault.Newf(fault.Overloaded, "target %s has just said that it takes no work", h.Target.ID)
+		}
+	}
+	return nil
+}
+
 // noteLimit records what a target says of its limit in a response to this request.
 // A malformed limit changes nothing: the one before stays in force.
 func (q *request) noteLimit(t topo.Target, l NamedLimit) {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -180,7 +180,11 @@
 		if t.State != topo.Ready || slices.Contains(tried, t.ID) {
 			continue
 		}
-		if !q.Limits.Ready(*t) {
+		standing := q.Limits.Standing(*t)
+		if !standing.TakesWork() {
+			continue
+		}
+		if standing.Full {
 			limited = true
 			continue
 		}
@@ -257,9 +261,7 @@
 		return nil, fault.Newf(fault.TargetLost, "target %s gave no answer", t.ID).WithOutcome(fault.Unknown).WithCause(err)
 	}
 	a := q.Dialect.ReadResponse(resp.Header)
-	if resp.StatusCode != http.StatusMisdirectedRequest && (a.ID == "" || a.ID == q.headers.ID) {
-		q.noteLimit(t, a.Limit)
-	}
+	q.noteAnswer(t, resp.StatusCode, a)
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest, a.NotRun:
 		_ = resp.Body.Close()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,6 +67,8 @@
 		RefusedBy string
 		// Limit is the limit on requests that the target names.
 		Limit NamedLimit
+		// Leaving is true if the target says that it leaves.
+		Leaving bool
 	}
 
 	// NamedLimit is the rate of requests that a target takes from all gateways
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -89,7 +89,7 @@
 // report with the target list. The list may not yet show that the target has
 // restarted or unloaded layers, and would direct all other requests to it too.
 func (s *stream) checkListing(t topo.Target) {
-	if !s.reports.checkDue(t.ID, s.Clock.Now()) {
+	if !s.Limits.Standing(t).TakesWork() || !s.reports.checkDue(t.ID, s.Clock.Now()) {
 		return
 	}
 	r, err := s.fetchReport(context.Background(), t)
@@ -116,8 +116,12 @@
 }
 
 // probe polls a target whose stream broke off and marks it as suspected if it
-// does not answer. One broken stream alone is no reason to avoid a target.
+// does not answer. One broken stream alone is no reason to avoid a target. One that
+// leaves is avoided already.
 func (s *stream) probe(b brokenRun, cause error) {
+	if s.Limits.Standing(b.target).Leaving {
+		return
+	}
 	if _, err := s.fetchReport(context.Background(), b.target); err != nil {
 		s.suspectIf(true, b.target, fault.New(fault.TargetLost, "a stream broke off and the target does not answer a poll").WithCause(cause))
 	}
@@ -181,6 +185,9 @@
 	if (err != nil || crossings(hops) > crossings(s.hops)) && s.canResumeElsewhere() {
 		return 0, fault.New(fault.TargetLost, "no substitute target in the data centre of the path").WithOutcome(s.outcome())
 	}
+	if first := s.hops[0].Target; !s.Limits.Standing(first).TakesWork() && s.canResumeElsewhere() {
+		return 0, fault.Newf(fault.TargetLost, "the first target %s takes no new path", first.ID).WithOutcome(s.outcome())
+	}
 	if err != nil {
 		_ = level.Warn(s.Log).Log("event", "NoNewPath", "request", s.headers.ID, "silent", silent, "err", err)
 		return eventSilence, nil
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -257,17 +257,18 @@
 }
 
 // candidates returns the targets of the service with their load, except
-// suspected and excluded ones.
+// suspected and excluded ones and those that take no work.
 func (s *stream) candidates() []chain.Candidate {
 	loads := s.Ledger.ExpectedLoads(s.LoadLag())
 	targets := s.Fleets.Section().Value().ServiceTargets(s.service.Name)
 	suspected := s.Ledger.SuspectedAmong(targets)
 	out := make([]chain.Candidate, 0, len(targets))
 	for _, t := range targets {
-		if s.excluded[t.ID] || suspected[t.ID] {
+		standing := s.Limits.Standing(t)
+		if s.excluded[t.ID] || suspected[t.ID] || !standing.TakesWork() {
 			continue
 		}
-		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: !s.Limits.Ready(t)})
+		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: standing.Full})
 	}
 	return out
 }
@@ -321,6 +322,9 @@
 
 // run sends the request along hops and relays events until the stream ends.
 func (s *stream) run(hops []chain.Hop) *fault.Error {
+	if err := s.refusesWork(hops); err != nil {
+		return err
+	}
 	s.hops = hops
 	s.ticket = s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops)
 	defer func() { s.ticket.Close() }()
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rogpeppe/go-internal/txtar"
@@ -26,6 +27,20 @@
 // It calls start once per case; the function that start returns handles one
 // input and returns the decisions made, one string each.
 func Run(t *testing.T, pattern string, start func(t *testing.T) func(Line) []string) {
+	t.Helper()
+	runFiles(t, pattern, func(t *testing.T, text string) { runCase(t, text, start(t)) })
+}
+
+// RunInBubble is like Run, but gives each case a time of its own, which passes only
+// while all goroutines of the case wait. See testing/synctest.
+func RunInBubble(t *testing.T, pattern string, start func(t *testing.T) func(Line) []string) {
+	t.Helper()
+	runFiles(t, pattern, func(t *testing.T, text string) {
+		synctest.Test(t, func(t *testing.T) { runCase(t, text, start(t)) })
+	})
+}
+
+func runFiles(t *testing.T, pattern string, run func(t *testing.T, text string)) {
 	t.Helper()
 	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
@@ -37,7 +52,7 @@
 			t.Fatal(err)
 		}
 		for _, section := range archive.Files {
-			t.Run(filepath.Base(file)+"/"+section.Name, func(t *testing.T) { runCase(t, string(section.Data), start(t)) })
+			t.Run(filepath.Base(file)+"/"+section.Name, func(t *testing.T) { run(t, string(section.Data)) })
 		}
 	}
 }
