limit, proxy, chain: keep to the pauses that targets ask for

What callers saw: refusals by targets that had asked for a pause and were sent requests all the while.

Cause: Retry-After of a target was not read. A refusal kept only the request that it was meant for from the target; the next ones went there again.

Why this works: a pause is kept beside limits and leaves, by incarnation, and answered by the same Standing. Only a 503 that says the request has not run asks for one; a value that is no positive finite decimal number is logged, counted and ignored. The pause is that of the target which answers, also if it names another as the cause, and ends at the latest of the ends that it has named, after ten minutes at most. Other gateways are not told. A target that pauses is no part of a path; where nobody else holds a layer, the path fails with the time until each layer is held again. That is waited for only within the wait for capacity, and refused at once otherwise, with returns spread from there. A request that a pause keeps waiting may be sent to the same target again. The planner sends no polls and orders.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -58,6 +58,8 @@
 		SlowFactor float64
 		// NotFirst is set if no chain may begin at the target at present.
 		NotFirst bool
+		// PausedFor is how long the target can be no part of a chain.
+		PausedFor time.Duration
 	}
 
 	// Hop is one target of a chain and the layers that it runs.
@@ -149,20 +151,24 @@
 // Choose returns the cheapest chain that covers the requested layers. If any
 // data centre holds all these layers, the chain stays within one, since prompts
 // would saturate the network between data centres. The failure is NoTarget if no
-// target holds some layer, TargetLimit if no chain can begin because of NotFirst,
+// target holds some layer, TargetPause with the time to wait if some layer is held only
+// by targets that pause, TargetLimit if no chain can begin because of NotFirst,
 // and Overloaded if the targets that hold the layers have no memory or time left.
 func Choose(m *topo.Model, candidates []Candidate, req Request) ([]Hop, error) {
 	usable := make([]*Candidate, 0, len(candidates))
 	byDC := map[string][]*Candidate{}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.State == topo.Ready && c.Held.Len() > 0 && !req.Excluded[c.ID] {
+		if c.usable(req) && c.PausedFor <= 0 {
 			usable = append(usable, c)
 			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
 		}
 	}
 	usable = limitPerKind(usable, byDC)
 	if hole := firstUncovered(usable, req.Layers); hole.Len() > 0 {
+		if wait, ok := pauseOver(candidates, req); ok {
+			return nil, fault.Newf(fault.TargetPause, "the targets that hold layers %d to %d want nothing at present", hole.From, hole.To).WithRetryAfter(wait)
+		}
 		return nil, fault.Newf(fault.NoTarget, "no target holds layers %d to %d", hole.From, hole.To)
 	}
 	var best *costedChain
@@ -280,6 +286,30 @@
 	return worst, longest
 }
 
+// usable reports whether a candidate may be part of a chain, but for its pause.
+func (c *Candidate) usable(req Request) bool {
+	return c.State == topo.Ready && c.Held.Len() > 0 && !req.Excluded[c.ID]
+}
+
+// pauseOver returns the time after which each layer is held by a target that does
+// not pause. It returns false if no target holds some layer.
+func pauseOver(candidates []Candidate, req Request) (time.Duration, bool) {
+	longest := time.Duration(0)
+	for layer := req.Layers.From; layer < req.Layers.To; layer++ {
+		shortest := time.Duration(-1)
+		for i := range candidates {
+			if c := &candidates[i]; c.usable(req) && c.holds(layer) && (shortest < 0 || c.PausedFor < shortest) {
+				shortest = c.PausedFor
+			}
+		}
+		if shortest < 0 {
+			return 0, false
+		}
+		longest = max(longest, shortest)
+	}
+	return longest, true
+}
+
 // firstUncovered returns the first range of layers that no candidate holds; it is
 // empty if there is none.
 func firstUncovered(candidates []*Candidate, l topo.Layers) topo.Layers {
--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -38,7 +38,7 @@
 						Held: topo.Layers{From: held[0], To: held[1]},
 					},
 					Load:       chain.Load{TokenLayers: float64(l.Int("used")), Running: l.Int("running"), First: l.Int("first")},
-					SlowFactor: float64(l.Int("slow")), NotFirst: l.Bool("notfirst"),
+					SlowFactor: float64(l.Int("slow")), NotFirst: l.Bool("notfirst"), PausedFor: l.Duration("paused"),
 				}
 				if l.Bool("draining") {
 					c.State = topo.Draining
@@ -63,7 +63,11 @@
 
 func show(hops []chain.Hop, err error) string {
 	if err != nil {
-		return string(fault.As(err).Code)
+		f := fault.As(err)
+		if f.RetryAfter > 0 {
+			return fmt.Sprintf("%s %s", f.Code, f.RetryAfter)
+		}
+		return string(f.Code)
 	}
 	parts := make([]string, len(hops))
 	for i, h := range hops {
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -188,6 +188,7 @@
 	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
 	d.metrics.NewGauge("shallotcourse_target_limits", func() float64 { return float64(len(g.limits.Limits())) })
 	d.metrics.NewGauge("shallotcourse_targets_leaving", func() float64 { return float64(len(g.limits.Leaving())) })
+	d.metrics.NewGauge("shallotcourse_targets_paused", func() float64 { return float64(len(g.limits.Paused())) })
 	g.configs.SetRole(g.peers.Role)
 	g.fleets.SetRole(g.peers.Role)
 	handlers.set(g.peers)
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -107,6 +107,11 @@
 		row(l.Target, l.Age.Round(time.Millisecond).String()+" ago", l.SeenBy)
 	}
 	row()
+	row("PAUSED TARGETS", "LEFT", "SINCE")
+	for _, p := range s.Paused {
+		row(p.Target, p.Left.Round(time.Millisecond), p.Age.Round(time.Millisecond).String()+" ago")
+	}
+	row()
 	row("TARGET", "SERVICE", "DATACENTRE", "CARD", "LAYERS", "WHY", "SINCE", "RUNNING", "STATE")
 	for _, target := range s.Targets {
 		why, since := "-", "-"
@@ -125,6 +130,8 @@
 		return "draining"
 	case t.Leaving:
 		return "leaving"
+	case t.Paused:
+		return "paused"
 	case t.Doubted:
 		return "doubted"
 	case t.Loading:
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -38,6 +38,8 @@
 		Limits []limit.TargetLimit
 		// Leaving holds the targets that have said that they leave.
 		Leaving []limit.TargetLimit
+		// Paused holds the targets that want nothing from this gateway for some time.
+		Paused []limit.Pause
 		// PlannerTerm is the newest lease term received from a planner on
 		// another gateway, 0 if there is none; PlannerSilent is the time since
 		// it was last received.
@@ -52,6 +54,8 @@
 		Doubted bool
 		// Leaving is true once the target has said that it leaves.
 		Leaving bool
+		// Paused is true while it wants nothing from this gateway.
+		Paused bool
 		// Placed is the reason and the time of the target's placement; nil
 		// if this gateway did not decide it.
 		Placed *plan.Placement `json:",omitempty"`
@@ -65,11 +69,14 @@
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
-		Leaving: g.limits.Leaving(),
+		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
-		row := targetStatus{Target: t, Load: loads[t.ID], Doubted: g.ledger.Suspected(t), Leaving: g.limits.Standing(t).Leaving}
+		standing := g.limits.Standing(t)
+		row := targetStatus{
+			Target: t, Load: loads[t.ID], Doubted: g.ledger.Suspected(t), Leaving: standing.Leaving, Paused: standing.PausedFor > 0,
+		}
 		if placement, ok := placements[t.ID]; ok && placement.Layers == t.Held {
 			row.Placed = &placement
 		}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -47,6 +47,9 @@
 	// TargetLimit means that the targets which could take the request have reached
 	// the limits that they named.
 	TargetLimit Code = "TargetLimit"
+	// TargetPause means that the targets which could take the request want nothing
+	// for some time.
+	TargetPause Code = "TargetPause"
 	// NoTarget means that the available targets do not cover the model or
 	// service.
 	NoTarget Code = "NoTarget"
@@ -145,7 +148,7 @@
 // later.
 func (e *Error) Retryable() bool {
 	switch e.Code {
-	case Overloaded, LimitReached, TargetLimit, NoTarget, Held, Leaving, Unavailable, Deadline, TargetLost:
+	case Overloaded, LimitReached, TargetLimit, TargetPause, NoTarget, Held, Leaving, Unavailable, Deadline, TargetLost:
 		return true
 	}
 	return false
@@ -186,7 +189,7 @@
 		return http.StatusRequestEntityTooLarge
 	case LimitReached:
 		return http.StatusTooManyRequests
-	case Overloaded, TargetLimit, NoTarget, Held, Leaving, Unavailable:
+	case Overloaded, TargetLimit, TargetPause, NoTarget, Held, Leaving, Unavailable:
 		return http.StatusServiceUnavailable
 	case Deadline:
 		return http.StatusGatewayTimeout
--- a/internal/limit/leaving.go
+++ b/internal/limit/leaving.go
@@ -23,6 +23,9 @@
 	Standing struct {
 		// Leaving is set once the target has said that it leaves.
 		Leaving bool
+		// PausedFor is how long it wants nothing from this gateway; 0 if it takes
+		// requests.
+		PausedFor time.Duration
 		// Full is set while its limit leaves this gateway no place.
 		Full bool
 	}
@@ -40,14 +43,16 @@
 
 // TakesWork reports whether the target may get anything new at all, be it as a
 // later part of a path.
-func (s Standing) TakesWork() bool { return !s.Leaving }
+func (s Standing) TakesWork() bool { return !s.Leaving && s.PausedFor <= 0 }
 
 // Standing returns what a target has said of whether it takes requests now.
 func (l *TargetLimiter) Standing(t topo.Target) Standing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.inForce(t)
-	return Standing{Leaving: l.isLeaving(t), Full: k != nil && (k.share <= 0 || l.clock.Now().Before(k.next))}
+	return Standing{
+		Leaving: l.isLeaving(t), PausedFor: l.pausedFor(t), Full: k != nil && (k.share <= 0 || l.clock.Now().Before(k.next)),
+	}
 }
 
 // Leaves records that a target has said in an answer to this gateway that it
@@ -64,12 +69,18 @@
 	return sortedByTarget(l.collectLeaves(func(*leave) bool { return true }))
 }
 
-// NoteList takes note of the target list. It forgets leaving targets of which the
-// list has a newer incarnation, and those that have been missing for long.
+// NoteList takes note of the target list. It forgets pauses and leaving targets of
+// which the list has a newer incarnation, pauses that are over, and leaving targets
+// that have been missing for long.
 func (l *TargetLimiter) NoteList(list topo.Fleet) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
+	for id, k := range l.pauses {
+		if t, listed := list.Target(id); listed && t.Started > k.started || !now.Before(k.until) {
+			delete(l.pauses, id)
+		}
+	}
 	for id, k := range l.leaves {
 		t, listed := list.Target(id)
 		switch {
--- a/internal/limit/target.go
+++ b/internal/limit/target.go
@@ -90,6 +90,8 @@
 		limits map[string]*namedLimit
 		// leaves is keyed by the target's ID.
 		leaves map[string]*leave
+		// pauses is keyed by the target's ID.
+		pauses map[string]*pause
 		// waiting counts the requests that wait for the limits of a service's
 		// targets.
 		waiting map[string]int
@@ -128,7 +130,7 @@
 func NewTargetLimiter(clock timer.Service, self Gateway, gateways Gateways) *TargetLimiter {
 	return &TargetLimiter{
 		clock: clock, self: self, gateways: gateways, start: clock.Now(), limits: map[string]*namedLimit{}, leaves: map[string]*leave{},
-		waiting: map[string]int{}, publish: func([]TargetLimit) {},
+		pauses: map[string]*pause{}, waiting: map[string]int{}, publish: func([]TargetLimit) {},
 	}
 }
 
@@ -215,7 +217,7 @@
 func (l *TargetLimiter) Take(t topo.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.isLeaving(t) {
+	if l.isLeaving(t) || l.pausedFor(t) > 0 {
 		return false
 	}
 	k := l.inForce(t)
@@ -313,7 +315,7 @@
 	defer l.mu.Unlock()
 	free := 0
 	for _, t := range targets {
-		if k := l.inForce(t); k != nil && !l.isLeaving(t) && k.share > 0 && until.After(k.next) {
+		if k := l.inForce(t); k != nil && !l.isLeaving(t) && l.pausedFor(t) <= 0 && k.share > 0 && until.After(k.next) {
 			free += 1 + int(until.Sub(later(k.next, l.clock.Now())).Seconds()*k.share)
 		}
 	}
--- a/internal/limit/target_test.go
+++ b/internal/limit/target_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,7 +101,9 @@
 // ends or comes from an earlier incarnation, an older answer that arrives late, a
 // target that takes none; and against callers that wait for what cannot come. Also
 // against requests to a target that has said that it leaves (DRAIN), and against one
-// that is held back because an earlier incarnation said so.
+// that is held back because an earlier incarnation said so; and against requests
+// during a pause that a target has asked this gateway for, and other gateways that
+// keep to it (BUDGET).
 func TestTargetLimiter(t *testing.T) {
 	script.Run(t, "testdata/target/*.txtar", func(t *testing.T) func(script.Line) []string {
 		f := newLimitFleet()
@@ -129,6 +132,18 @@
 				target.Started--
 			case "leaves":
 				f.get(t, l.Text("at")).Leaves(target)
+			case "pauses":
+				f.get(t, l.Text("at")).Pauses(target, l.Duration("for"))
+			case "paused":
+				var out []string
+				for _, g := range f.gateways {
+					left := g.Standing(target).PausedFor
+					if took := g.Take(target); took != (left == 0) {
+						t.Fatalf("paused for %s, taken %v", left, took)
+					}
+					out = append(out, left.String())
+				}
+				return []string{strings.Join(out, " ")}
 			case "late-leave":
 				f.get(t, l.Text("at")).Merge([]limit.TargetLimit{{Target: "t", Started: int64(l.Int("started")), PerSecond: -1, Leaving: true, Age: time.Second}})
 			case "list":
@@ -284,4 +299,11 @@
 	}
 	is.Equal(len(g.Leaving()), 1024)
 	is.True(g.Standing(topo.Target{ID: "2999", Started: 1}).Leaving) // the newest are kept
+	for i := range 3000 {
+		g.Pauses(topo.Target{ID: fmt.Sprint(i), Started: 1}, time.Duration(i+1)*time.Second)
+	}
+	is.Equal(len(g.Paused()), 1024)
+	is.Equal(g.Paused()[1023].Left, 10*time.Minute) // bounded
+	f.clock.Advance(10 * time.Minute)
+	is.Equal(len(g.Paused()), 0)
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -313,6 +313,9 @@
 	}
 	for loads > 0 && len(p.queue[s.Name]) > 0 {
 		o := p.queue[s.Name][0]
+		if p.Limits.Standing(o.Target).PausedFor > 0 {
+			return
+		}
 		p.queue[s.Name] = p.queue[s.Name][1:]
 		if stillCurrent(o, targets) {
 			p.sendOrder(ctx, o, loadTime(s.Model, o.Layers.Len(), freeLoads))
--- a/internal/plan/poll.go
+++ b/internal/plan/poll.go
@@ -28,7 +28,7 @@
 	if !known && !p.Ledger.Suspected(t) {
 		return false
 	}
-	if !known || now-state.last >= pollInterval {
+	if (!known || now-state.last >= pollInterval) && p.takesWork(t) == nil {
 		state.started, state.last = t.Started, now
 		p.polls[t.ID] = state
 		go p.pollSuspected(ctx, t)
@@ -91,7 +91,7 @@
 	for i := range targets {
 		t := targets[(p.nextPoll+i)%len(targets)]
 		o, ok := p.orders[t.ID]
-		if !ok || now < o.pollFrom || now > o.until {
+		if !ok || p.takesWork(t.Target) != nil || now < o.pollFrom || now > o.until {
 			continue
 		}
 		if polls++; polls > maxOrderPolls {
@@ -113,6 +113,9 @@
 	all := p.latePauses >= minLatePauses
 	p.latePauses = 0
 	for _, t := range targets {
+		if p.takesWork(t.Target) != nil {
+			continue
+		}
 		if all && t.Next.Len() > 0 || t.Pace > slowPace {
 			p.paceCheckedAt = now
 			go p.pollPace(ctx, t.Target)
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -26,6 +26,9 @@
 	"shallotcourse/platform"
 )
 
+// returnRounding is the precision of Retry-After.
+const returnRounding = 10 * time.Millisecond
+
 type (
 	// answerSite is a gateway's data path with targets that answer as the script
 	// says, without a network.
@@ -182,8 +185,8 @@
 }
 
 // call sends a request and describes its answer: the status, the targets that got
-// the request, with returns=true the time after which the caller is to return, and
-// how long it took unless it was answered at once.
+// the request, with returns=T whether the caller is to return between T and a second
+// later, and how long it took unless it was answered at once.
 func (s *answerSite) call(l script.Line) []string {
 	s.sent++
 	s.mu.Lock()
@@ -213,9 +216,12 @@
 	if len(got) == 0 {
 		out = fmt.Sprintf("%d, not sent", w.Code)
 	}
-	if after := w.Header().Get("Retry-After"); l.Bool("returns") {
-		whole, _, _ := strings.Cut(after, ".")
-		out += ", return after " + whole + " s"
+	if earliest := l.Duration("returns"); earliest > 0 {
+		after, err := time.ParseDuration(w.Header().Get("Retry-After") + "s")
+		if err != nil || after < earliest-returnRounding || after > earliest+time.Second+returnRounding {
+			s.t.Fatalf("return after %s (%v), want %s to a second more", after, err, earliest)
+		}
+		out += ", to return in time"
 	}
 	if took >= 10*time.Millisecond {
 		out += fmt.Sprintf(", took %s", took.Round(50*time.Millisecond))
@@ -237,6 +243,9 @@
 // Guards against requests, repeats, resumes, paths and polls to a target that has
 // said in an answer that it leaves (DRAIN), whatever the list says and for as long as
 // that incarnation lives; and against holding back another incarnation or instance.
+// Also against requests to a target that has asked for a pause before it is over
+// (BUDGET), callers that are kept waiting for one or told to return before it is over,
+// and values that are no pause.
 func TestAnswersOfTargets(t *testing.T) {
 	script.RunInBubble(t, "testdata/answers/*.txtar", func(t *testing.T) func(script.Line) []string {
 		s := newAnswerSite(t)
@@ -248,14 +257,16 @@
 				target := s.targets[l.Text("id")+":1"]
 				target.kind, target.header = l.Text("with"), http.Header{}
 				for name, key := range map[string]string{
-					"Server-Leaving": "leaving", "Request-Id": "request", "At-Server": "at", "Server-Limit": "limit",
+					"Server-Leaving": "leaving", "Request-Id": "request", "At-Server": "at", "Server-Limit": "limit", "Retry-After": "pause",
 				} {
 					if l.Text(key) != "" {
-						target.header.Set(name, l.Text(key))
+						target.header.Set(name, strings.ReplaceAll(l.Text(key), "_", " "))
 					}
 				}
 			case "call":
 				return s.call(l)
+			case "metric":
+				return []string{fmt.Sprint(s.server.Metrics.GetOrCreateCounter("shallotcourse_" + l.Text("name")).Get())}
 			case "wait":
 				time.Sleep(l.Duration("for"))
 			case "restart":
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -1,17 +1,23 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/limit"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
 
+// loggedPauses bounds the pauses in a log line.
+const loggedPauses = 5
+
 // limitWait is the wait of one request for a target with a limit.
 type limitWait struct {
 	*request
@@ -29,6 +35,7 @@
 	}
 	q.noteLimit(t, a.Limit)
 	q.noteLeaving(t, a, q.headers.ID)
+	q.notePause(t, status, a, q.headers.ID)
 }
 
 // NoteAnswer records what a target says of itself in a response to a poll or an
@@ -36,6 +43,7 @@
 func (s *Server) NoteAnswer(t topo.Target, status int, a ResponseHeaders) {
 	if status != http.StatusMisdirectedRequest && a.ID == "" {
 		s.noteLeaving(t, a, "")
+		s.notePause(t, status, a, "")
 	}
 }
 
@@ -46,6 +54,49 @@
 	}
 }
 
+// notePause records the pause that a target asks for as it turns a request away. The
+// pause is that of the target which answers, also if it names another one as the
+// cause. A malformed value changes nothing.
+func (s *Server) notePause(t topo.Target, status int, a ResponseHeaders, request string) {
+	if status != http.StatusServiceUnavailable || !a.NotRun {
+		return
+	}
+	if a.Pause.Malformed != "" {
+		s.Metrics.GetOrCreateCounter("shallotcourse_malformed_pauses_total").Inc()
+		_ = level.Warn(s.Log).Log("event", "TargetPauseMalformed", "target", t.ID, "value", a.Pause.Malformed, "request", request)
+		return
+	}
+	if s.Limits.Pauses(t, a.Pause.For) {
+		s.Metrics.GetOrCreateCounter("shallotcourse_target_pauses_total").Inc()
+		_ = level.Warn(s.Log).Log("event", "TargetPauses", "target", t.ID, "born", t.Started, "service", t.Service, "for", a.Pause.For,
+			"request", request)
+	}
+}
+
+// awaitPause waits until a pause is over that keeps a request from being sent. It
+// returns the failure at once if that is later than until.
+func (q *request) awaitPause(failure *fault.Error, until time.Time) *fault.Error {
+	if q.Clock.Now().Add(failure.RetryAfter).After(until) {
+		q.Metrics.GetOrCreateCounter("shallotcourse_pause_refusals_total").Inc()
+		_ = level.Info(q.Log).Log("event", "PauseRefused", "request", q.headers.ID, "service", q.service.Name, "left",
+			failure.RetryAfter.Round(time.Millisecond), "paused", pausesText(q.Limits.Paused()))
+		return failure
+	}
+	if err := timer.Sleep(q.r.Context(), q.Clock, failure.RetryAfter); err != nil {
+		return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
+	}
+	return nil
+}
+
+// pausesText returns pauses for the log.
+func pausesText(pauses []limit.Pause) string {
+	var out []string
+	for _, p := range pauses[:min(loggedPauses, len(pauses))] {
+		out = append(out, fmt.Sprintf("%s for %s, since %s", p.Target, p.Left.Round(time.Millisecond), p.Age.Round(time.Millisecond)))
+	}
+	return strings.Join(out, "; ")
+}
+
 // refusesWork returns the failure of a path with a target that takes no work. It may
 // have said so since the path was chosen.
 func (s *stream) refusesWork(hops []chain.Hop) *fault.Error {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -90,9 +90,15 @@
 			if a.err.Outcome == fault.NotRun {
 				q.possibleRuns--
 			}
-			if q.mayRetry(a.err) && send(true) == nil {
-				q.possibleRuns++
-				continue
+			if q.mayRetry(a.err) {
+				err := send(true)
+				if err == nil {
+					q.possibleRuns++
+					continue
+				}
+				if err.Code == fault.TargetPause {
+					last = lessCertain(last, err)
+				}
 			}
 			if pending > 0 {
 				continue
@@ -115,16 +121,22 @@
 }
 
 // sendFirst calls send, again and again while the targets have reached their limits
-// and one is likely to take the request within capacityWaitShare of the objective.
+// or pause, and one is likely to take the request within capacityWaitShare of the
+// objective.
 func (q *request) sendFirst(send func() *fault.Error) *fault.Error {
 	wait := limitWait{request: q, until: q.arrived.Add(time.Duration(capacityWaitShare * float64(q.route.Objective)))}
 	defer wait.end()
 	for {
 		err := send()
-		if err == nil || err.Code != fault.TargetLimit {
-			return err
+		switch {
+		case err == nil:
+			return nil
+		case err.Code == fault.TargetPause:
+			err = q.awaitPause(err, wait.until)
+		case err.Code == fault.TargetLimit:
+			err = wait.sleep(err)
 		}
-		if err := wait.sleep(err); err != nil {
+		if err != nil {
 			return err
 		}
 	}
@@ -174,14 +186,18 @@
 	var best *topo.Target
 	bestScore := 0.0
 	limited := false
+	pause := time.Duration(0) // the shortest
 	targets := q.Fleets.Section().Value().ServiceTargets(q.service.Name)
 	for i := range targets {
 		t := &targets[i]
-		if t.State != topo.Ready || slices.Contains(tried, t.ID) {
+		if t.State != topo.Ready {
 			continue
 		}
 		standing := q.Limits.Standing(*t)
-		if !standing.TakesWork() {
+		if p := standing.PausedFor; p > 0 && !standing.Leaving && (pause == 0 || p < pause) {
+			pause = p
+		}
+		if !standing.TakesWork() || slices.Contains(tried, t.ID) {
 			continue
 		}
 		if standing.Full {
@@ -203,6 +219,8 @@
 	switch {
 	case best == nil && limited:
 		return topo.Target{}, fault.Newf(fault.TargetLimit, "the targets of service %q have reached the limits that they named", q.service.Name)
+	case best == nil && pause > 0:
+		return topo.Target{}, fault.Newf(fault.TargetPause, "the targets of service %q want nothing at present", q.service.Name).WithRetryAfter(pause)
 	case best == nil:
 		return topo.Target{}, fault.Newf(fault.NoTarget, "service %q has no target left to try", q.service.Name)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -69,6 +69,17 @@
 		Limit NamedLimit
 		// Leaving is true if the target says that it leaves.
 		Leaving bool
+		// Pause is the pause that a refusal asks for. It means nothing in others.
+		Pause NamedPause
+	}
+
+	// NamedPause is the time for which a target wants nothing from this gateway, as
+	// named in a refusal.
+	NamedPause struct {
+		// For is 0 if the response names no pause, and not negative.
+		For time.Duration
+		// Malformed is what the target sent instead of a pause, in quotes.
+		Malformed string
 	}
 
 	// NamedLimit is the rate of requests that a target takes from all gateways
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -41,7 +41,7 @@
 	is := is.New(t)
 	s := testServer(nil)
 	for _, code := range []fault.Code{
-		fault.Overloaded, fault.LimitReached, fault.NoTarget, fault.Leaving, fault.Unavailable, fault.Deadline, fault.TargetLost,
+		fault.Overloaded, fault.LimitReached, fault.TargetPause, fault.NoTarget, fault.Leaving, fault.Unavailable, fault.Deadline, fault.TargetLost,
 		fault.Unauthorized, fault.NotFound, fault.TooLarge, fault.BadInput, fault.Internal,
 	} {
 		for _, outcome := range []fault.Outcome{fault.NotRun, fault.Unknown, fault.Partial} {
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -74,6 +74,9 @@
 }
 
 func (q *request) baseRetryAfter(e *fault.Error) time.Duration {
+	if e.Code == fault.TargetPause {
+		return q.Returns.NextHint(q.service.Name, max(minRetryAfter, e.RetryAfter))
+	}
 	if e.RetryAfter > 0 {
 		return e.RetryAfter
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -256,8 +256,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// candidates returns the targets of the service with their load, except
-// suspected and excluded ones and those that take no work.
+// candidates returns the targets of the service with their load, except those that
+// leave, and suspected and excluded ones. A target that pauses is never used, and
+// only tells how long.
 func (s *stream) candidates() []chain.Candidate {
 	loads := s.Ledger.ExpectedLoads(s.LoadLag())
 	targets := s.Fleets.Section().Value().ServiceTargets(s.service.Name)
@@ -265,10 +266,10 @@
 	out := make([]chain.Candidate, 0, len(targets))
 	for _, t := range targets {
 		standing := s.Limits.Standing(t)
-		if s.excluded[t.ID] || suspected[t.ID] || !standing.TakesWork() {
+		if standing.Leaving || standing.PausedFor <= 0 && (s.excluded[t.ID] || suspected[t.ID]) {
 			continue
 		}
-		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: standing.Full})
+		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: standing.Full, PausedFor: standing.PausedFor})
 	}
 	return out
 }
@@ -306,6 +307,10 @@
 		}
 		f := fault.As(err)
 		switch {
+		case f.Code == fault.TargetPause:
+			if f := s.awaitPause(f, wait.until); f != nil {
+				return nil, f
+			}
 		case f.Code == fault.TargetLimit:
 			if f := wait.sleep(f); f != nil {
 				return nil, f
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -91,7 +91,8 @@
 			at = h.Target
 		}
 	}
-	s.excluded[at.ID] = true
+	// A target that pauses may be asked again after that.
+	s.excluded[at.ID] = at.ID != s.hops[0].Target.ID || s.Limits.Standing(at).PausedFor <= 0
 	s.suspectIf(err.Code == fault.Unavailable, at, err)
 	if err.Code == fault.TargetLost {
 		s.probeBroken(err)
