--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -46,6 +46,18 @@
 		mu                      sync.Mutex
 		served, refused, broken int
 		onceCalls               []onceCall
+		// sendings is keyed by the ID of the request.
+		sendings map[string]sending
+	}
+
+	// sending is a request that a caller has sent to a gateway.
+	sending struct {
+		gateway *gateway
+		at      time.Time
+		// leaving is the ID of the target that said in the answer that it leaves, and
+		// leavingAt when the caller got the answer; empty if none did.
+		leaving   string
+		leavingAt time.Time
 	}
 )
 
@@ -95,7 +107,16 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
-	return c.client.Do(req)
+	sentAt := time.Now()
+	resp, err := c.client.Do(req)
+	sent := sending{gateway: c.w.gateways[c.gateway], at: sentAt}
+	if err == nil && resp.Header.Get("Server-Leaving") != "" {
+		sent.leaving, sent.leavingAt = strings.TrimPrefix(resp.Header.Get("Response-Seal"), "seal-"), time.Now()
+	}
+	c.w.counts.mu.Lock()
+	defer c.w.counts.mu.Unlock()
+	c.w.counts.sendings[id] = sent
+	return resp, err
 }
 
 // countRefusal counts a response without success. All requests counted here use
--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -27,6 +27,9 @@
 	targetExpiry = 3600 * time.Millisecond
 )
 
+// pauses are the pauses that targets ask for, in seconds, and values that are none.
+var pauses = []string{"0.7", "1.5", "4", "0", "-1", "NaN", "1e300", "Fri, 04 Dec 2026 21:29:39 GMT"}
+
 // fault injects a fault and returns its description and the function that ends
 // it.
 type fault func(w *world) (string, func())
@@ -39,6 +42,7 @@
 	cutConnections(storeRelay), silenceConnections(storeRelay), holdDirection(storeRelay),
 	failStoreRequests, storeOutage, loseWriteAnswers, dropStoreHistory, rotateKeys,
 	killEngine, killEngine, drainEngine, breakStreams, slowService, failService,
+	leaveEngine, pauseEngine, leaveService, pauseService,
 }
 
 // injectFaults draws faults until the given time, single ones and series of
@@ -232,6 +236,51 @@
 	})
 }
 
+// leaveEngine makes a target say that it leaves, which the list does not show, and
+// restarts it at the end.
+func leaveEngine(w *world) (string, func()) {
+	e := w.randomEngine()
+	return w.exclusive("leave engine", e.ID, func() func() {
+		e.SetFaults(sims.EngineFaults{Leaving: true})
+		return func() {
+			e.SetFaults(sims.EngineFaults{})
+			e.Kill()
+			e.Restart()
+		}
+	})
+}
+
+// pauseEngine makes a target refuse requests and ask for pauses.
+func pauseEngine(w *world) (string, func()) {
+	e := w.randomEngine()
+	pause := pauses[w.random.IntN(len(pauses))]
+	return w.exclusive("pause of "+pause+" s at engine", e.ID, func() func() {
+		e.SetFaults(sims.EngineFaults{Pause: pause})
+		return func() { e.SetFaults(sims.EngineFaults{}) }
+	})
+}
+
+func (w *world) randomService() *sims.Service { return w.services[w.random.IntN(len(w.services))] }
+
+// leaveService is like leaveEngine for a target of the plain service.
+func leaveService(w *world) (string, func()) {
+	v := w.randomService()
+	return w.exclusive("leave service", v.ID, func() func() {
+		v.SetFaults(sims.ServiceFaults{Leaving: true})
+		return v.Restart
+	})
+}
+
+// pauseService is like pauseEngine for a target of the plain service.
+func pauseService(w *world) (string, func()) {
+	v := w.randomService()
+	pause := pauses[w.random.IntN(len(pauses))]
+	return w.exclusive("pause of "+pause+" s at service", v.ID, func() func() {
+		v.SetFaults(sims.ServiceFaults{Pause: pause})
+		return func() { v.SetFaults(sims.ServiceFaults{}) }
+	})
+}
+
 func breakStreams(w *world) (string, func()) {
 	e := w.randomEngine()
 	e.SetFaults(sims.EngineFaults{BreakAfter: 1 + w.random.IntN(8)})
--- a/test/soak/proc_test.go
+++ b/test/soak/proc_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +53,16 @@
 	endExpected bool
 	cmd         *exec.Cmd
 	exited      chan struct{}
+	// disturbed holds the times at which the process got a signal or started.
+	disturbed []time.Time
+}
+
+// disturbedWithin reports whether the process was stopped, frozen or started between
+// two times.
+func (g *gateway) disturbedWithin(from, to time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.disturbed, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 // freeAddress returns a free loopback address. Its port is below the range from
@@ -115,6 +126,7 @@
 		return
 	}
 	g.cmd, g.exited, g.endExpected = cmd, exited, false
+	g.disturbed = append(g.disturbed, time.Now())
 	go func() {
 		err := cmd.Wait()
 		g.mu.Lock()
@@ -130,6 +142,7 @@
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.disturbed = append(g.disturbed, time.Now())
 	// Sending a signal to a process that has just exited fails, which is fine.
 	_ = g.cmd.Process.Signal(s)
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -52,7 +52,7 @@
 	t.Helper()
 	w := &world{
 		t: t, ctx: ctx, random: rand.New(rand.NewPCG(seed, 0)), site: sims.NewSite(), keys: map[string]time.Time{}, started: time.Now(),
-		faulted: map[string]bool{},
+		faulted: map[string]bool{}, counts: counts{sendings: map[string]sending{}},
 	}
 	t.Cleanup(w.site.Close)
 	store, _ := w.site.Serve(w.site.Store)
@@ -167,6 +167,7 @@
 			w.recordFailure("call %s ran, but %[3]s answered with status %[2]d, which means that it did not", s.id, s.status, s.gateway)
 		}
 	}
+	w.checkStandings()
 	for _, g := range w.gateways {
 		if m := g.megabytes(); m > memoryMegabytes {
 			w.recordFailure("%s uses %d MB", g.name, m)
