cmds, proxy: tests of streams at targets that leave

A stream goes on undisturbed at a first target that leaves; if another part of its path dies, it resumes elsewhere, and the target that leaves gets no order. With the check taken out the second case fails, "0 != 1" targets elsewhere.

--- a/internal/cmds/gateway_leaving_test.go
+++ b/internal/cmds/gateway_leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -89,3 +90,43 @@
 		})
 	}
 }
+
+// Guards against a stream that is disturbed because its first target has said that it
+// leaves, and against a change of path that is ordered there where the stream can
+// resume elsewhere.
+func TestGatewayEndsStreamsAtLeavingTargets(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		inject    func(second *sims.Engine)
+		elsewhere int
+	}{
+		{"it ends in peace", func(*sims.Engine) {}, 0},
+		{"the second target dies", (*sims.Engine).Kill, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			site, store, _ := testSite(t)
+			var engines []*sims.Engine
+			for i, r := range [][2]int{{0, 4}, {0, 4}, {4, 8}, {4, 8}} {
+				e := site.AddEngine(fmt.Sprintf("e%d", i), "x", sims.Model{Layers: 8, Token: 25 * time.Millisecond})
+				engines = append(engines, e.SetLayers(r[0], r[1]))
+			}
+			g := startGateway(t, "g1", store, nil).waitReady(t)
+			first, second := engines[0], engines[2]
+			first.SetFaults(sims.EngineFaults{Leaving: true})
+			go func() {
+				for first.Running() == 0 {
+					time.Sleep(5 * time.Millisecond)
+				}
+				time.Sleep(100 * time.Millisecond)
+				c.inject(second)
+			}()
+			a := g.get("/draft/x?events=30")
+			is.NoErr(a.err)
+			is.Equal(strings.Count(a.body, "id: "), 30)
+			is.Equal(first.Served(), 1)
+			is.Equal(engines[1].Served(), c.elsewhere)
+			is.Equal(len(first.Orders()), 0)
+		})
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/limit"
+	"shallotcourse/internal/topo"
 )
 
 // Guards against a stream that ends inside an event and looks complete, and
@@ -34,6 +37,20 @@
 	is.True(fault.Is(err, fault.TooLarge))
 }
 
+// Guards against a request that is sent along a path of which a target has said that it
+// takes no work while the request waited for a retry.
+func TestNothingIsSentToATargetThatHasJustLeft(t *testing.T) {
+	is := is.New(t)
+	s := testServer(nil)
+	s.Limits = limit.NewTargetLimiter(s.Clock, limit.Gateway{}, nil)
+	first, second := topo.Target{ID: "a", Started: 1}, topo.Target{ID: "b", Started: 1}
+	s.Limits.Leaves(second)
+	st := &stream{request: &request{Server: s}}
+	failure := st.run([]chain.Hop{{Target: first}, {Target: second}})
+	is.Equal(failure.Outcome, fault.NotRun)
+	is.Equal(st.sendCount, 0)
+}
+
 // Guards against a status that implies that a request has not run where that is
 // not certain, and against a Retry-After with a status for which a retry does
 // not help.
