--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/limit"
+	"shallotcourse/internal/topo"
 )
 
 // Guards against a stream that ends inside an event and looks complete, and
@@ -56,6 +59,20 @@
 	is.True(!got.comment)
 }
 
+// Guards against a request that is sent along a path of which a target has said that it
+// takes no work while the request waited for a retry.
+func TestNothingIsSentToATargetThatHasJustLeft(t *testing.T) {
+	is := is.New(t)
+	s := testServer(nil)
+	s.Limits = limit.NewTargetLimiter(s.Clock, limit.Gateway{}, nil)
+	first, second := topo.Target{ID: "a", Started: 1}, topo.Target{ID: "b", Started: 1}
+	s.Limits.Leaves(second)
+	st := &stream{request: &request{Server: s}}
+	_, failure := st.startRun([]chain.Hop{{Target: first}, {Target: second}})
+	is.Equal(failure.Outcome, fault.NotRun)
+	is.Equal(st.sendCount, 0)
+}
+
 // Guards against a status that implies that a request has not run where that is
 // not certain, and against a Retry-After with a status for which a retry does
 // not help.
@@ -63,7 +80,7 @@
 	is := is.New(t)
 	s := testServer(nil)
 	for _, code := range []fault.Code{
-		fault.Overloaded, fault.LimitReached, fault.NoTarget, fault.Leaving, fault.Unavailable, fault.Deadline, fault.TargetLost,
+		fault.Overloaded, fault.LimitReached, fault.TargetPause, fault.NoTarget, fault.Leaving, fault.Unavailable, fault.Deadline, fault.TargetLost,
 		fault.Unauthorized, fault.NotFound, fault.TooLarge, fault.BadInput, fault.Internal,
 	} {
 		for _, outcome := range []fault.Outcome{fault.NotRun, fault.Unknown, fault.Partial} {
--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -27,15 +27,19 @@
 	received []event
 }
 
-// startRun sends the request along hops.
-func (s *stream) startRun(hops []chain.Hop) *streamRun {
+// startRun sends the request along hops, unless one of the targets has said since the
+// path was chosen that it takes no work.
+func (s *stream) startRun(hops []chain.Hop) (*streamRun, *fault.Error) {
+	if err := s.refusesWork(hops); err != nil {
+		return nil, err
+	}
 	s.sendCount++
 	s.possibleRunners = append(s.possibleRunners, hops[0].Target)
 	s.pathLog += " " + pathText(hops)
 	return &streamRun{
 		hops: hops, upstream: s.startUpstream(hops), sentAt: s.Clock.Now(),
 		ticket: s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops),
-	}
+	}, nil
 }
 
 // end ends the run, if it has not ended yet.
@@ -64,7 +68,9 @@
 		return
 	}
 	_ = level.Info(s.Log).Log("event", "StandbyStarted", "request", s.headers.ID, "lastEvent", s.lastEvent, "path", pathText(hops), "cause", failure)
-	s.standby = s.startRun(hops)
+	if r, err := s.startRun(hops); err == nil {
+		s.standby = r
+	}
 }
 
 // standbyHead returns the channel on which the head of the standby's response
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -181,21 +181,25 @@
 		s.standby = nil
 		return r, nil
 	}
-	if h := s.Prompts.Check(s.headers.PromptParts); h != nil {
-		return nil, s.heldError(h)
-	}
-	hops, err := s.findPath()
-	if err != nil {
-		return nil, err
-	}
-	if s.sendCount > 0 && !s.takeRetry() {
-		return nil, fault.New(fault.Overloaded, "the retry budget of the service is exhausted")
-	}
-	if h := s.Prompts.Held(s.headers.PromptParts); h != nil {
-		// The hold is newer than the check above, which came before the waits.
-		return nil, s.heldError(h)
+	for {
+		if h := s.Prompts.Check(s.headers.PromptParts); h != nil {
+			return nil, s.heldError(h)
+		}
+		hops, err := s.findPath()
+		if err != nil {
+			return nil, err
+		}
+		if s.sendCount > 0 && !s.takeRetry() {
+			return nil, fault.New(fault.Overloaded, "the retry budget of the service is exhausted")
+		}
+		if h := s.Prompts.Held(s.headers.PromptParts); h != nil {
+			// The hold is newer than the check above, which came before the waits.
+			return nil, s.heldError(h)
+		}
+		if r, err := s.startRun(hops); err == nil {
+			return r, nil
+		}
 	}
-	return s.startRun(hops), nil
 }
 
 // takeRetry takes a retry from the service's budget. It waits for one, because
@@ -312,18 +316,20 @@
 		"resumable", s.route.Resumable, "left", s.remaining().Round(time.Millisecond), "stopping", s.abortCtx.Err() != nil)
 }
 
-// candidates returns the targets of the service with their load, except
-// suspected and excluded ones.
+// candidates returns the targets of the service with their load, except those that
+// leave, and suspected and excluded ones. A target that pauses is never used, and
+// only tells how long.
 func (s *stream) candidates() []chain.Candidate {
 	loads := s.Ledger.ExpectedLoads(s.LoadLag())
 	targets := s.Fleets.Section().Value().ServiceTargets(s.service.Name)
 	suspected := s.Ledger.SuspectedAmong(targets)
 	out := make([]chain.Candidate, 0, len(targets))
 	for _, t := range targets {
-		if s.excluded[t.ID] || suspected[t.ID] {
+		standing := s.Limits.Standing(t)
+		if standing.Leaving || standing.PausedFor <= 0 && (s.excluded[t.ID] || suspected[t.ID]) {
 			continue
 		}
-		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: !s.Limits.Ready(t)})
+		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: standing.Full, PausedFor: standing.PausedFor})
 	}
 	return out
 }
@@ -361,6 +367,10 @@
 		}
 		f := fault.As(err)
 		switch {
+		case f.Code == fault.TargetPause:
+			if f := s.awaitPause(f, wait.until); f != nil {
+				return nil, f
+			}
 		case f.Code == fault.TargetLimit:
 			if f := wait.sleep(f); f != nil {
 				return nil, f
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -163,7 +163,8 @@
 			at = h.Target
 		}
 	}
-	s.excluded[at.ID] = true
+	// A target that pauses may be asked again after that.
+	s.excluded[at.ID] = at.ID != hops[0].Target.ID || s.Limits.Standing(at).PausedFor <= 0
 	s.suspectIf(err.Code == fault.Unavailable, at, err)
 	if err.Code == fault.TargetLost {
 		s.probeBroken(hops[0].Target, err)
