cmds: processes of tests listen on ports that nothing else takes

TestSignalsAtTheStart failed once in a run of the package beside other work, and then in 5 of 18 runs of its own, six at once: "signal: hangup", "exit status 1", "does not listen within 10s". Cause: the test took free ports by listening on port 0; the system gives such a port to the next connection or listener, before the process listens. Signals then went to a process that had not begun, since another one had accepted the connection that told the test to send them.

The ports are now below the range from which the system picks, as those of the soak are. Checks and times are as before.

--- a/internal/cmds/process_test.go
+++ b/internal/cmds/process_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,8 +30,16 @@
 	exitTimeout = 15 * time.Second
 	// answerTimeout bounds the wait for an answer of a process.
 	answerTimeout = 5 * time.Second
+	// firstPort and portCount give the range of ports that processes listen on.
+	// portsPerTest is the distance between the first ports of two test processes.
+	firstPort    = 10000
+	portCount    = 11000
+	portsPerTest = 97
 )
 
+// lastPort counts the ports that freeAddresses has tried.
+var lastPort atomic.Int32
+
 type (
 	// process is an entry or gateway that runs as a process of its own.
 	process struct {
@@ -71,19 +80,26 @@
 	}
 }
 
-// freeAddresses returns n free loopback addresses.
+// freeAddresses returns n free loopback addresses. Their ports are below the range
+// from which the system picks ports for outgoing connections and for listeners
+// without a port, and below those of the soak, so that nothing else takes them before
+// the process listens.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	out := make([]string, n)
-	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	var out []string
+	for range portCount {
+		port := firstPort + (int(lastPort.Add(1))+portsPerTest*os.Getpid())%portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			t.Fatal(err)
+			continue
+		}
+		_ = l.Close()
+		if out = append(out, l.Addr().String()); len(out) == n {
+			return out
 		}
-		out[i] = l.Addr().String()
-		defer func() { _ = l.Close() }()
 	}
-	return out
+	t.Fatalf("%d free ports wanted, %d found", n, len(out))
+	return nil
 }
 
 // startProcess runs the program with the settings until the test ends.
