platform, plat, sims: read the era of the store and show it

Logs could not tell a lease that was lost because the store came back from an older copy from one lost otherwise. Store.Era is the newest Store-Era of any response, also of errors; it stands in the lines of feeds and lease, in the status of a gateway and in shallotcourse_store_era. No decision depends on it yet.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -182,6 +182,7 @@
 		Self: self, Incarnation: d.incarnation, Members: g.members, Links: g.links, Clock: d.clock, BootClock: bootClock, Log: d.logger,
 		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Prompts: g.prompts, Limits: g.limits, Retries: retries,
 	})
+	d.metrics.NewGauge("shallotcourse_store_era", func() float64 { return float64(g.store.Era()) })
 	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
 	d.metrics.NewGauge("shallotcourse_target_limits", func() float64 { return float64(len(g.limits.Limits())) })
 	g.configs.SetRole(g.peers.Role)
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -24,10 +24,13 @@
 		Version   uint64
 		ConfigAge string
 		FleetAge  string
-		Gateways  int64
-		Open      int
-		Routes    []topo.Route
-		Targets   []targetStatus
+		// StoreEra is the newest era of the store that the gateway has seen; it
+		// rises when the store comes back from an older copy.
+		StoreEra uint64
+		Gateways int64
+		Open     int
+		Routes   []topo.Route
+		Targets  []targetStatus
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
@@ -59,7 +62,7 @@
 	config, fleet := g.configs.Section().Value(), g.fleets.Section().Value()
 	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
-		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
+		StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -49,6 +49,8 @@
 	return page, err
 }
 
+func (*source) Era() uint64 { return 0 }
+
 func (*source) Decode(raw []byte) (topo.Config, error) {
 	var version uint64
 	if err := json.Unmarshal(raw, &version); err != nil {
--- a/internal/follow/poll.go
+++ b/internal/follow/poll.go
@@ -103,11 +103,11 @@
 		version, pause, err := call(after, wait)
 		switch {
 		case fault.Is(err, fault.HistoryLost):
-			_ = level.Info(f.log).Log("event", p.name+"HistoryLost", "feed", after)
+			_ = level.Info(f.log).Log("event", p.name+"HistoryLost", "feed", after, "era", f.source.Era())
 			after, pause = 0, minRetryPause
 		case err != nil:
 			if !failing && ctx.Err() == nil {
-				_ = level.Warn(f.log).Log("event", p.name+"SourceLost", "age", p.age(), "feed", after, "err", err)
+				_ = level.Warn(f.log).Log("event", p.name+"SourceLost", "age", p.age(), "feed", after, "era", f.source.Era(), "err", err)
 			}
 			failing, pause = true, minRetryPause+rand.N(maxRetryPause-minRetryPause)
 			if f.role() == Follower {
@@ -115,7 +115,7 @@
 			}
 		default:
 			if failing {
-				_ = level.Info(f.log).Log("event", p.name+"SourceBack", "feed", version)
+				_ = level.Info(f.log).Log("event", p.name+"SourceBack", "feed", version, "era", f.source.Era())
 			}
 			failing = false
 			after = max(after, version)
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -68,6 +68,10 @@
 		Rows(ctx context.Context, table string) ([]Row, error)
 		// Commit writes one row and returns its new version.
 		Commit(ctx context.Context, table string, w Write) (uint64, error)
+		// Era returns the newest era of the store that this process has seen. It
+		// rises when the store comes back from an older copy; 0 if the store
+		// names none.
+		Era() uint64
 	}
 
 	// BootClock returns the time of the boot clock, a monotonic clock that also
--- a/internal/plan/lease.go
+++ b/internal/plan/lease.go
@@ -92,7 +92,7 @@
 }
 
 func (l *lease) markLost(why string, otherTerm uint64) {
-	_ = level.Info(l.log).Log("event", "PlannerLost", "term", l.term, "heard", otherTerm, "why", why)
+	_ = level.Info(l.log).Log("event", "PlannerLost", "term", l.term, "era", l.source.Era(), "heard", otherTerm, "why", why)
 	l.term = 0
 }
 
@@ -110,7 +110,7 @@
 			l.markLost("another gateway wrote the lease row", 0)
 		}
 	default:
-		_ = level.Info(l.log).Log("event", "PlannerNotRenewed", "term", l.term, "age", now-l.renewed, "err", err)
+		_ = level.Info(l.log).Log("event", "PlannerNotRenewed", "term", l.term, "era", l.source.Era(), "age", now-l.renewed, "err", err)
 		l.renewed = now - renewInterval + renewInterval/4
 	}
 	return l.term > 0
@@ -137,11 +137,11 @@
 	}
 	term, err := l.write(ctx, row.Version)
 	if err != nil {
-		_ = level.Info(l.log).Log("event", "PlannerNotClaimed", "version", row.Version, "err", err)
+		_ = level.Info(l.log).Log("event", "PlannerNotClaimed", "version", row.Version, "era", l.source.Era(), "err", err)
 		return false
 	}
 	l.term, l.renewed = term, now
-	_ = level.Info(l.log).Log("event", "PlannerClaimed", "term", term, "before", row.Version, "holder", holder)
+	_ = level.Info(l.log).Log("event", "PlannerClaimed", "term", term, "era", l.source.Era(), "before", row.Version, "holder", holder)
 	return true
 }
 
@@ -198,6 +198,6 @@
 		return
 	}
 	_, err := l.source.Commit(ctx, leaseTable, follow.Write{Key: leaseKey, Delete: true, Conditional: true, Version: l.term})
-	_ = level.Info(l.log).Log("event", "PlannerReleased", "term", l.term, "err", err)
+	_ = level.Info(l.log).Log("event", "PlannerReleased", "term", l.term, "era", l.source.Era(), "err", err)
 	l.term = 0
 }
--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -26,6 +26,7 @@
 	value   []byte
 	// down makes all calls fail; lost makes writes succeed without an answer.
 	down, lost bool
+	era        uint64
 }
 
 func (m *memoryTable) Rows(context.Context, string) ([]follow.Row, error) {
@@ -60,6 +61,8 @@
 	return m.version, nil
 }
 
+func (m *memoryTable) Era() uint64 { return m.era }
+
 func newLease(table *memoryTable, now *time.Duration, name string) *lease {
 	return &lease{
 		source: table, clock: func() time.Duration { return *now }, log: log.NewNopLogger(),
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -128,19 +128,26 @@
 // out is retried once on a new connection: its connection may have stopped
 // working, and so may the idle ones, which Do closes.
 func (t *Transport) Do(ctx context.Context, r Request) ([]byte, error) {
-	data, err := t.attempt(ctx, r)
+	data, _, err := t.DoWithHeader(ctx, r)
+	return data, err
+}
+
+// DoWithHeader is like Do and also returns the header of the response, whatever
+// its status; nil if there was no response.
+func (t *Transport) DoWithHeader(ctx context.Context, r Request) ([]byte, http.Header, error) {
+	data, header, err := t.attempt(ctx, r)
 	var timedOut *timeoutError
 	if err == nil || !eris.As(err, &timedOut) {
-		return data, err
+		return data, header, err
 	}
 	t.http.CloseIdleConnections()
 	if r.Effect || ctx.Err() != nil {
-		return nil, err
+		return nil, header, err
 	}
 	return t.attempt(ctx, r)
 }
 
-func (t *Transport) attempt(ctx context.Context, r Request) ([]byte, error) {
+func (t *Transport) attempt(ctx context.Context, r Request) ([]byte, http.Header, error) {
 	ctx, cancel := timer.WithTimeout(ctx, t.clock, t.timeout+r.Wait)
 	defer cancel()
 	bucket := t.reads
@@ -148,7 +155,7 @@
 		bucket = t.writes
 	}
 	if err := bucket.Wait(ctx, t.clock); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	// Before a connection is obtained, no byte of the request can have been
 	// sent; after that, a failure leaves the outcome unknown.
@@ -156,23 +163,23 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, t.url(r), bytes.NewReader(r.Body))
 	if err != nil {
-		return nil, fault.New(fault.Internal, "cannot create a request to the platform").WithCause(err)
+		return nil, nil, fault.New(fault.Internal, "cannot create a request to the platform").WithCause(err)
 	}
 	// Without GetBody, net/http does not resend the request by itself.
 	req.GetBody = nil
 	resp, err := t.http.Do(req)
 	if err != nil {
-		return nil, noResponse(ctx, r, connected.Load(), err)
+		return nil, nil, noResponse(ctx, r, connected.Load(), err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return nil, t.decodeError(r, resp)
+		return nil, resp.Header, t.decodeError(r, resp)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return nil, noResponse(ctx, r, true, err)
+		return nil, resp.Header, noResponse(ctx, r, true, err)
 	}
-	return data, nil
+	return data, resp.Header, nil
 }
 
 func (s *timeoutError) Unwrap() error { return s.error }
