--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -230,6 +230,9 @@
 	p.Peers.SetPlan(0, nil, nil)
 }
 
+// Plans reports whether this gateway holds the lease and acts on it.
+func (p *Planner) Plans() bool { return p.mayAct() == nil }
+
 // LastPlacements returns the last order of this gateway that each target has
 // accepted.
 func (p *Planner) LastPlacements() map[string]Placement {
