platform, follow, topo: order versions of the store by its era

What callers could see: a target or a configuration that is not used until its row is next written, by a gateway that was frozen or cut off while the store came back from an older copy.

Cause: a version was a number, and the store gives numbers out again. A reader whose number has been passed again before it calls gets no 410 and never reads what was written under numbers that it takes for seen; a condition on a number holds for another content. Its class: a counter of another party taken to be monotone for all time.

Why this works: topo.Version is an era and a number, ordered by era first. A feed whose position is of another era, before the call or by the response, reports HistoryLost, so the reader reads everything again.

The lease and the lists among gateways still compare numbers.

--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -60,7 +60,7 @@
 // Run follows the store until ctx ends.
 func (c *Configs) Run(ctx context.Context) {
 	p := pollOptions{name: "Config", age: c.Age, followerMaxAge: configFollowerMaxAge, waits: longPollWaits{configLongPoll, configLongPollLeader}}
-	c.poll(ctx, p, func(after uint64, wait time.Duration) (uint64, time.Duration, error) {
+	c.poll(ctx, p, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		// The confirmation counts from before the request, because the
 		// response may show a state as old as that.
 		requestedAt := c.bootClock()
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -95,7 +95,7 @@
 // Run follows the store until ctx ends.
 func (f *Fleets) Run(ctx context.Context) {
 	p := pollOptions{name: "Target", age: f.Age, followerMaxAge: targetsFollowerMaxAge, waits: longPollWaits{targetsLongPoll, targetsLongPollLeader}}
-	f.poll(ctx, p, func(after uint64, wait time.Duration) (uint64, time.Duration, error) {
+	f.poll(ctx, p, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		requestedAt := f.bootClock()
 		page, err := f.source.Targets(ctx, after, wait)
 		if err == nil {
@@ -112,7 +112,7 @@
 		return
 	}
 	_ = level.Debug(f.log).Log("event", "TargetsVouched", "version", version, "from", instance)
-	f.apply(TargetPage{Complete: true, Targets: targets, Version: version}, read)
+	f.apply(TargetPage{Complete: true, Targets: targets, Version: topo.Version{Number: version}}, read)
 }
 
 // ApplySyncChanges applies a sync response of another gateway with the changes
@@ -125,7 +125,7 @@
 	if len(targets)+len(removed) > 0 {
 		_ = level.Debug(f.log).Log("event", "ChangesVouched", "version", version, "targets", len(targets), "gone", len(removed), "from", instance)
 	}
-	f.apply(TargetPage{Targets: targets, Gone: removed, Version: version}, read)
+	f.apply(TargetPage{Targets: targets, Gone: removed, Version: topo.Version{Number: version}}, read)
 }
 
 // LastChange returns the version of the last change of the list.
@@ -208,23 +208,23 @@
 		}
 		if f.historyStart == 0 || len(f.removedAt) > maxRemoved {
 			clear(f.removedAt)
-			f.historyStart = page.Version
+			f.historyStart = page.Version.Number
 		}
 		for _, id := range removed {
-			f.remove(id, now, page.Version)
+			f.remove(id, now, page.Version.Number)
 		}
 		for _, t := range page.Targets {
-			f.put(t, page.Version)
+			f.put(t, page.Version.Number)
 		}
 		for id, until := range f.lapsedUntil {
 			if now >= until {
-				_ = level.Info(f.log).Log("event", "TargetGone", "target", id, "version", page.Version, "lapsed", true)
+				_ = level.Info(f.log).Log("event", "TargetGone", "target", id, "version", page.Version.Number, "lapsed", true)
 				// Gateways that already have this version have not received the
 				// removal.
-				f.forget(id, page.Version+1)
+				f.forget(id, page.Version.Number+1)
 			}
 		}
-		return f.withOverlays(page.Version, max(v.Read, readAt)), true
+		return f.withOverlays(page.Version.Number, max(v.Read, readAt)), true
 	})
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -23,10 +23,10 @@
 	mu     sync.Mutex
 	steps  []func() (follow.ConfigPage, follow.TargetPage, error)
 	cancel context.CancelFunc
-	afters []uint64
+	afters []topo.Version
 }
 
-func (s *source) next(after uint64) (follow.ConfigPage, follow.TargetPage, error) {
+func (s *source) next(after topo.Version) (follow.ConfigPage, follow.TargetPage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.afters = append(s.afters, after)
@@ -39,12 +39,12 @@
 	return step()
 }
 
-func (s *source) Config(_ context.Context, after uint64, _ time.Duration) (follow.ConfigPage, error) {
+func (s *source) Config(_ context.Context, after topo.Version, _ time.Duration) (follow.ConfigPage, error) {
 	page, _, err := s.next(after)
 	return page, err
 }
 
-func (s *source) Targets(_ context.Context, after uint64, _ time.Duration) (follow.TargetPage, error) {
+func (s *source) Targets(_ context.Context, after topo.Version, _ time.Duration) (follow.TargetPage, error) {
 	_, page, err := s.next(after)
 	return page, err
 }
@@ -83,7 +83,7 @@
 			if raw != "" {
 				b = []byte(raw)
 			}
-			return follow.ConfigPage{Raw: b, Version: version}, follow.TargetPage{}, nil
+			return follow.ConfigPage{Raw: b, Version: topo.Version{Number: version}}, follow.TargetPage{}, nil
 		}
 	}
 	failed := func(code fault.Code, took time.Duration) func() (follow.ConfigPage, follow.TargetPage, error) {
@@ -118,7 +118,7 @@
 
 	s.afters = nil
 	run(page("9", 0, 30), failed(fault.HistoryLost, 0), page("11", 0, 40))
-	is.Equal(s.afters[2], uint64(0)) // starts again from 0
+	is.Equal(s.afters[2], topo.Version{}) // starts again from 0
 	is.Equal(c.Section().Value().Version, uint64(11))
 }
 
@@ -144,13 +144,13 @@
 		f.Run(ctx)
 		return f.Section().Value().Len()
 	}
-	is.Equal(run(step(0, follow.TargetPage{Complete: true, Targets: []topo.Target{target("a"), target("b"), target("c")}, Version: 1})), 3)
-	is.Equal(run(step(time.Second, follow.TargetPage{Gone: []string{"c"}, Version: 2})), 2) // removed at once without an outage
+	is.Equal(run(step(0, follow.TargetPage{Complete: true, Targets: []topo.Target{target("a"), target("b"), target("c")}, Version: topo.Version{Number: 1}})), 3)
+	is.Equal(run(step(time.Second, follow.TargetPage{Gone: []string{"c"}, Version: topo.Version{Number: 2}})), 2) // removed at once without an outage
 	now += 20 * time.Second
-	is.Equal(run(step(0, follow.TargetPage{Gone: []string{"a", "b"}, Version: 3})), 2) // lapsed
-	is.Equal(run(step(time.Second, follow.TargetPage{Targets: []topo.Target{target("a")}, Version: 4})), 2)
+	is.Equal(run(step(0, follow.TargetPage{Gone: []string{"a", "b"}, Version: topo.Version{Number: 3}})), 2) // lapsed
+	is.Equal(run(step(time.Second, follow.TargetPage{Targets: []topo.Target{target("a")}, Version: topo.Version{Number: 4}})), 2)
 	now += 2 * time.Second
-	is.Equal(run(step(0, follow.TargetPage{Version: 5})), 1) // b did not come back
+	is.Equal(run(step(0, follow.TargetPage{Version: topo.Version{Number: 5}})), 1) // b did not come back
 	_, ok := f.Section().Value().Target("a")
 	is.True(ok)
 }
--- a/internal/follow/poll.go
+++ b/internal/follow/poll.go
@@ -10,6 +10,7 @@
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/timer"
+	"shallotcourse/internal/topo"
 )
 
 const (
@@ -87,9 +88,10 @@
 // poll calls the store until ctx ends. The function call receives the version
 // to continue from and the time that the store may delay its response; it
 // returns the next version and the pause before the next call. The loop starts
-// again from version 0 when the store no longer has the history.
-func (f *feed) poll(ctx context.Context, p pollOptions, call func(after uint64, wait time.Duration) (uint64, time.Duration, error)) {
-	after := uint64(0)
+// again from the zero version when the store no longer has the history, or when it
+// has come back from an older copy.
+func (f *feed) poll(ctx context.Context, p pollOptions, call func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error)) {
+	after := topo.Version{}
 	failing := false
 	for ctx.Err() == nil {
 		if f.role() == Follower && p.age() < p.followerMaxAge {
@@ -103,11 +105,11 @@
 		version, pause, err := call(after, wait)
 		switch {
 		case fault.Is(err, fault.HistoryLost):
-			_ = level.Info(f.log).Log("event", p.name+"HistoryLost", "feed", after, "era", f.source.Era())
-			after, pause = 0, minRetryPause
+			_ = level.Info(f.log).Log("event", p.name+"HistoryLost", "feed", after.Number, "era", f.source.Era())
+			after, pause = topo.Version{}, minRetryPause
 		case err != nil:
 			if !failing && ctx.Err() == nil {
-				_ = level.Warn(f.log).Log("event", p.name+"SourceLost", "age", p.age(), "feed", after, "era", f.source.Era(), "err", err)
+				_ = level.Warn(f.log).Log("event", p.name+"SourceLost", "age", p.age(), "feed", after.Number, "era", f.source.Era(), "err", err)
 			}
 			failing, pause = true, minRetryPause+rand.N(maxRetryPause-minRetryPause)
 			if f.role() == Follower {
@@ -115,10 +117,12 @@
 			}
 		default:
 			if failing {
-				_ = level.Info(f.log).Log("event", p.name+"SourceBack", "feed", version, "era", f.source.Era())
+				_ = level.Info(f.log).Log("event", p.name+"SourceBack", "feed", version.Number, "era", version.Era)
 			}
 			failing = false
-			after = max(after, version)
+			if version.Compare(after) > 0 {
+				after = version
+			}
 		}
 		if pause > 0 {
 			_ = timer.Sleep(ctx, f.clock, pause)
--- a/internal/plan/lease.go
+++ b/internal/plan/lease.go
@@ -13,6 +13,7 @@
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
+	"shallotcourse/internal/topo"
 )
 
 const (
@@ -128,14 +129,14 @@
 	if err != nil {
 		return false
 	}
-	if row.Version != l.seenVersion {
-		l.seenVersion, l.seenSince = row.Version, now
+	if row.Version.Number != l.seenVersion {
+		l.seenVersion, l.seenSince = row.Version.Number, now
 	}
-	unknownHolder := row.Version != 0 && row.Version != otherTerm && holder != l.instance
+	unknownHolder := row.Version.Number != 0 && row.Version.Number != otherTerm && holder != l.instance
 	if unknownHolder && now-l.seenSince < unknownHolderGrace {
 		return false
 	}
-	term, err := l.write(ctx, row.Version)
+	term, err := l.write(ctx, row.Version.Number)
 	if err != nil {
 		_ = level.Info(l.log).Log("event", "PlannerNotClaimed", "version", row.Version, "era", l.source.Era(), "err", err)
 		return false
@@ -174,7 +175,16 @@
 	if err != nil {
 		return 0, fault.New(fault.Internal, "cannot encode the lease row").WithCause(err)
 	}
-	return l.source.Commit(ctx, leaseTable, follow.Write{Key: leaseKey, Value: value, Conditional: true, Version: version})
+	written, err := l.source.Commit(ctx, leaseTable, follow.Write{Key: leaseKey, Value: value, Conditional: true, Version: l.version(version)})
+	return written.Number, err
+}
+
+// version returns the version with a number in the current era; 0 is none.
+func (l *lease) version(number uint64) topo.Version {
+	if number == 0 {
+		return topo.Version{}
+	}
+	return topo.Version{Era: l.source.Era(), Number: number}
 }
 
 // adoptOwnRow reads the row and, if this process wrote it, takes its version as
@@ -188,7 +198,7 @@
 	if holder != l.incarnation {
 		return false
 	}
-	l.term, l.renewed = row.Version, l.clock()
+	l.term, l.renewed = row.Version.Number, l.clock()
 	return true
 }
 
@@ -197,7 +207,7 @@
 	if l.term == 0 {
 		return
 	}
-	_, err := l.source.Commit(ctx, leaseTable, follow.Write{Key: leaseKey, Delete: true, Conditional: true, Version: l.term})
+	_, err := l.source.Commit(ctx, leaseTable, follow.Write{Key: leaseKey, Delete: true, Conditional: true, Version: l.version(l.term)})
 	_ = level.Info(l.log).Log("event", "PlannerReleased", "term", l.term, "era", l.source.Era(), "err", err)
 	l.term = 0
 }
--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -36,19 +36,19 @@
 	if m.value == nil {
 		return nil, nil
 	}
-	return []follow.Row{{Key: leaseKey, Value: m.value, Version: m.version}}, nil
+	return []follow.Row{{Key: leaseKey, Value: m.value, Version: topo.Version{Era: m.era, Number: m.version}}}, nil
 }
 
-func (m *memoryTable) Commit(_ context.Context, _ string, w follow.Write) (uint64, error) {
+func (m *memoryTable) Commit(_ context.Context, _ string, w follow.Write) (topo.Version, error) {
 	if m.down {
-		return 0, fault.New(fault.Unavailable, "down")
+		return topo.Version{}, fault.New(fault.Unavailable, "down")
 	}
 	current := m.version
 	if m.value == nil {
 		current = 0
 	}
-	if w.Version != current {
-		return 0, fault.New(fault.Conflict, "the row has another version")
+	if w.Version.Number != current {
+		return topo.Version{}, fault.New(fault.Conflict, "the row has another version")
 	}
 	m.version++
 	m.value = w.Value
@@ -56,9 +56,9 @@
 		m.value = nil
 	}
 	if m.lost {
-		return 0, fault.New(fault.Unavailable, "lost").WithOutcome(fault.Unknown)
+		return topo.Version{}, fault.New(fault.Unavailable, "lost").WithOutcome(fault.Unknown)
 	}
-	return m.version, nil
+	return topo.Version{Era: m.era, Number: m.version}, nil
 }
 
 func (m *memoryTable) Era() uint64 { return m.era }
