plan, peers, wire: the planner keeps its lease over a restore of the store

What happened: after the store came back from an older copy, nobody planned for 1.4 to 1.8 s, and before that two gateways held the lease and one planned on a row that it did not own.

Cause: the term of the planner is the version of its row, compared as a number. The holder took the lower number of its row in the copy for its term; all others dropped its messages and counted it as silent.

Why this works: the term is a version with its era, so a term of a newer era wins everywhere. A holder that sees a newer era reads the row and writes it again under the condition of what it read. The row names the era in which it was written: one that is older than the store's is a part of the copy, whoever it names, and is replaced; one of the present era is another gateway's claim, and the holder gives up. Until the row is written the others follow the holder's old term, so none claims.

Gateways of older builds leave the era out, which counts as era 0: new builds do not follow a lease that an old one claims after a new one, and claim it again after the usual silence, within seconds. Old builds compare the number only, as before.

--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -40,9 +40,11 @@
 		// Limits holds the limits that targets have named.
 		Limits []limit.TargetLimit
 		// PlannerTerm is the newest lease term received from a planner on
-		// another gateway, 0 if there is none; PlannerSilent is the time since
-		// it was last received.
+		// another gateway, 0 if there is none, and PlannerEra the era of the store
+		// that it belongs to; PlannerSilent is the time since it was last
+		// received.
 		PlannerTerm   uint64
+		PlannerEra    uint64
 		PlannerSilent string
 	}
 
@@ -74,7 +76,7 @@
 		out.Targets = append(out.Targets, row)
 	}
 	term, ago := g.peers.OtherPlanner()
-	out.PlannerTerm, out.PlannerSilent = term, ago.Round(time.Millisecond).String()
+	out.PlannerTerm, out.PlannerEra, out.PlannerSilent = term.Number, term.Era, ago.Round(time.Millisecond).String()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(out); err != nil {
 		_ = level.Info(g.logger).Log("event", "StatusNotWritten", "err", err)
--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -515,7 +515,7 @@
 	site, store, _ := testSite(t)
 	one := startGateway(t, "g1", store, nil).waitReady(t)
 	two := startGateway(t, "g2", store, nil).waitReady(t)
-	receivedPlan := func(g *testGateway) bool { term, _ := g.peers.OtherPlanner(); return term > 0 }
+	receivedPlan := func(g *testGateway) bool { term, _ := g.peers.OtherPlanner(); return !term.IsZero() }
 	eventually(t, "one of the two receives the plan of the other", func() bool { return receivedPlan(one) != receivedPlan(two) })
 	planner := one
 	if receivedPlan(one) {
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -180,7 +180,7 @@
 	defer p.mu.Unlock()
 	out := wire.GroupState{
 		Group: p.topology.Group, Loads: own.Loads, Suspicions: own.Suspicions, LatePauses: own.LatePauses + p.unsentLatePauses,
-		Term: own.Term, Targets: own.Targets, Unresponsive: own.Unresponsive,
+		Term: own.Term, TermEra: own.TermEra, Targets: own.Targets, Unresponsive: own.Unresponsive,
 	}
 	p.unsentLatePauses = 0
 	if counts != nil {
@@ -196,8 +196,9 @@
 		if l, ok := counts[last.incarnation]; ok {
 			out.Incarnations[last.incarnation] = l
 		}
-		if last.state.Term > out.Term {
-			out.Term, out.Targets, out.Unresponsive = last.state.Term, last.state.Targets, last.state.Unresponsive
+		if last.state.PlannerTerm().Compare(out.PlannerTerm()) > 0 {
+			out.Term, out.TermEra = last.state.Term, last.state.TermEra
+			out.Targets, out.Unresponsive = last.state.Targets, last.state.Unresponsive
 		}
 	}
 	return out
@@ -211,8 +212,9 @@
 	out.Config, out.List = p.Configs.Section().Value().Version, p.Fleets.LastChange()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.BootClock()-p.plannerUpdateAt < plannerUpdateTTL && p.plannerUpdate.Term > out.Term {
-		out.Term, out.Targets, out.Unresponsive = p.plannerUpdate.Term, p.plannerUpdate.Targets, p.plannerUpdate.Unresponsive
+	if p.BootClock()-p.plannerUpdateAt < plannerUpdateTTL && p.plannerUpdate.PlannerTerm().Compare(out.PlannerTerm()) > 0 {
+		out.Term, out.TermEra = p.plannerUpdate.Term, p.plannerUpdate.TermEra
+		out.Targets, out.Unresponsive = p.plannerUpdate.Targets, p.plannerUpdate.Unresponsive
 	}
 	return out
 }
@@ -253,7 +255,7 @@
 		p.receiveCounts(incarnation, l)
 	}
 	p.receiveSuspicions(from.Instance, m.Suspicions)
-	p.receivePlannerUpdate(m.Term, m.Targets, m.Unresponsive)
+	p.receivePlannerUpdate(m.PlannerTerm(), m.Targets, m.Unresponsive)
 	if m.AllGateways {
 		p.receiveLeaderVersions(m)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -111,14 +111,14 @@
 	// gateway as the planner.
 	plannerState struct {
 		// ownTerm is the version of the planner's lease if this gateway holds
-		// it; otherwise 0.
-		ownTerm uint64
+		// it; otherwise zero.
+		ownTerm topo.Version
 		// ownTargets and ownUnresponsive are sent with each GatewayState.
 		ownTargets      []topo.Target
 		ownUnresponsive []ledger.Suspicion
 		// otherTerm is the newest lease version received from another gateway
 		// that plans, and otherTermAt when it was last received.
-		otherTerm   uint64
+		otherTerm   topo.Version
 		otherTermAt time.Duration
 		// plannerUpdate is the last update received from a planner. A leader
 		// forwards it to its followers.
@@ -185,7 +185,7 @@
 
 // SetPlan sets the lease version under which this gateway plans, the targets'
 // status reports and the unresponsive targets. They are sent with each state.
-func (p *Peers) SetPlan(term uint64, targets []topo.Target, unresponsive []ledger.Suspicion) {
+func (p *Peers) SetPlan(term topo.Version, targets []topo.Target, unresponsive []ledger.Suspicion) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ownTerm, p.ownTargets, p.ownUnresponsive = term, targets, unresponsive
@@ -243,11 +243,11 @@
 
 // OtherPlanner returns the newest lease version under which another gateway
 // plans, and the time since it was last received.
-func (p *Peers) OtherPlanner() (term uint64, ago time.Duration) {
+func (p *Peers) OtherPlanner() (term topo.Version, ago time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.otherTerm == 0 {
-		return 0, time.Hour
+	if p.otherTerm.IsZero() {
+		return topo.Version{}, time.Hour
 	}
 	return p.otherTerm, p.BootClock() - p.otherTermAt
 }
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -17,7 +17,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.latePauses += out.LatePauses
-	out.Term, out.Targets = p.ownTerm, p.ownTargets
+	out.Term, out.TermEra, out.Targets = p.ownTerm.Number, p.ownTerm.Era, p.ownTargets
 	for _, s := range p.ownUnresponsive {
 		out.Unresponsive = append(out.Unresponsive, wire.Suspicion(s))
 	}
@@ -66,7 +66,7 @@
 	p.unsentLatePauses += m.LatePauses
 	p.lastReceived[from.Instance] = received{at: p.BootClock(), incarnation: from.Incarnation, state: m}
 	p.mu.Unlock()
-	p.receivePlannerUpdate(m.Term, m.Targets, m.Unresponsive)
+	p.receivePlannerUpdate(m.PlannerTerm(), m.Targets, m.Unresponsive)
 }
 
 func (p *Peers) receiveCounts(incarnation string, l wire.IncarnationCounts) {
@@ -102,9 +102,9 @@
 
 // receivePlannerUpdate records an update of the planner, received directly or
 // through a leader.
-func (p *Peers) receivePlannerUpdate(term uint64, targets []topo.Target, unresponsive []wire.Suspicion) {
+func (p *Peers) receivePlannerUpdate(term topo.Version, targets []topo.Target, unresponsive []wire.Suspicion) {
 	p.Fleets.Overlay(targets...)
-	if term == 0 {
+	if term.IsZero() {
 		return
 	}
 	suspects := make([]ledger.Suspicion, len(unresponsive))
@@ -114,8 +114,8 @@
 	p.Ledger.SetUnresponsive(suspects)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if term >= p.otherTerm {
+	if term.Compare(p.otherTerm) >= 0 {
 		p.otherTerm, p.otherTermAt = term, p.BootClock()
-		p.plannerUpdate, p.plannerUpdateAt = wire.GatewayState{Term: term, Targets: targets, Unresponsive: unresponsive}, p.otherTermAt
+		p.plannerUpdate, p.plannerUpdateAt = wire.GatewayState{Term: term.Number, TermEra: term.Era, Targets: targets, Unresponsive: unresponsive}, p.otherTermAt
 	}
 }
--- a/internal/plan/lease_test.go
+++ b/internal/plan/lease_test.go
@@ -19,36 +19,53 @@
 	"shallotcourse/internal/topo"
 )
 
-// memoryTable is an in-memory store with one row and conditional writes.
+// memoryTable is an in-memory store with one row and conditional writes. It can
+// come back from an older copy.
 type memoryTable struct {
-	follow.Source
-	version uint64
-	value   []byte
+	version, era uint64
+	value        []byte
 	// down makes all calls fail; lost makes writes succeed without an answer.
 	down, lost bool
-	era        uint64
 }
 
-func (m *memoryTable) Rows(context.Context, string) ([]follow.Row, error) {
+// tableClient is one gateway's client of a memoryTable.
+type tableClient struct {
+	follow.Source
+	table *memoryTable
+	// seen is the newest era of a response.
+	seen uint64
+}
+
+func (c *tableClient) Era() uint64 { return c.seen }
+
+func (c *tableClient) Rows(context.Context, string) ([]follow.Row, error) {
+	m := c.table
 	if m.down {
 		return nil, fault.New(fault.Unavailable, "down")
 	}
+	c.seen = m.era
 	if m.value == nil {
 		return nil, nil
 	}
-	return []follow.Row{{Key: leaseKey, Value: m.value, Version: topo.Version{Era: m.era, Number: m.version}}}, nil
+	return []follow.Row{{Key: leaseKey, Value: m.value, Version: m.rowVersion()}}, nil
 }
 
-func (m *memoryTable) Commit(_ context.Context, _ string, w follow.Write) (topo.Version, error) {
+func (c *tableClient) Commit(_ context.Context, _ string, w follow.Write) (topo.Version, error) {
+	m := c.table
 	if m.down {
 		return topo.Version{}, fault.New(fault.Unavailable, "down")
 	}
+	conflict := fault.New(fault.Conflict, "the row has another version")
+	if !w.Version.IsZero() && w.Version.Era != c.seen {
+		return topo.Version{}, conflict
+	}
 	current := m.version
 	if m.value == nil {
 		current = 0
 	}
 	if w.Version.Number != current {
-		return topo.Version{}, fault.New(fault.Conflict, "the row has another version")
+		c.seen = m.era
+		return topo.Version{}, conflict
 	}
 	m.version++
 	m.value = w.Value
@@ -58,14 +75,26 @@
 	if m.lost {
 		return topo.Version{}, fault.New(fault.Unavailable, "lost").WithOutcome(fault.Unknown)
 	}
+	c.seen = m.era
+	if !w.Version.IsZero() && w.Version.Era != m.era {
+		return topo.Version{}, conflict.WithOutcome(fault.Unknown)
+	}
 	return topo.Version{Era: m.era, Number: m.version}, nil
 }
 
-func (m *memoryTable) Era() uint64 { return m.era }
+func (m *memoryTable) rowVersion() topo.Version {
+	return topo.Version{Era: m.era, Number: m.version}
+}
+
+// restore replaces the state by an older copy.
+func (m *memoryTable) restore(older memoryTable) {
+	m.version, m.value = older.version, older.value
+	m.era++
+}
 
 func newLease(table *memoryTable, now *time.Duration, name string) *lease {
 	return &lease{
-		source: table, clock: func() time.Duration { return *now }, log: log.NewNopLogger(),
+		source: &tableClient{table: table}, clock: func() time.Duration { return *now }, log: log.NewNopLogger(),
 		instance: name, incarnation: name + "-1",
 	}
 }
@@ -76,29 +105,29 @@
 	is, ctx := is.New(t), context.Background()
 	table, now := &memoryTable{}, time.Minute
 	one, two := newLease(table, &now, "one"), newLease(table, &now, "two")
-	is.True(one.hold(ctx, 0, time.Hour))
+	is.True(one.hold(ctx, topo.Version{}, time.Hour))
 	is.True(!two.hold(ctx, one.term, 0)) // just heard from
 	now += 10 * time.Second
 	is.True(two.hold(ctx, one.term, 10*time.Second)) // silent
-	is.True(two.term > one.term)
+	is.True(two.term.Compare(one.term) > 0)
 	is.True(!one.hold(ctx, two.term, 0)) // receives a newer term
-	is.True(one.term == 0)
+	is.True(!one.held())
 }
 
 // Guards against a new gateway that claims the lease before it could receive
 // anything from the planner, because the link to the planner is not up yet. It
-// waits until the row has been unchanged for unknownHolderGrace. The arguments 0
-// and time.Hour of hold mean that no state of another planner was received.
+// waits until the row has been unchanged for unknownHolderGrace. The zero term
+// and time.Hour as arguments of hold mean that no state of another planner was received.
 func TestLeaseOfAnUnheardPlanner(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
 	table, now := &memoryTable{}, time.Minute
 	one, two := newLease(table, &now, "one"), newLease(table, &now, "two")
-	is.True(one.hold(ctx, 0, time.Hour))
-	is.True(!two.hold(ctx, 0, time.Hour))
+	is.True(one.hold(ctx, topo.Version{}, time.Hour))
+	is.True(!two.hold(ctx, topo.Version{}, time.Hour))
 	now += claimInterval
-	is.True(!two.hold(ctx, 0, time.Hour))
+	is.True(!two.hold(ctx, topo.Version{}, time.Hour))
 	now += unknownHolderGrace
-	is.True(two.hold(ctx, 0, time.Hour))
+	is.True(two.hold(ctx, topo.Version{}, time.Hour))
 }
 
 // Guards against a planner that loses the lease because the answer to its own
@@ -107,19 +136,19 @@
 	is, ctx := is.New(t), context.Background()
 	table, now := &memoryTable{}, time.Minute
 	one := newLease(table, &now, "one")
-	is.True(one.hold(ctx, 0, time.Hour))
+	is.True(one.hold(ctx, topo.Version{}, time.Hour))
 	table.lost = true
 	now += renewInterval
-	is.True(one.hold(ctx, 0, time.Hour)) // written, but not answered
+	is.True(one.hold(ctx, topo.Version{}, time.Hour)) // written, but not answered
 	table.lost = false
 	now += renewInterval
-	is.True(one.hold(ctx, 0, time.Hour)) // conflict with its own row
-	is.Equal(one.term, table.version)
+	is.True(one.hold(ctx, topo.Version{}, time.Hour)) // conflict with its own row
+	is.Equal(one.term, table.rowVersion())
 	table.down = true
 	now += 10 * renewInterval
-	is.True(one.hold(ctx, 0, time.Hour))
+	is.True(one.hold(ctx, topo.Version{}, time.Hour))
 	one.release(ctx)
-	is.Equal(one.term, uint64(0))
+	is.True(!one.held())
 }
 
 // Guards against a planner that goes on after a pause with a lease that another
@@ -129,10 +158,10 @@
 	for _, pause := range []time.Duration{plannerTimeout + unknownHolderGrace, 3 * time.Second, 10 * time.Second} {
 		table, now := &memoryTable{}, time.Minute
 		one, two := newLease(table, &now, "one"), newLease(table, &now, "two")
-		is.True(one.hold(ctx, 0, time.Hour))
+		is.True(one.hold(ctx, topo.Version{}, time.Hour))
 		now += pause
 		is.True(two.hold(ctx, one.term, pause))
-		is.True(!one.hold(ctx, 0, time.Hour)) // pause
+		is.True(!one.hold(ctx, topo.Version{}, time.Hour)) // pause
 	}
 }
 
@@ -166,10 +195,10 @@
 		now := time.Minute
 		engines := &pausingEngines{now: &now, pause: c.pause, reported: make(chan struct{}), placed: make(chan struct{}, 1)}
 		p := New(Options{
-			Source: &memoryTable{}, Clock: timer.System{}, BootClock: func() time.Duration { return now }, Log: log.NewNopLogger(),
+			Source: &tableClient{table: &memoryTable{}}, Clock: timer.System{}, BootClock: func() time.Duration { return now }, Log: log.NewNopLogger(),
 			Metrics: metrics.NewSet(), Engines: engines, Fleets: follow.NewFleets(nil, timer.System{}, nil, log.NewNopLogger()),
 		})
-		is.True(p.lease.hold(context.Background(), 0, time.Hour))
+		is.True(p.lease.hold(context.Background(), topo.Version{}, time.Hour))
 		p.leaseChecked.Store(int64(p.lease.checked))
 		p.sendOrder(context.Background(), place.Order{Target: topo.Target{ID: "a"}, Layers: topo.Layers{To: 8}}, time.Second)
 		<-engines.reported
@@ -181,46 +210,109 @@
 }
 
 // Guards against two gateways that both take theirs for the newest lease, while
-// the store fails, answers are lost, links are cut and gateways freeze. A planner
-// that was frozen may plan until its next renewal or the next state message that
-// it receives; its orders are safe because they name the state that they expect.
+// the store fails or comes back from an older copy, answers are lost, links are cut
+// and gateways freeze. A planner that was frozen may plan until its next renewal or
+// the next state message that it receives; its orders are safe because they name
+// the state that they expect.
 func TestLeaseHasOneNewestHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
-		table, now := &memoryTable{}, time.Minute
+		table, now := &memoryTable{era: 1}, time.Minute
+		older := *table
 		leases := make([]*lease, rapid.IntRange(2, 4).Draw(t, "gateways"))
 		for i := range leases {
 			leases[i] = newLease(table, &now, strconv.Itoa(i))
 		}
 		receivedAt := make([]time.Duration, len(leases))
-		received := make([]uint64, len(leases))
+		received := make([]topo.Version, len(leases))
 		for range 200 {
 			now += 200 * time.Millisecond
 			table.down = rapid.IntRange(0, 5).Draw(t, "down") == 0
 			table.lost = rapid.IntRange(0, 5).Draw(t, "lost") == 0
+			switch rapid.IntRange(0, 20).Draw(t, "copy") {
+			case 0:
+				older = *table
+			case 1:
+				table.restore(older)
+			}
 			for i, l := range leases {
 				if rapid.IntRange(0, 3).Draw(t, "frozen") == 0 {
 					continue
 				}
 				l.hold(ctx, received[i], now-receivedAt[i])
 				for j := range leases {
-					if j != i && l.term > 0 && rapid.Bool().Draw(t, "linked") {
-						if l.term >= received[j] {
+					if j != i && l.held() && rapid.Bool().Draw(t, "linked") {
+						if l.term.Compare(received[j]) >= 0 {
 							received[j], receivedAt[j] = l.term, now
 						}
 					}
 				}
 			}
-			seen := map[uint64]bool{}
+			seen := map[topo.Version]bool{}
 			for _, l := range leases {
-				if l.term > 0 && seen[l.term] {
-					t.Fatalf("two gateways hold the lease of term %d", l.term)
+				if l.held() && seen[l.term] {
+					t.Fatalf("two gateways hold the lease of term %s", l.term)
 				}
 				seen[l.term] = true
-				if l.term > table.version {
-					t.Fatalf("term %d is newer than the row, %d", l.term, table.version)
+				if l.term.Era == table.era && l.term.Number > table.version {
+					t.Fatalf("term %s is newer than the row, %d", l.term, table.version)
 				}
 			}
 		}
 	})
 }
+
+// Guards against a planner that keeps a term of an earlier era, which others drop,
+// and against one that goes on beside a gateway that claimed the lease after the
+// restore.
+func TestLeaseAfterARestore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before is what happens between the copy and the restore.
+		before func(table *memoryTable, renew, takeOver func())
+		// claimed lets another gateway claim the lease in the new era.
+		claimed, held bool
+	}{
+		{"the copy has an older row", func(_ *memoryTable, renew, _ func()) { renew() }, false, true},
+		{"the copy has the same row", func(*memoryTable, func(), func()) {}, false, true},
+		{"the copy has no row", func(m *memoryTable, renew, _ func()) { renew(); m.value = nil }, false, true},
+		{"the copy names an earlier holder", func(_ *memoryTable, _, takeOver func()) { takeOver() }, false, true},
+		{"another gateway has claimed since", func(_ *memoryTable, renew, _ func()) { renew() }, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is, ctx := is.New(t), context.Background()
+			table, now := &memoryTable{era: 1}, time.Minute
+			one, two := newLease(table, &now, "one"), newLease(table, &now, "two")
+			is.True(one.hold(ctx, topo.Version{}, time.Hour))
+			older := *table
+			holder, other := one, two
+			renew := func() {
+				for range 3 {
+					now += renewInterval
+					is.True(holder.hold(ctx, topo.Version{}, time.Hour))
+				}
+			}
+			c.before(&older, renew, func() {
+				is.True(two.hold(ctx, one.term, time.Hour))
+				is.True(!one.hold(ctx, two.term, 0))
+				holder, other = two, one
+			})
+			before := holder.term
+			table.restore(older)
+			_, err := holder.source.Rows(ctx, "other")
+			is.NoErr(err)
+			if c.claimed {
+				is.True(!other.hold(ctx, topo.Version{}, time.Hour))
+				now += unknownHolderGrace
+				is.True(other.hold(ctx, topo.Version{}, time.Hour))
+			}
+			now += roundInterval
+			is.Equal(holder.hold(ctx, topo.Version{}, time.Hour), c.held)
+			if c.held {
+				is.Equal(holder.term, table.rowVersion())
+				is.True(holder.term.Compare(before) > 0)
+				is.True(!other.hold(ctx, holder.term, 0))
+			}
+		})
+	}
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -227,7 +227,7 @@
 	p.released = true
 	p.leaseChecked.Store(0)
 	p.lease.release(ctx)
-	p.Peers.SetPlan(0, nil, nil)
+	p.Peers.SetPlan(topo.Version{}, nil, nil)
 }
 
 // Plans reports whether this gateway holds the lease and acts on it.
@@ -258,7 +258,7 @@
 	if config.Version == 0 || p.Fleets.Section().Value().Len() == 0 {
 		return
 	}
-	if p.lease.term == 0 && (silence < plannerTimeout+p.claimDelay || !p.Peers.MayPlan()) {
+	if !p.lease.held() && (silence < plannerTimeout+p.claimDelay || !p.Peers.MayPlan()) {
 		return
 	}
 	planning := p.lease.hold(ctx, otherTerm, silence)
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -21,8 +21,10 @@
 		// that were too long for callers.
 		LatePauses int `cbor:"Late"`
 		// Term is the version of the planner's lease if the sender holds it;
-		// otherwise 0.
-		Term uint64
+		// otherwise 0. TermEra is the era of the store that it belongs to; builds
+		// that know no eras leave it out.
+		Term    uint64
+		TermEra uint64 `cbor:",omitempty"`
 		// Targets holds the targets' status reports to the planner that their
 		// entries in the target list do not show yet.
 		Targets []topo.Target `cbor:",omitempty"`
@@ -45,6 +47,7 @@
 		Incarnations map[string]IncarnationCounts `cbor:"Lives,omitempty"`
 		LatePauses   int                          `cbor:"Late,omitempty"`
 		Term         uint64                       `cbor:",omitempty"`
+		TermEra      uint64                       `cbor:",omitempty"`
 		Targets      []topo.Target                `cbor:",omitempty"`
 		Unresponsive []Suspicion                  `cbor:"Dead,omitempty"`
 		// Config, List and Members are the leader's versions of the
@@ -148,6 +151,12 @@
 	}
 )
 
+// PlannerTerm returns the version of the planner's lease.
+func (m GatewayState) PlannerTerm() topo.Version { return topo.Version{Era: m.TermEra, Number: m.Term} }
+
+// PlannerTerm returns the version of the planner's lease.
+func (m GroupState) PlannerTerm() topo.Version { return topo.Version{Era: m.TermEra, Number: m.Term} }
+
 func (GatewayState) message()   {}
 func (SyncRequest) message()    {}
 func (SyncResponse) message()   {}
