follow, peers, topo, wire: order list versions among gateways by the store's era

What callers could see: a gateway that cannot reach the store, or that follows a leader, does not use targets that were listed after a restore until the store has given out as many versions as before.

Cause: gateways compared list versions of two eras. One asked for the changes since 84, was given those of a list at 81, and refused them as older.

Why this works: list versions carry the era, in lists, sync messages and the leader's versions. Changes are only given and taken within one era, otherwise the complete list; one of an earlier era is refused. The history of changes begins anew with each era. An entry that returns while it is kept as lapsed counts as a change, since others may have read the list without it.

Builds without eras leave the era out: between them and newer builds no list counts as current once the store names an era, and each reads the store itself.

--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -67,8 +67,8 @@
 		// changedAt holds the list version at which each entry was last seen to
 		// change, removedAt the version at which entries were removed. Changes
 		// before the version historyStart are not known.
-		changedAt, removedAt map[string]uint64
-		historyStart         uint64
+		changedAt, removedAt map[string]topo.Version
+		historyStart         topo.Version
 	}
 
 	overlay struct {
@@ -82,7 +82,7 @@
 	return &Fleets{
 		feed: newFeed(source, clock, bootClock, logger), section: board.New(Fleet{}),
 		listed: map[string]topo.Target{}, lapsedUntil: map[string]time.Duration{},
-		overlays: map[string]overlay{}, changedAt: map[string]uint64{}, removedAt: map[string]uint64{},
+		overlays: map[string]overlay{}, changedAt: map[string]topo.Version{}, removedAt: map[string]topo.Version{},
 	}
 }
 
@@ -107,36 +107,37 @@
 
 // ApplySync applies a sync response of another gateway with its complete target
 // list, read at the given time.
-func (f *Fleets) ApplySync(version uint64, targets []topo.Target, read time.Duration, instance string) {
-	if read <= f.section.Value().Read {
+func (f *Fleets) ApplySync(version topo.Version, targets []topo.Target, read time.Duration, instance string) {
+	if v := f.section.Value(); read <= v.Read || version.Era < v.Version.Era {
 		return
 	}
 	_ = level.Debug(f.log).Log("event", "TargetsVouched", "version", version, "from", instance)
-	f.apply(TargetPage{Complete: true, Targets: targets, Version: topo.Version{Number: version}}, read)
+	f.apply(TargetPage{Complete: true, Targets: targets, Version: version}, read)
 }
 
 // ApplySyncChanges applies a sync response of another gateway with the changes
 // of the target list since the version that this one has, read at the given
 // time.
-func (f *Fleets) ApplySyncChanges(version uint64, targets []topo.Target, removed []string, read time.Duration, instance string) {
-	if v := f.section.Value(); read <= v.Read || version < v.Version {
+func (f *Fleets) ApplySyncChanges(version topo.Version, targets []topo.Target, removed []string, read time.Duration, instance string) {
+	if v := f.section.Value(); read <= v.Read || version.Era != v.Version.Era || version.Compare(v.Version) < 0 {
 		return
 	}
 	if len(targets)+len(removed) > 0 {
 		_ = level.Debug(f.log).Log("event", "ChangesVouched", "version", version, "targets", len(targets), "gone", len(removed), "from", instance)
 	}
-	f.apply(TargetPage{Targets: targets, Gone: removed, Version: topo.Version{Number: version}}, read)
+	f.apply(TargetPage{Targets: targets, Gone: removed, Version: version}, read)
 }
 
 // LastChange returns the version of the last change of the list.
-func (f *Fleets) LastChange() uint64 {
-	last := uint64(0)
+func (f *Fleets) LastChange() topo.Version {
+	var last topo.Version
 	f.section.Update(func(v Fleet) (Fleet, bool) {
-		for _, at := range f.changedAt {
-			last = max(last, at)
-		}
-		for _, at := range f.removedAt {
-			last = max(last, at)
+		for _, changes := range []map[string]topo.Version{f.changedAt, f.removedAt} {
+			for _, at := range changes {
+				if at.Compare(last) > 0 {
+					last = at
+				}
+			}
 		}
 		return v, false
 	})
@@ -145,16 +146,16 @@
 
 // ChangesSince returns the version of the list and the changes after another
 // version, or the complete list and changes=false if these are not known.
-func (f *Fleets) ChangesSince(after uint64) (version uint64, targets []topo.Target, removed []string, changes bool) {
+func (f *Fleets) ChangesSince(after topo.Version) (version topo.Version, targets []topo.Target, removed []string, changes bool) {
 	f.section.Update(func(v Fleet) (Fleet, bool) {
-		version, changes = v.Version, after > 0 && after >= f.historyStart
+		version, changes = v.Version, after.Era == v.Version.Era && after.Number > 0 && after.Compare(f.historyStart) >= 0
 		for id, t := range f.listed {
-			if !changes || f.changedAt[id] > after {
+			if !changes || f.changedAt[id].Compare(after) > 0 {
 				targets = append(targets, t)
 			}
 		}
 		for id, at := range f.removedAt {
-			if changes && at > after {
+			if changes && at.Compare(after) > 0 {
 				removed = append(removed, id)
 			}
 		}
@@ -206,29 +207,29 @@
 				}
 			}
 		}
-		if f.historyStart == 0 || len(f.removedAt) > maxRemoved {
+		if f.historyStart.Era != page.Version.Era || f.historyStart.IsZero() || len(f.removedAt) > maxRemoved {
 			clear(f.removedAt)
-			f.historyStart = page.Version.Number
+			f.historyStart = page.Version
 		}
 		for _, id := range removed {
-			f.remove(id, now, page.Version.Number)
+			f.remove(id, now, page.Version)
 		}
 		for _, t := range page.Targets {
-			f.put(t, page.Version.Number)
+			f.put(t, page.Version)
 		}
 		for id, until := range f.lapsedUntil {
 			if now >= until {
-				_ = level.Info(f.log).Log("event", "TargetGone", "target", id, "version", page.Version.Number, "lapsed", true)
+				_ = level.Info(f.log).Log("event", "TargetGone", "target", id, "version", page.Version, "lapsed", true)
 				// Gateways that already have this version have not received the
 				// removal.
-				f.forget(id, page.Version.Number+1)
+				f.forget(id, topo.Version{Era: page.Version.Era, Number: page.Version.Number + 1})
 			}
 		}
-		return f.withOverlays(page.Version.Number, max(v.Read, readAt)), true
+		return f.withOverlays(page.Version, max(v.Read, readAt)), true
 	})
 }
 
-func (f *Fleets) put(t topo.Target, version uint64) {
+func (f *Fleets) put(t topo.Target, version topo.Version) {
 	old, known := f.listed[t.ID]
 	switch {
 	case !known:
@@ -238,7 +239,8 @@
 		_ = level.Info(f.log).Log("event", "TargetChanged", "target", t.ID, "born", t.Started, "state", int(t.State),
 			"from", t.Held.From, "to", t.Held.To)
 	}
-	if !known || old != t {
+	// Other gateways may have read the list without a lapsed entry.
+	if _, lapsed := f.lapsedUntil[t.ID]; !known || lapsed || old != t {
 		f.changedAt[t.ID] = version
 	}
 	f.listed[t.ID] = t
@@ -248,7 +250,7 @@
 
 // remove removes an entry from the list. During the grace period after an
 // outage, a ready target stays in use, because it may still come back.
-func (f *Fleets) remove(id string, now time.Duration, version uint64) {
+func (f *Fleets) remove(id string, now time.Duration, version topo.Version) {
 	t, ok := f.listed[id]
 	if !ok {
 		return
@@ -263,7 +265,7 @@
 	f.forget(id, version)
 }
 
-func (f *Fleets) forget(id string, version uint64) {
+func (f *Fleets) forget(id string, version topo.Version) {
 	f.removedAt[id] = version
 	delete(f.changedAt, id)
 	delete(f.listed, id)
@@ -273,7 +275,7 @@
 
 // withOverlays returns the list, with entries replaced by their overlays where
 // these are newer.
-func (f *Fleets) withOverlays(version uint64, read time.Duration) Fleet {
+func (f *Fleets) withOverlays(version topo.Version, read time.Duration) Fleet {
 	now := f.bootClock()
 	targets := make([]topo.Target, 0, len(f.listed))
 	for id, t := range f.listed {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -162,7 +162,7 @@
 	now := time.Minute
 	f := follow.NewFleets(&source{}, fast{}, func() time.Duration { return now }, log.NewNopLogger())
 	listed := topo.Target{ID: "a", Started: 1, Service: "s", Address: "a:1"}
-	f.ApplySync(1, []topo.Target{listed}, now, "e2")
+	f.ApplySync(topo.Version{Number: 1}, []topo.Target{listed}, now, "e2")
 	reported := listed.WithHeld(topo.Layers{From: 0, To: 5})
 	f.Overlay(reported)
 	got, _ := f.Section().Value().Target("a")
@@ -170,7 +170,7 @@
 	relisted := listed
 	relisted.Started = 2
 	now += time.Second
-	f.ApplySync(2, []topo.Target{relisted}, now, "e2")
+	f.ApplySync(topo.Version{Number: 2}, []topo.Target{relisted}, now, "e2")
 	got, _ = f.Section().Value().Target("a")
 	is.Equal(got.Held.Len(), 0)
 	restarted := relisted
@@ -179,7 +179,7 @@
 	got, _ = f.Section().Value().Target("a")
 	is.Equal(got.Started, int64(3)) // the list does not show the restart yet
 	f.Overlay(relisted)
-	f.ApplySync(1, nil, now-time.Second, "e3") // an older list
+	f.ApplySync(topo.Version{Number: 1}, nil, now-time.Second, "e3") // an older list
 	is.Equal(f.Section().Value().Len(), 1)
 }
 
@@ -194,7 +194,7 @@
 	for i := range targets {
 		targets[i] = topo.Target{ID: strconv.Itoa(i), Started: 1, Service: "s"}
 	}
-	f.ApplySync(1, targets, now, "e2")
+	f.ApplySync(topo.Version{Number: 1}, targets, now, "e2")
 	for i := range targets {
 		targets[i] = targets[i].WithHeld(topo.Layers{From: 0, To: 5})
 	}
@@ -208,3 +208,40 @@
 	got, _ := fleet.Target("7")
 	is.Equal(got.Held.Len(), 5)
 }
+
+// Guards against changes between two versions that are of different eras of the
+// store, and against a list of an earlier era that replaces one of a later era.
+func TestListsOfTwoEras(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	f := follow.NewFleets(&source{}, fast{}, func() time.Duration { return now }, log.NewNopLogger())
+	targets := func(ids ...string) []topo.Target {
+		var out []topo.Target
+		for _, id := range ids {
+			out = append(out, topo.Target{ID: id, Started: 1, Service: "s", Address: "a:1", State: topo.Draining})
+		}
+		return out
+	}
+	f.ApplySync(topo.Version{Era: 1, Number: 84}, targets("a", "b"), now, "e2")
+	now += time.Second
+	f.ApplySyncChanges(topo.Version{Era: 2, Number: 90}, targets("c"), nil, now, "e2")
+	is.Equal(f.Section().Value().Len(), 2) // no changes across eras
+	f.ApplySync(topo.Version{Era: 2, Number: 81}, targets("a", "c"), now, "e2")
+	is.Equal(f.Section().Value().Version, topo.Version{Era: 2, Number: 81})
+	is.Equal(f.Section().Value().Len(), 2)
+	now += time.Second
+	f.ApplySync(topo.Version{Era: 1, Number: 99}, targets("a", "b"), now, "e3")
+	f.ApplySyncChanges(topo.Version{Era: 1, Number: 99}, targets("d"), nil, now, "e3")
+	is.Equal(f.Section().Value().Version, topo.Version{Era: 2, Number: 81})
+
+	_, all, removed, changes := f.ChangesSince(topo.Version{Era: 1, Number: 84})
+	is.True(!changes)
+	is.Equal(len(all)+len(removed), 2)
+	f.ApplySyncChanges(topo.Version{Era: 2, Number: 82}, targets("d"), []string{"c"}, now, "e2")
+	version, some, removed, changes := f.ChangesSince(topo.Version{Era: 2, Number: 81})
+	is.True(changes)
+	is.Equal(version, topo.Version{Era: 2, Number: 82})
+	is.Equal(some, targets("d"))
+	is.Equal(removed, []string{"c"})
+	is.Equal(f.LastChange(), topo.Version{Era: 2, Number: 82})
+}
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -209,7 +209,9 @@
 	out := group
 	out.AllGateways, out.Incarnations, out.Loads = true, counts, targetLoads(p.Ledger.TotalLoads())
 	_, out.Members = p.Members.List()
-	out.Config, out.List = p.Configs.Section().Value().Version, p.Fleets.LastChange()
+	out.Config = p.Configs.Section().Value().Version
+	last := p.Fleets.LastChange()
+	out.List, out.ListEra = last.Number, last.Era
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.BootClock()-p.plannerUpdateAt < plannerUpdateTTL && p.plannerUpdate.PlannerTerm().Compare(out.PlannerTerm()) > 0 {
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotcourse/internal/link"
+	"shallotcourse/internal/topo"
 	"shallotcourse/internal/wire"
 )
 
@@ -78,7 +79,8 @@
 	p.mu.Lock()
 	leaderState, leader, pause := p.leaderState, p.topology.Leader, p.BootClock()-p.lastSyncAt
 	p.mu.Unlock()
-	newer := leaderState.Config > p.Configs.Section().Value().Version || leaderState.List > p.Fleets.Section().Value().Version
+	list := topo.Version{Era: leaderState.ListEra, Number: leaderState.List}
+	newer := leaderState.Config > p.Configs.Section().Value().Version || list.Compare(p.Fleets.Section().Value().Version) > 0
 	if l, ok := links[leader]; ok && (pause >= leaderSyncInterval || newer && pause >= minLeaderSyncInterval) {
 		p.send(l, p.newSyncRequest(true))
 	}
@@ -99,7 +101,7 @@
 	}
 	p.lastEcho++
 	p.pendingSyncs[p.lastEcho], p.lastSyncAt = now, now
-	return wire.SyncRequest{Echo: p.lastEcho, ConfigVersion: config, WantTargets: targets, TargetsVersion: list, MembersVersion: members}
+	return wire.SyncRequest{Echo: p.lastEcho, ConfigVersion: config, WantTargets: targets, TargetsVersion: list.Number, TargetsEra: list.Era, MembersVersion: members}
 }
 
 func (p *Peers) syncResponse(m wire.SyncRequest) wire.SyncResponse {
@@ -110,8 +112,9 @@
 	}
 	if m.WantTargets {
 		age := p.Fleets.Age()
-		out.TargetsVersion, out.Targets, out.Removed, out.Incremental = p.Fleets.ChangesSince(m.TargetsVersion)
-		out.TargetsAge = age
+		var version topo.Version
+		version, out.Targets, out.Removed, out.Incremental = p.Fleets.ChangesSince(topo.Version{Era: m.TargetsEra, Number: m.TargetsVersion})
+		out.TargetsVersion, out.TargetsEra, out.TargetsAge = version.Number, version.Era, age
 	}
 	if members, version := p.Members.List(); version != 0 && m.MembersVersion != version {
 		out.Members = append(members, p.Self)
@@ -133,12 +136,13 @@
 	if m.ConfigVersion > 0 {
 		p.Configs.ApplySync(m.ConfigVersion, m.Config, at-m.ConfigAge, instance)
 	}
+	version := topo.Version{Era: m.TargetsEra, Number: m.TargetsVersion}
 	switch {
 	case m.TargetsAge < 0 || m.TargetsVersion == 0:
 	case m.Incremental:
-		p.Fleets.ApplySyncChanges(m.TargetsVersion, m.Targets, m.Removed, at-m.TargetsAge, instance)
+		p.Fleets.ApplySyncChanges(version, m.Targets, m.Removed, at-m.TargetsAge, instance)
 	default:
-		p.Fleets.ApplySync(m.TargetsVersion, m.Targets, at-m.TargetsAge, instance)
+		p.Fleets.ApplySync(version, m.Targets, at-m.TargetsAge, instance)
 	}
 	if !p.Follows() {
 		return
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -37,7 +37,7 @@
 				}
 				work.Open(977, 774, []chain.Hop{{Target: targets[i], Layers: targets[i].Held}})
 			}
-			fleets.ApplySync(1, targets, time.Second, "g")
+			fleets.ApplySync(topo.Version{Number: 1}, targets, time.Second, "g")
 			s := New(Options{
 				Clock: clock, Log: logger, Metrics: metrics.NewSet(), Fleets: fleets, Ledger: work,
 				LoadLag: func() (int, time.Duration) { return 30, 200 * time.Millisecond }, Settings: Settings{DataCentre: "dc1"},
--- a/internal/topo/fleet.go
+++ b/internal/topo/fleet.go
@@ -9,7 +9,7 @@
 // Fleet is the set of all known targets. It is immutable.
 type Fleet struct {
 	// Version is the version of the target list that the fleet was read from.
-	Version uint64
+	Version Version
 	// targets holds the targets by ID.
 	targets map[string]Target
 	// byService holds the targets of each service in the order of their IDs.
@@ -17,7 +17,7 @@
 }
 
 // NewFleet returns a fleet of the given targets.
-func NewFleet(version uint64, targets []Target) Fleet {
+func NewFleet(version Version, targets []Target) Fleet {
 	f := Fleet{Version: version, targets: map[string]Target{}}
 	for _, t := range targets {
 		f.targets[t.ID] = t
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -54,6 +54,9 @@
 		// configuration, the target list and the gateway list. A follower sends
 		// a SyncRequest if it lacks one of the first two.
 		Config, List, Members uint64 `cbor:",omitempty"`
+		// ListEra is the era of the store that List belongs to; builds that know
+		// no eras leave it out.
+		ListEra uint64 `cbor:",omitempty"`
 	}
 
 	// IncarnationCounts holds the requests and retries by service that one
@@ -124,6 +127,8 @@
 		// TargetsVersion is 0, otherwise for the changes since that version.
 		WantTargets    bool   `cbor:"Targets"`
 		TargetsVersion uint64 `cbor:"ListVersion"`
+		// TargetsEra is the era of the store that TargetsVersion belongs to.
+		TargetsEra uint64 `cbor:",omitempty"`
 		// MembersVersion is the sender's version of the gateway list. If it
 		// differs from the receiver's, the response holds the list.
 		MembersVersion uint64 `cbor:"Members"`
@@ -142,6 +147,7 @@
 		// negative if it was not requested.
 		TargetsAge     time.Duration
 		TargetsVersion uint64
+		TargetsEra     uint64 `cbor:",omitempty"`
 		Targets        []topo.Target
 		// Incremental is set if Targets holds only the changed targets and
 		// Removed the IDs of those that are no longer listed.
