follow: keep what is known of targets over a restore of the store

What callers could see: requests to targets that are draining or gone, and none to targets that were listed within the lost seconds, until they have written their rows again.

Cause: the list of an older copy was applied as the newest one. What it lacks was removed at once, and what it holds again was used.

Evidence: TestTargetsAfterARestore on the code before: a target known to drain is ready again.

Why this works: the first list of a new era begins the same grace period as an outage, in which ready targets that it lacks stay in use. An incarnation that drains never becomes ready again. An entry of that list that names an incarnation known to be gone or replaced is not used for five seconds, unless it is written again: the platform removes entries of targets that have been silent for three.

Measured: TestTargetsAfterARestore passes; it now also covers an earlier incarnation, a target that writes its row again after it had lapsed, and one that only seemed gone.

--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +35,13 @@
 	// lapseGracePeriod is how long targets that vanished during an outage are
 	// kept while they may come back.
 	lapseGracePeriod = 2200 * time.Millisecond
+	// goneTTL is how long the incarnations of removed targets are remembered, so
+	// that an older copy of the store does not bring them back.
+	goneTTL = time.Minute
+	// copyDoubt is how long an entry of a restored store that contradicts what is
+	// known is not used, unless it is written again. The platform removes entries
+	// of targets that have been silent for three seconds.
+	copyDoubt = 5 * time.Second
 	// maxRemoved is the maximum number of removed entries that are remembered.
 	maxRemoved = 4096
 	// overlayTTL is how long a target's own report takes precedence over its
@@ -69,6 +77,21 @@
 		// before the version historyStart are not known.
 		changedAt, removedAt map[string]topo.Version
 		historyStart         topo.Version
+		// gone holds the incarnations of the targets that were removed lately.
+		// doubted holds the entries of a restored store that name an earlier
+		// incarnation than is known, or one that is gone.
+		gone    map[string]goneTarget
+		doubted map[string]doubtedEntry
+	}
+
+	goneTarget struct {
+		started int64
+		expires time.Duration
+	}
+
+	doubtedEntry struct {
+		target topo.Target
+		until  time.Duration
 	}
 
 	overlay struct {
@@ -83,6 +106,7 @@
 		feed: newFeed(source, clock, bootClock, logger), section: board.New(Fleet{}),
 		listed: map[string]topo.Target{}, lapsedUntil: map[string]time.Duration{},
 		overlays: map[string]overlay{}, changedAt: map[string]topo.Version{}, removedAt: map[string]topo.Version{},
+		gone: map[string]goneTarget{}, doubted: map[string]doubtedEntry{},
 	}
 }
 
@@ -184,15 +208,16 @@
 }
 
 // apply merges a page of the target list that was read at readAt. After an outage
-// of the store it starts a grace period, in which ready targets that are missing
-// from the list stay in use.
+// of the store, or after it has come back from an older copy, it starts a grace
+// period, in which ready targets that are missing from the list stay in use.
 func (f *Fleets) apply(page TargetPage, readAt time.Duration) {
 	for _, m := range page.Malformed {
 		_ = level.Error(f.log).Log("event", "TargetMalformed", "err", m)
 	}
 	f.section.Update(func(v Fleet) (Fleet, bool) {
 		now := f.bootClock()
-		if v.Read > 0 && readAt-v.Read > outageThreshold {
+		restored := v.Read > 0 && page.Version.Era > v.Version.Era
+		if restored || v.Read > 0 && readAt-v.Read > outageThreshold {
 			f.graceEnd = now + lapseGracePeriod
 		}
 		removed := page.Gone
@@ -201,6 +226,7 @@
 			for _, t := range page.Targets {
 				named[t.ID] = true
 			}
+			maps.DeleteFunc(f.doubted, func(id string, _ doubtedEntry) bool { return !named[id] })
 			for id := range f.listed {
 				if !named[id] && !slices.Contains(removed, id) {
 					removed = append(removed, id)
@@ -215,7 +241,20 @@
 			f.remove(id, now, page.Version)
 		}
 		for _, t := range page.Targets {
-			f.put(t, page.Version)
+			switch d, doubted := f.doubted[t.ID]; {
+			case restored && f.contradicts(t, now):
+				_ = level.Info(f.log).Log("event", "TargetDoubtedInCopy", "target", t.ID, "born", t.Started, "version", page.Version)
+				f.doubted[t.ID] = doubtedEntry{t, now + copyDoubt}
+			case doubted && page.Complete && d.target.Started == t.Started:
+				// It need not have been written again.
+			default:
+				f.put(t, page.Version)
+			}
+		}
+		for _, d := range f.doubted {
+			if now >= d.until {
+				f.put(d.target, topo.Version{Era: page.Version.Era, Number: page.Version.Number + 1})
+			}
 		}
 		for id, until := range f.lapsedUntil {
 			if now >= until {
@@ -229,8 +268,23 @@
 	})
 }
 
+// contradicts reports whether an entry names an incarnation that is known to have
+// been replaced or removed.
+func (f *Fleets) contradicts(t topo.Target, now time.Duration) bool {
+	if old, known := f.listed[t.ID]; known {
+		return t.Started < old.Started
+	}
+	g, gone := f.gone[t.ID]
+	return gone && now < g.expires && t.Started <= g.started
+}
+
 func (f *Fleets) put(t topo.Target, version topo.Version) {
 	old, known := f.listed[t.ID]
+	if known && old.State == topo.Draining && old.Started == t.Started && t.Started != 0 {
+		// An incarnation that drains never becomes ready again; an older copy of
+		// the store may say so.
+		t.State = topo.Draining
+	}
 	switch {
 	case !known:
 		_ = level.Info(f.log).Log("event", "TargetListed", "target", t.ID, "service", t.Service, "address", t.Address,
@@ -246,11 +300,14 @@
 	f.listed[t.ID] = t
 	delete(f.lapsedUntil, t.ID)
 	delete(f.removedAt, t.ID)
+	delete(f.gone, t.ID)
+	delete(f.doubted, t.ID)
 }
 
 // remove removes an entry from the list. During the grace period after an
 // outage, a ready target stays in use, because it may still come back.
 func (f *Fleets) remove(id string, now time.Duration, version topo.Version) {
+	delete(f.doubted, id)
 	t, ok := f.listed[id]
 	if !ok {
 		return
@@ -266,6 +323,9 @@
 }
 
 func (f *Fleets) forget(id string, version topo.Version) {
+	now := f.bootClock()
+	maps.DeleteFunc(f.gone, func(_ string, g goneTarget) bool { return now >= g.expires })
+	f.gone[id] = goneTarget{f.listed[id].Started, now + goneTTL}
 	f.removedAt[id] = version
 	delete(f.changedAt, id)
 	delete(f.listed, id)
