peers: gateways write their rows again after a restore of the store

What callers could see: for up to five seconds gateways count fewer others than there are, close their links, and share retries and named limits among too few.

Cause: the table of gateways was read every five seconds, a row that the copy lacks was taken for a gateway that has left, and followers trusted their leader that their row is there.

Why this works: a gateway reads the table at once when it sees a newer era, by its own calls or, as a follower, by the era of its leader's list, and writes its row if it is missing. For five seconds and a half, gateways that were listed and have a link stay listed without a row. Followers wait a random time of up to 2 s first, since they are many.

--- a/internal/cmds/gateway_restore_test.go
+++ b/internal/cmds/gateway_restore_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// Guards against followers whose rows stay missing after a restore, because their
+// leader still lists them.
+func TestRowsOfFollowersAfterARestore(t *testing.T) {
+	site, store, _ := testSite(t)
+	older := site.Store.Copy()
+	all := startGroups(t, store)
+	time.Sleep(6 * time.Second) // the members are read less often then
+	site.Store.Restore(older)
+	returned := time.Now()
+	missing := func() []string {
+		var out []string
+		for _, g := range all {
+			if site.Store.Value("gateways", g.settings.Instance) == nil {
+				out = append(out, g.settings.Instance)
+			}
+		}
+		return out
+	}
+	for names := missing(); len(names) > 0; names = missing() {
+		if time.Since(returned) > 4*time.Second {
+			t.Fatalf("rows missing after 4 s: %v", names)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Guards against a gateway that starts just after a restore and accepts a key that
 // the other gateways know to be revoked, because the store has an older
 // configuration. The names decide which gateway dials the other.
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -34,6 +35,12 @@
 	// pruneTimeout is the time without a link after which the row of a gateway
 	// is deleted. A gateway that is still running writes its row again.
 	pruneTimeout = 20 * time.Second
+	// maxFollowerDelay bounds the random time after which followers write their
+	// rows again after the store has come back from an older copy.
+	maxFollowerDelay = 2 * time.Second
+	// rowGracePeriod is how long the rows of linked gateways may be missing after
+	// the store has come back from an older copy.
+	rowGracePeriod = readInterval + startReadInterval
 )
 
 type (
@@ -65,6 +72,13 @@
 		mayPrune func(Member) bool
 		// lastLinked is when each other gateway was last seen with a link.
 		lastLinked map[string]time.Time
+		// leaderEra is the newest era of the store that a leader has named.
+		leaderEra atomic.Uint64
+		// era is the era of the store at the last reading of the table, and
+		// keptUntil the end of the grace period that began with it; only Run uses
+		// them.
+		era       uint64
+		keptUntil time.Time
 	}
 )
 
@@ -90,19 +104,49 @@
 		if m.clock.Now().Sub(start) < startPeriod {
 			pause = startReadInterval
 		}
-		if m.keptByLeader() {
-			_ = timer.Sleep(ctx, m.clock, pause)
+		if m.keptByLeader() && !m.restored() {
+			m.sleep(ctx, pause)
 			continue
 		}
 		err := m.refresh(ctx)
-		if err != nil {
-			pause = startReadInterval
-		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			_ = level.Info(m.log).Log("event", "MembershipSource", "failing", err != nil, "err", err)
 			failing = err != nil
 		}
-		_ = timer.Sleep(ctx, m.clock, pause)
+		if err != nil {
+			_ = timer.Sleep(ctx, m.clock, startReadInterval)
+			continue
+		}
+		m.sleep(ctx, pause)
+	}
+}
+
+// sleep waits for a pause, or until the store has come back from an older copy,
+// which may lack this gateway's row. Followers then wait a random time, as they are
+// many.
+func (m *Members) sleep(ctx context.Context, pause time.Duration) {
+	for end := m.clock.Now().Add(pause); ctx.Err() == nil && m.clock.Now().Before(end); {
+		_ = timer.Sleep(ctx, m.clock, min(startReadInterval/5, end.Sub(m.clock.Now())))
+		if !m.restored() {
+			continue
+		}
+		if m.keptByLeader() {
+			_ = timer.Sleep(ctx, m.clock, rand.N(maxFollowerDelay))
+		}
+		return
+	}
+}
+
+// restored reports whether the store has come back from an older copy since the
+// table was last read.
+func (m *Members) restored() bool {
+	return max(m.source.Era(), m.leaderEra.Load()) > m.era && m.era > 0
+}
+
+// observeLeaderEra records the era of the store that a leader has read.
+func (m *Members) observeLeaderEra(era uint64) {
+	for known := m.leaderEra.Load(); era > known && !m.leaderEra.CompareAndSwap(known, era); {
+		known = m.leaderEra.Load()
 	}
 }
 
@@ -187,6 +231,7 @@
 	if err != nil {
 		return err
 	}
+	m.observeEra()
 	listed := false
 	rowsByName := map[string]follow.Row{}
 	members := map[string]Member{}
@@ -207,10 +252,39 @@
 			return err
 		}
 	}
-	m.setOthers(members)
+	m.setOthers(m.withLinked(members))
 	return m.prune(ctx, members, rowsByName)
 }
 
+// observeEra begins a grace period if the table was read from an older copy of the
+// store.
+func (m *Members) observeEra() {
+	era := m.source.Era()
+	if m.era > 0 && era > m.era {
+		m.keptUntil = m.clock.Now().Add(rowGracePeriod)
+		_ = level.Info(m.log).Log("event", "MembersRestored", "era", era, "before", m.era)
+	}
+	m.era = era
+}
+
+// withLinked adds gateways that are linked and were listed before, while their rows
+// may be missing from the store.
+func (m *Members) withLinked(members map[string]Member) map[string]Member {
+	if !m.clock.Now().Before(m.keptUntil) {
+		return members
+	}
+	out := maps.Clone(members)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.links.Peers() {
+		name := p.Hello().Instance
+		if other, ok := m.others[name]; ok && members[name] == (Member{}) {
+			out[name] = other
+		}
+	}
+	return out
+}
+
 func (m *Members) writeRow(ctx context.Context) error {
 	value, err := json.Marshal(m.self)
 	if err != nil {
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -147,6 +147,7 @@
 	if !p.Follows() {
 		return
 	}
+	p.Members.observeLeaderEra(m.TargetsEra)
 	if len(m.Members) > 0 {
 		p.Members.SetFromLeader(m.Members)
 	} else {
