peers, follow, cmds: a gateway that starts asks others for the configuration first

What callers could see: just after a restore, a gateway that starts accepts a key that has been revoked, until the operator's configuration is written to the store again. A running gateway that had not read the last version before the restore does the same.

Cause: the store was taken for the newest source, whatever other gateways knew; and a gateway that starts is not dialled by others until they read its row, up to five seconds later.

Evidence: TestGatewayThatStartsAfterARestore on the code before: the revoked key is accepted, whether the new gateway or the other one dials.

Why this works: a gateway that starts in a running deployment first waits until another gateway has told which configuration it has, and fetches it if there is one; one second at most. It also dials those that are to dial it, and keeps that link until they have. Each state names the sender's version of the configuration; a gateway that still has an older one after 0.4 s asks for it. Versions of the operator only grow, so a configuration that the store no longer shows is still the newest. Builds that do not name a version are not asked.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -186,6 +186,9 @@
 	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
 	d.metrics.NewGauge("shallotcourse_target_limits", func() float64 { return float64(len(g.limits.Limits())) })
 	g.configs.SetRole(g.peers.Role)
+	if !settings.FirstStart {
+		g.configs.SetAwait(g.peers.AwaitConfig)
+	}
 	g.fleets.SetRole(g.peers.Role)
 	handlers.set(g.peers)
 	g.server = proxy.New(proxy.Options{
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -42,14 +42,21 @@
 	Configs struct {
 		feed
 		section *board.Section[Config]
+		// await returns when the store may be read.
+		await func(context.Context)
 	}
 )
 
 // NewConfigs returns Configs without a configuration; Run fetches it.
 func NewConfigs(source Source, clock timer.Service, bootClock BootClock, logger log.Logger) *Configs {
-	return &Configs{feed: newFeed(source, clock, bootClock, logger), section: board.New(Config{})}
+	return &Configs{feed: newFeed(source, clock, bootClock, logger), section: board.New(Config{}), await: func(context.Context) {}}
 }
 
+// SetAwait sets a function that Run calls before it reads the store for the first
+// time. It returns when other gateways have told what they have, since the store
+// may hold an older copy.
+func (c *Configs) SetAwait(await func(context.Context)) { c.await = await }
+
 // Section returns the board section that holds the configuration.
 func (c *Configs) Section() *board.Section[Config] { return c.section }
 
@@ -59,6 +66,7 @@
 
 // Run follows the store until ctx ends.
 func (c *Configs) Run(ctx context.Context) {
+	c.await(ctx)
 	p := pollOptions{name: "Config", age: c.Age, followerMaxAge: configFollowerMaxAge, waits: longPollWaits{configLongPoll, configLongPollLeader}}
 	c.poll(ctx, p, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		// The confirmation counts from before the request, because the
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -38,6 +38,7 @@
 	before := p.topology
 	p.topology = topologyOf(p.Self, members, func(instance string) bool { return p.isDown(instance, now) }, followed)
 	p.updateLinks(before.Links, p.topology.Links)
+	p.updateStartDials(now, members)
 	if before.Mesh == p.topology.Mesh && before.Leader == p.topology.Leader && before.Leads == p.topology.Leads {
 		return
 	}
@@ -179,7 +180,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := wire.GroupState{
-		Group: p.topology.Group, Loads: own.Loads, Suspicions: own.Suspicions, LatePauses: own.LatePauses + p.unsentLatePauses,
+		Group: p.topology.Group, Config: own.Config, Loads: own.Loads, Suspicions: own.Suspicions, LatePauses: own.LatePauses + p.unsentLatePauses,
 		Term: own.Term, TermEra: own.TermEra, Targets: own.Targets, Unresponsive: own.Unresponsive,
 	}
 	p.unsentLatePauses = 0
@@ -222,7 +223,11 @@
 }
 
 // receiveGroupState records the state that a leader sent.
-func (p *Peers) receiveGroupState(from wire.Hello, m wire.GroupState) {
+func (p *Peers) receiveGroupState(peer link.Peer, m wire.GroupState) {
+	from := peer.Hello()
+	if !m.AllGateways {
+		p.receiveConfigVersion(peer, m.Config)
+	}
 	p.mu.Lock()
 	now := p.BootClock()
 	if m.AllGateways && (p.topology.Leads || p.topology.Mesh || from.Instance != p.topology.Leader) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -90,6 +90,10 @@
 		// sentLoads holds the loads in the last two states sent to the leader,
 		// the older first.
 		sentLoads [2]map[string]wire.TargetLoad
+		// startedAt is when this gateway started. startDials holds the gateways
+		// that it dials since then although it is for them to dial.
+		startedAt  time.Duration
+		startDials map[string]Member
 
 		syncState
 		plannerState
@@ -136,7 +140,7 @@
 	p := &Peers{
 		Options: o, topology: Topology{Mesh: true}, unlinkedSince: map[string]time.Duration{}, avoidedUntil: map[string]time.Duration{},
 		lastReceived: map[string]received{}, syncState: syncState{pendingSyncs: map[uint64]time.Duration{}},
-		prompts: o.Prompts.NewReporter(),
+		prompts: o.Prompts.NewReporter(), startedAt: o.BootClock(), startDials: map[string]Member{},
 	}
 	o.Prompts.SetPeers(p.publishPrompts, p.ownsHold)
 	o.Limits.SetPublish(p.publishLimits)
@@ -257,6 +261,9 @@
 	_ = level.Info(p.Log).Log("event", "PeerUp", "peer", peer.Hello().Instance, "incarnation", peer.Hello().Incarnation)
 	// The other gateway may have restarted or missed reports.
 	p.sendAll(peer)
+	if peer.Hello().Revision > p.Configs.Section().Value().Version {
+		p.send(peer, p.newSyncRequest(false))
+	}
 }
 
 // LinkDown implements link.Handler.
@@ -268,9 +275,9 @@
 func (p *Peers) Receive(peer link.Peer, m wire.Message) {
 	switch m := m.(type) {
 	case wire.GatewayState:
-		p.receiveGatewayState(peer.Hello(), m)
+		p.receiveGatewayState(peer, m)
 	case wire.GroupState:
-		p.receiveGroupState(peer.Hello(), m)
+		p.receiveGroupState(peer, m)
 	case wire.SuspicionAlert:
 		p.receiveSuspicions(peer.Hello().Instance, m.Suspicions)
 		p.receivePrompts(peer.Hello().Instance, m.Prompts)
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -6,6 +6,7 @@
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
+	"shallotcourse/internal/link"
 	"shallotcourse/internal/topo"
 	"shallotcourse/internal/wire"
 )
@@ -13,7 +14,7 @@
 // ownState returns the state of this gateway.
 func (p *Peers) ownState() wire.GatewayState {
 	out := wire.GatewayState{Loads: targetLoads(p.Ledger.OwnLoads()), Suspicions: p.suspicions(), Retries: retryCounts(p.Retries.LocalCounts())}
-	out.LatePauses = p.Ledger.TakeLatePauses()
+	out.LatePauses, out.Config = p.Ledger.TakeLatePauses(), p.Configs.Section().Value().Version
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.latePauses += out.LatePauses
@@ -57,7 +58,9 @@
 }
 
 // receiveGatewayState records the state of another gateway.
-func (p *Peers) receiveGatewayState(from wire.Hello, m wire.GatewayState) {
+func (p *Peers) receiveGatewayState(peer link.Peer, m wire.GatewayState) {
+	from := peer.Hello()
+	p.receiveConfigVersion(peer, m.Config)
 	p.Ledger.SetPeerLoads(from.Instance, chainLoads(m.Loads))
 	p.receiveCounts(from.Incarnation, wire.IncarnationCounts{Counts: m.Retries})
 	p.receiveSuspicions(from.Instance, m.Suspicions)
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -28,6 +28,9 @@
 	// itself.
 	leaderSyncInterval    = 600 * time.Millisecond
 	minLeaderSyncInterval = 150 * time.Millisecond
+	// newerConfigPatience is how long a newer configuration that another gateway
+	// has may still arrive from the store.
+	newerConfigPatience = 2 * stateInterval
 )
 
 // syncState tracks the sync requests to other gateways.
@@ -36,6 +39,10 @@
 	pendingSyncs map[uint64]time.Duration
 	lastEcho     uint64
 	lastSyncAt   time.Duration
+	// newerConfig is the newest version of the configuration that another gateway
+	// has and this one lacks, since newerConfigSince or the last request for it.
+	newerConfig      uint64
+	newerConfigSince time.Duration
 	// leaderState is the last GroupState from the leader, for the versions in
 	// it.
 	leaderState wire.GroupState
@@ -86,6 +93,27 @@
 	}
 }
 
+// receiveConfigVersion records the version of the configuration that another
+// gateway has, and asks for it if the store does not show it: the store may have
+// come back from an older copy.
+func (p *Peers) receiveConfigVersion(peer link.Peer, version uint64) {
+	own := p.Configs.Section().Value().Version
+	p.mu.Lock()
+	now := p.BootClock()
+	if own >= p.newerConfig {
+		p.newerConfig, p.newerConfigSince = 0, now
+	}
+	p.newerConfig = max(p.newerConfig, version)
+	due := version > own && now-p.newerConfigSince > newerConfigPatience
+	if due {
+		p.newerConfigSince = now
+	}
+	p.mu.Unlock()
+	if due {
+		p.send(peer, p.newSyncRequest(false))
+	}
+}
+
 // newSyncRequest returns a sync request with a new echo and drops unanswered
 // ones after syncTimeout.
 func (p *Peers) newSyncRequest(targets bool) wire.SyncRequest {
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -30,6 +30,9 @@
 		Targets []topo.Target `cbor:",omitempty"`
 		// Unresponsive holds the targets that answer no polls of the planner.
 		Unresponsive []Suspicion `cbor:"Dead,omitempty"`
+		// Config is the sender's version of the configuration. A receiver with an
+		// older one asks for it.
+		Config uint64 `cbor:",omitempty"`
 		// Follow asks the receiver to act as the sender's leader: to forward the
 		// sender's state and to send the state of all gateways.
 		Follow bool `cbor:",omitempty"`
