plan: an order logs the term under which it was planned

The goroutine that sends an order read the lease's term for its log line while the next round could change it, and could name a term under which the order was not planned.

--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -426,7 +426,7 @@
 // sendOrder sends an order in the background. The order stays on record if its
 // answer is lost, since the target may still carry it out.
 func (p *Planner) sendOrder(ctx context.Context, o place.Order, load time.Duration) {
-	t := o.Target
+	t, term := o.Target, p.lease.term
 	now := p.BootClock()
 	p.mu.Lock()
 	p.orders[t.ID] = order{layers: o.Layers, started: t.Started, pollFrom: now + load, until: now + 2*load + orderSlack}
@@ -454,7 +454,7 @@
 		}
 		p.Metrics.GetOrCreateCounter("shallotcourse_orders_total").Inc()
 		_ = level.Info(p.Log).Log("event", "Order", "target", t.ID, "born", t.Started, "sequence", t.Sequence, "from", o.Layers.From,
-			"to", o.Layers.To, "held", t.Held.Len(), "why", o.Why, "term", p.lease.term, "load", load, "err", err)
+			"to", o.Layers.To, "held", t.Held.Len(), "why", o.Why, "term", term, "load", load, "err", err)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		switch {
