--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -40,3 +41,24 @@
 		is.True(fault.Is(err, fault.Malformed))
 	}
 }
+
+// Guards against eras that are lost between gateways, and against messages that
+// builds without eras would read differently: they leave the era out.
+func TestErasOfGateways(t *testing.T) {
+	is := is.New(t)
+	for _, m := range []Message{
+		GatewayState{Term: 82, TermEra: 2}, GroupState{Term: 82, TermEra: 2, List: 79, ListEra: 2},
+		SyncRequest{TargetsVersion: 79, TargetsEra: 2}, SyncResponse{TargetsVersion: 79, TargetsEra: 2},
+	} {
+		b, err := Encode(m)
+		is.NoErr(err)
+		got, err := Decode(b)
+		is.NoErr(err)
+		is.Equal(got, m)
+	}
+	for _, m := range []Message{GatewayState{Term: 82}, GroupState{Term: 82, List: 79}, SyncRequest{TargetsVersion: 79}, SyncResponse{TargetsVersion: 79}} {
+		b, err := Encode(m)
+		is.NoErr(err)
+		is.True(!bytes.Contains(b, []byte("Era")))
+	}
+}
