--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -192,11 +192,15 @@
 		Self: self, Incarnation: d.incarnation, Members: g.members, Links: g.links, Clock: d.clock, BootClock: bootClock, Log: d.logger,
 		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Prompts: g.prompts, Limits: g.limits, Retries: retries,
 	})
+	d.metrics.NewGauge("shallotcourse_store_era", func() float64 { return float64(g.store.Era()) })
 	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
 	d.metrics.NewGauge("shallotcourse_target_limits", func() float64 { return float64(len(g.limits.Limits())) })
 	d.metrics.NewGauge("shallotcourse_targets_leaving", func() float64 { return float64(len(g.limits.Leaving())) })
 	d.metrics.NewGauge("shallotcourse_targets_paused", func() float64 { return float64(len(g.limits.Paused())) })
 	g.configs.SetRole(g.peers.Role)
+	if !settings.FirstStart {
+		g.configs.SetAwait(g.peers.AwaitConfig)
+	}
 	g.fleets.SetRole(g.peers.Role)
 	handlers.set(g.peers)
 	g.server = proxy.New(proxy.Options{
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -24,10 +24,13 @@
 		Version   uint64
 		ConfigAge string
 		FleetAge  string
-		Gateways  int64
-		Open      int
-		Routes    []topo.Route
-		Targets   []targetStatus
+		// StoreEra is the newest era of the store that the gateway has seen; it
+		// rises when the store comes back from an older copy.
+		StoreEra uint64
+		Gateways int64
+		Open     int
+		Routes   []topo.Route
+		Targets  []targetStatus
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
@@ -41,9 +44,11 @@
 		// Paused holds the targets that want nothing from this gateway for some time.
 		Paused []limit.Pause
 		// PlannerTerm is the newest lease term received from a planner on
-		// another gateway, 0 if there is none; PlannerSilent is the time since
-		// it was last received.
+		// another gateway, 0 if there is none, and PlannerEra the era of the store
+		// that it belongs to; PlannerSilent is the time since it was last
+		// received.
 		PlannerTerm   uint64
+		PlannerEra    uint64
 		PlannerSilent string
 	}
 
@@ -67,7 +72,7 @@
 	config, fleet := g.configs.Section().Value(), g.fleets.Section().Value()
 	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
-		FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
+		StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
 		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(),
 	}
@@ -83,7 +88,7 @@
 		out.Targets = append(out.Targets, row)
 	}
 	term, ago := g.peers.OtherPlanner()
-	out.PlannerTerm, out.PlannerSilent = term, ago.Round(time.Millisecond).String()
+	out.PlannerTerm, out.PlannerEra, out.PlannerSilent = term.Number, term.Era, ago.Round(time.Millisecond).String()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(out); err != nil {
 		_ = level.Info(g.logger).Log("event", "StatusNotWritten", "err", err)
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +35,13 @@
 	// lapseGracePeriod is how long targets that vanished during an outage are
 	// kept while they may come back.
 	lapseGracePeriod = 2200 * time.Millisecond
+	// goneTTL is how long the incarnations of removed targets are remembered, so
+	// that an older copy of the store does not bring them back.
+	goneTTL = time.Minute
+	// copyDoubt is how long an entry of a restored store that contradicts what is
+	// known is not used, unless it is written again. The platform removes entries
+	// of targets that have been silent for three seconds.
+	copyDoubt = 5 * time.Second
 	// maxRemoved is the maximum number of removed entries that are remembered.
 	maxRemoved = 4096
 	// overlayTTL is how long a target's own report takes precedence over its
@@ -67,8 +75,23 @@
 		// changedAt holds the list version at which each entry was last seen to
 		// change, removedAt the version at which entries were removed. Changes
 		// before the version historyStart are not known.
-		changedAt, removedAt map[string]uint64
-		historyStart         uint64
+		changedAt, removedAt map[string]topo.Version
+		historyStart         topo.Version
+		// gone holds the incarnations of the targets that were removed lately.
+		// doubted holds the entries of a restored store that name an earlier
+		// incarnation than is known, or one that is gone.
+		gone    map[string]goneTarget
+		doubted map[string]doubtedEntry
+	}
+
+	goneTarget struct {
+		started int64
+		expires time.Duration
+	}
+
+	doubtedEntry struct {
+		target topo.Target
+		until  time.Duration
 	}
 
 	overlay struct {
@@ -82,7 +105,8 @@
 	return &Fleets{
 		feed: newFeed(source, clock, bootClock, logger), section: board.New(Fleet{}),
 		listed: map[string]topo.Target{}, lapsedUntil: map[string]time.Duration{},
-		overlays: map[string]overlay{}, changedAt: map[string]uint64{}, removedAt: map[string]uint64{},
+		overlays: map[string]overlay{}, changedAt: map[string]topo.Version{}, removedAt: map[string]topo.Version{},
+		gone: map[string]goneTarget{}, doubted: map[string]doubtedEntry{},
 	}
 }
 
@@ -95,7 +119,7 @@
 // Run follows the store until ctx ends.
 func (f *Fleets) Run(ctx context.Context) {
 	p := pollOptions{name: "Target", age: f.Age, followerMaxAge: targetsFollowerMaxAge, waits: longPollWaits{targetsLongPoll, targetsLongPollLeader}}
-	f.poll(ctx, p, func(after uint64, wait time.Duration) (uint64, time.Duration, error) {
+	f.poll(ctx, p, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		requestedAt := f.bootClock()
 		page, err := f.source.Targets(ctx, after, wait)
 		if err == nil {
@@ -107,8 +131,8 @@
 
 // ApplySync applies a sync response of another gateway with its complete target
 // list, read at the given time.
-func (f *Fleets) ApplySync(version uint64, targets []topo.Target, read time.Duration, instance string) {
-	if read <= f.section.Value().Read {
+func (f *Fleets) ApplySync(version topo.Version, targets []topo.Target, read time.Duration, instance string) {
+	if v := f.section.Value(); read <= v.Read || version.Era < v.Version.Era {
 		return
 	}
 	_ = level.Debug(f.log).Log("event", "TargetsVouched", "version", version, "from", instance)
@@ -118,8 +142,8 @@
 // ApplySyncChanges applies a sync response of another gateway with the changes
 // of the target list since the version that this one has, read at the given
 // time.
-func (f *Fleets) ApplySyncChanges(version uint64, targets []topo.Target, removed []string, read time.Duration, instance string) {
-	if v := f.section.Value(); read <= v.Read || version < v.Version {
+func (f *Fleets) ApplySyncChanges(version topo.Version, targets []topo.Target, removed []string, read time.Duration, instance string) {
+	if v := f.section.Value(); read <= v.Read || version.Era != v.Version.Era || version.Compare(v.Version) < 0 {
 		return
 	}
 	if len(targets)+len(removed) > 0 {
@@ -129,14 +153,15 @@
 }
 
 // LastChange returns the version of the last change of the list.
-func (f *Fleets) LastChange() uint64 {
-	last := uint64(0)
+func (f *Fleets) LastChange() topo.Version {
+	var last topo.Version
 	f.section.Update(func(v Fleet) (Fleet, bool) {
-		for _, at := range f.changedAt {
-			last = max(last, at)
-		}
-		for _, at := range f.removedAt {
-			last = max(last, at)
+		for _, changes := range []map[string]topo.Version{f.changedAt, f.removedAt} {
+			for _, at := range changes {
+				if at.Compare(last) > 0 {
+					last = at
+				}
+			}
 		}
 		return v, false
 	})
@@ -145,16 +170,16 @@
 
 // ChangesSince returns the version of the list and the changes after another
 // version, or the complete list and changes=false if these are not known.
-func (f *Fleets) ChangesSince(after uint64) (version uint64, targets []topo.Target, removed []string, changes bool) {
+func (f *Fleets) ChangesSince(after topo.Version) (version topo.Version, targets []topo.Target, removed []string, changes bool) {
 	f.section.Update(func(v Fleet) (Fleet, bool) {
-		version, changes = v.Version, after > 0 && after >= f.historyStart
+		version, changes = v.Version, after.Era == v.Version.Era && after.Number > 0 && after.Compare(f.historyStart) >= 0
 		for id, t := range f.listed {
-			if !changes || f.changedAt[id] > after {
+			if !changes || f.changedAt[id].Compare(after) > 0 {
 				targets = append(targets, t)
 			}
 		}
 		for id, at := range f.removedAt {
-			if changes && at > after {
+			if changes && at.Compare(after) > 0 {
 				removed = append(removed, id)
 			}
 		}
@@ -183,15 +208,16 @@
 }
 
 // apply merges a page of the target list that was read at readAt. After an outage
-// of the store it starts a grace period, in which ready targets that are missing
-// from the list stay in use.
+// of the store, or after it has come back from an older copy, it starts a grace
+// period, in which ready targets that are missing from the list stay in use.
 func (f *Fleets) apply(page TargetPage, readAt time.Duration) {
 	for _, m := range page.Malformed {
 		_ = level.Error(f.log).Log("event", "TargetMalformed", "err", m)
 	}
 	f.section.Update(func(v Fleet) (Fleet, bool) {
 		now := f.bootClock()
-		if v.Read > 0 && readAt-v.Read > outageThreshold {
+		restored := v.Read > 0 && page.Version.Era > v.Version.Era
+		if restored || v.Read > 0 && readAt-v.Read > outageThreshold {
 			f.graceEnd = now + lapseGracePeriod
 		}
 		removed := page.Gone
@@ -200,13 +226,14 @@
 			for _, t := range page.Targets {
 				named[t.ID] = true
 			}
+			maps.DeleteFunc(f.doubted, func(id string, _ doubtedEntry) bool { return !named[id] })
 			for id := range f.listed {
 				if !named[id] && !slices.Contains(removed, id) {
 					removed = append(removed, id)
 				}
 			}
 		}
-		if f.historyStart == 0 || len(f.removedAt) > maxRemoved {
+		if f.historyStart.Era != page.Version.Era || f.historyStart.IsZero() || len(f.removedAt) > maxRemoved {
 			clear(f.removedAt)
 			f.historyStart = page.Version
 		}
@@ -214,22 +241,50 @@
 			f.remove(id, now, page.Version)
 		}
 		for _, t := range page.Targets {
-			f.put(t, page.Version)
+			switch d, doubted := f.doubted[t.ID]; {
+			case restored && f.contradicts(t, now):
+				_ = level.Info(f.log).Log("event", "TargetDoubtedInCopy", "target", t.ID, "born", t.Started, "version", page.Version)
+				f.doubted[t.ID] = doubtedEntry{t, now + copyDoubt}
+			case doubted && page.Complete && d.target.Started == t.Started:
+				// It need not have been written again.
+			default:
+				f.put(t, page.Version)
+			}
+		}
+		for _, d := range f.doubted {
+			if now >= d.until {
+				f.put(d.target, topo.Version{Era: page.Version.Era, Number: page.Version.Number + 1})
+			}
 		}
 		for id, until := range f.lapsedUntil {
 			if now >= until {
 				_ = level.Info(f.log).Log("event", "TargetGone", "target", id, "version", page.Version, "lapsed", true)
 				// Gateways that already have this version have not received the
 				// removal.
-				f.forget(id, page.Version+1)
+				f.forget(id, topo.Version{Era: page.Version.Era, Number: page.Version.Number + 1})
 			}
 		}
 		return f.withOverlays(page.Version, max(v.Read, readAt)), true
 	})
 }
 
-func (f *Fleets) put(t topo.Target, version uint64) {
+// contradicts reports whether an entry names an incarnation that is known to have
+// been replaced or removed.
+func (f *Fleets) contradicts(t topo.Target, now time.Duration) bool {
+	if old, known := f.listed[t.ID]; known {
+		return t.Started < old.Started
+	}
+	g, gone := f.gone[t.ID]
+	return gone && now < g.expires && t.Started <= g.started
+}
+
+func (f *Fleets) put(t topo.Target, version topo.Version) {
 	old, known := f.listed[t.ID]
+	if known && old.State == topo.Draining && old.Started == t.Started && t.Started != 0 {
+		// An incarnation that drains never becomes ready again; an older copy of
+		// the store may say so.
+		t.State = topo.Draining
+	}
 	switch {
 	case !known:
 		_ = level.Info(f.log).Log("event", "TargetListed", "target", t.ID, "service", t.Service, "address", t.Address,
@@ -238,17 +293,21 @@
 		_ = level.Info(f.log).Log("event", "TargetChanged", "target", t.ID, "born", t.Started, "state", int(t.State),
 			"from", t.Held.From, "to", t.Held.To)
 	}
-	if !known || old != t {
+	// Other gateways may have read the list without a lapsed entry.
+	if _, lapsed := f.lapsedUntil[t.ID]; !known || lapsed || old != t {
 		f.changedAt[t.ID] = version
 	}
 	f.listed[t.ID] = t
 	delete(f.lapsedUntil, t.ID)
 	delete(f.removedAt, t.ID)
+	delete(f.gone, t.ID)
+	delete(f.doubted, t.ID)
 }
 
 // remove removes an entry from the list. During the grace period after an
 // outage, a ready target stays in use, because it may still come back.
-func (f *Fleets) remove(id string, now time.Duration, version uint64) {
+func (f *Fleets) remove(id string, now time.Duration, version topo.Version) {
+	delete(f.doubted, id)
 	t, ok := f.listed[id]
 	if !ok {
 		return
@@ -263,7 +322,10 @@
 	f.forget(id, version)
 }
 
-func (f *Fleets) forget(id string, version uint64) {
+func (f *Fleets) forget(id string, version topo.Version) {
+	now := f.bootClock()
+	maps.DeleteFunc(f.gone, func(_ string, g goneTarget) bool { return now >= g.expires })
+	f.gone[id] = goneTarget{f.listed[id].Started, now + goneTTL}
 	f.removedAt[id] = version
 	delete(f.changedAt, id)
 	delete(f.listed, id)
@@ -273,7 +335,7 @@
 
 // withOverlays returns the list, with entries replaced by their overlays where
 // these are newer.
-func (f *Fleets) withOverlays(version uint64, read time.Duration) Fleet {
+func (f *Fleets) withOverlays(version topo.Version, read time.Duration) Fleet {
 	now := f.bootClock()
 	targets := make([]topo.Target, 0, len(f.listed))
 	for id, t := range f.listed {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -23,10 +23,10 @@
 	mu     sync.Mutex
 	steps  []func() (follow.ConfigPage, follow.TargetPage, error)
 	cancel context.CancelFunc
-	afters []uint64
+	afters []topo.Version
 }
 
-func (s *source) next(after uint64) (follow.ConfigPage, follow.TargetPage, error) {
+func (s *source) next(after topo.Version) (follow.ConfigPage, follow.TargetPage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.afters = append(s.afters, after)
@@ -39,16 +39,18 @@
 	return step()
 }
 
-func (s *source) Config(_ context.Context, after uint64, _ time.Duration) (follow.ConfigPage, error) {
+func (s *source) Config(_ context.Context, after topo.Version, _ time.Duration) (follow.ConfigPage, error) {
 	page, _, err := s.next(after)
 	return page, err
 }
 
-func (s *source) Targets(_ context.Context, after uint64, _ time.Duration) (follow.TargetPage, error) {
+func (s *source) Targets(_ context.Context, after topo.Version, _ time.Duration) (follow.TargetPage, error) {
 	_, page, err := s.next(after)
 	return page, err
 }
 
+func (*source) Era() uint64 { return 0 }
+
 func (*source) Decode(raw []byte) (topo.Config, error) {
 	var version uint64
 	if err := json.Unmarshal(raw, &version); err != nil {
@@ -81,7 +83,7 @@
 			if raw != "" {
 				b = []byte(raw)
 			}
-			return follow.ConfigPage{Raw: b, Version: version}, follow.TargetPage{}, nil
+			return follow.ConfigPage{Raw: b, Version: topo.Version{Number: version}}, follow.TargetPage{}, nil
 		}
 	}
 	failed := func(code fault.Code, took time.Duration) func() (follow.ConfigPage, follow.TargetPage, error) {
@@ -116,7 +118,7 @@
 
 	s.afters = nil
 	run(page("9", 0, 30), failed(fault.HistoryLost, 0), page("11", 0, 40))
-	is.Equal(s.afters[2], uint64(0)) // starts again from 0
+	is.Equal(s.afters[2], topo.Version{}) // starts again from 0
 	is.Equal(c.Section().Value().Version, uint64(11))
 }
 
@@ -142,13 +144,13 @@
 		f.Run(ctx)
 		return f.Section().Value().Len()
 	}
-	is.Equal(run(step(0, follow.TargetPage{Complete: true, Targets: []topo.Target{target("a"), target("b"), target("c")}, Version: 1})), 3)
-	is.Equal(run(step(time.Second, follow.TargetPage{Gone: []string{"c"}, Version: 2})), 2) // removed at once without an outage
+	is.Equal(run(step(0, follow.TargetPage{Complete: true, Targets: []topo.Target{target("a"), target("b"), target("c")}, Version: topo.Version{Number: 1}})), 3)
+	is.Equal(run(step(time.Second, follow.TargetPage{Gone: []string{"c"}, Version: topo.Version{Number: 2}})), 2) // removed at once without an outage
 	now += 20 * time.Second
-	is.Equal(run(step(0, follow.TargetPage{Gone: []string{"a", "b"}, Version: 3})), 2) // lapsed
-	is.Equal(run(step(time.Second, follow.TargetPage{Targets: []topo.Target{target("a")}, Version: 4})), 2)
+	is.Equal(run(step(0, follow.TargetPage{Gone: []string{"a", "b"}, Version: topo.Version{Number: 3}})), 2) // lapsed
+	is.Equal(run(step(time.Second, follow.TargetPage{Targets: []topo.Target{target("a")}, Version: topo.Version{Number: 4}})), 2)
 	now += 2 * time.Second
-	is.Equal(run(step(0, follow.TargetPage{Version: 5})), 1) // b did not come back
+	is.Equal(run(step(0, follow.TargetPage{Version: topo.Version{Number: 5}})), 1) // b did not come back
 	_, ok := f.Section().Value().Target("a")
 	is.True(ok)
 }
@@ -160,7 +162,7 @@
 	now := time.Minute
 	f := follow.NewFleets(&source{}, fast{}, func() time.Duration { return now }, log.NewNopLogger())
 	listed := topo.Target{ID: "a", Started: 1, Service: "s", Address: "a:1"}
-	f.ApplySync(1, []topo.Target{listed}, now, "e2")
+	f.ApplySync(topo.Version{Number: 1}, []topo.Target{listed}, now, "e2")
 	reported := listed.WithHeld(topo.Layers{From: 0, To: 5})
 	f.Overlay(reported)
 	got, _ := f.Section().Value().Target("a")
@@ -168,7 +170,7 @@
 	relisted := listed
 	relisted.Started = 2
 	now += time.Second
-	f.ApplySync(2, []topo.Target{relisted}, now, "e2")
+	f.ApplySync(topo.Version{Number: 2}, []topo.Target{relisted}, now, "e2")
 	got, _ = f.Section().Value().Target("a")
 	is.Equal(got.Held.Len(), 0)
 	restarted := relisted
@@ -177,7 +179,7 @@
 	got, _ = f.Section().Value().Target("a")
 	is.Equal(got.Started, int64(3)) // the list does not show the restart yet
 	f.Overlay(relisted)
-	f.ApplySync(1, nil, now-time.Second, "e3") // an older list
+	f.ApplySync(topo.Version{Number: 1}, nil, now-time.Second, "e3") // an older list
 	is.Equal(f.Section().Value().Len(), 1)
 }
 
@@ -192,7 +194,7 @@
 	for i := range targets {
 		targets[i] = topo.Target{ID: strconv.Itoa(i), Started: 1, Service: "s"}
 	}
-	f.ApplySync(1, targets, now, "e2")
+	f.ApplySync(topo.Version{Number: 1}, targets, now, "e2")
 	for i := range targets {
 		targets[i] = targets[i].WithHeld(topo.Layers{From: 0, To: 5})
 	}
@@ -206,3 +208,40 @@
 	got, _ := fleet.Target("7")
 	is.Equal(got.Held.Len(), 5)
 }
+
+// Guards against changes between two versions that are of different eras of the
+// store, and against a list of an earlier era that replaces one of a later era.
+func TestListsOfTwoEras(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	f := follow.NewFleets(&source{}, fast{}, func() time.Duration { return now }, log.NewNopLogger())
+	targets := func(ids ...string) []topo.Target {
+		var out []topo.Target
+		for _, id := range ids {
+			out = append(out, topo.Target{ID: id, Started: 1, Service: "s", Address: "a:1", State: topo.Draining})
+		}
+		return out
+	}
+	f.ApplySync(topo.Version{Era: 1, Number: 84}, targets("a", "b"), now, "e2")
+	now += time.Second
+	f.ApplySyncChanges(topo.Version{Era: 2, Number: 90}, targets("c"), nil, now, "e2")
+	is.Equal(f.Section().Value().Len(), 2) // no changes across eras
+	f.ApplySync(topo.Version{Era: 2, Number: 81}, targets("a", "c"), now, "e2")
+	is.Equal(f.Section().Value().Version, topo.Version{Era: 2, Number: 81})
+	is.Equal(f.Section().Value().Len(), 2)
+	now += time.Second
+	f.ApplySync(topo.Version{Era: 1, Number: 99}, targets("a", "b"), now, "e3")
+	f.ApplySyncChanges(topo.Version{Era: 1, Number: 99}, targets("d"), nil, now, "e3")
+	is.Equal(f.Section().Value().Version, topo.Version{Era: 2, Number: 81})
+
+	_, all, removed, changes := f.ChangesSince(topo.Version{Era: 1, Number: 84})
+	is.True(!changes)
+	is.Equal(len(all)+len(removed), 2)
+	f.ApplySyncChanges(topo.Version{Era: 2, Number: 82}, targets("d"), []string{"c"}, now, "e2")
+	version, some, removed, changes := f.ChangesSince(topo.Version{Era: 2, Number: 81})
+	is.True(changes)
+	is.Equal(version, topo.Version{Era: 2, Number: 82})
+	is.Equal(some, targets("d"))
+	is.Equal(removed, []string{"c"})
+	is.Equal(f.LastChange(), topo.Version{Era: 2, Number: 82})
+}
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -38,6 +38,7 @@
 	before := p.topology
 	p.topology = topologyOf(p.Self, members, func(instance string) bool { return p.isDown(instance, now) }, followed)
 	p.updateLinks(before.Links, p.topology.Links)
+	p.updateStartDials(now, members)
 	if before.Mesh == p.topology.Mesh && before.Leader == p.topology.Leader && before.Leads == p.topology.Leads {
 		return
 	}
@@ -179,8 +180,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := wire.GroupState{
-		Group: p.topology.Group, Loads: own.Loads, Suspicions: own.Suspicions, LatePauses: own.LatePauses + p.unsentLatePauses,
-		Term: own.Term, Targets: own.Targets, Unresponsive: own.Unresponsive,
+		Group: p.topology.Group, Config: own.Config, Loads: own.Loads, Suspicions: own.Suspicions, LatePauses: own.LatePauses + p.unsentLatePauses,
+		Term: own.Term, TermEra: own.TermEra, Targets: own.Targets, Unresponsive: own.Unresponsive,
 	}
 	p.unsentLatePauses = 0
 	if counts != nil {
@@ -196,8 +197,9 @@
 		if l, ok := counts[last.incarnation]; ok {
 			out.Incarnations[last.incarnation] = l
 		}
-		if last.state.Term > out.Term {
-			out.Term, out.Targets, out.Unresponsive = last.state.Term, last.state.Targets, last.state.Unresponsive
+		if last.state.PlannerTerm().Compare(out.PlannerTerm()) > 0 {
+			out.Term, out.TermEra = last.state.Term, last.state.TermEra
+			out.Targets, out.Unresponsive = last.state.Targets, last.state.Unresponsive
 		}
 	}
 	return out
@@ -208,17 +210,24 @@
 	out := group
 	out.AllGateways, out.Incarnations, out.Loads = true, counts, targetLoads(p.Ledger.TotalLoads())
 	_, out.Members = p.Members.List()
-	out.Config, out.List = p.Configs.Section().Value().Version, p.Fleets.LastChange()
+	out.Config = p.Configs.Section().Value().Version
+	last := p.Fleets.LastChange()
+	out.List, out.ListEra = last.Number, last.Era
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.BootClock()-p.plannerUpdateAt < plannerUpdateTTL && p.plannerUpdate.Term > out.Term {
-		out.Term, out.Targets, out.Unresponsive = p.plannerUpdate.Term, p.plannerUpdate.Targets, p.plannerUpdate.Unresponsive
+	if p.BootClock()-p.plannerUpdateAt < plannerUpdateTTL && p.plannerUpdate.PlannerTerm().Compare(out.PlannerTerm()) > 0 {
+		out.Term, out.TermEra = p.plannerUpdate.Term, p.plannerUpdate.TermEra
+		out.Targets, out.Unresponsive = p.plannerUpdate.Targets, p.plannerUpdate.Unresponsive
 	}
 	return out
 }
 
 // receiveGroupState records the state that a leader sent.
-func (p *Peers) receiveGroupState(from wire.Hello, m wire.GroupState) {
+func (p *Peers) receiveGroupState(peer link.Peer, m wire.GroupState) {
+	from := peer.Hello()
+	if !m.AllGateways {
+		p.receiveConfigVersion(peer, m.Config)
+	}
 	p.mu.Lock()
 	now := p.BootClock()
 	if m.AllGateways && (p.topology.Leads || p.topology.Mesh || from.Instance != p.topology.Leader) {
@@ -253,7 +262,7 @@
 		p.receiveCounts(incarnation, l)
 	}
 	p.receiveSuspicions(from.Instance, m.Suspicions)
-	p.receivePlannerUpdate(m.Term, m.Targets, m.Unresponsive)
+	p.receivePlannerUpdate(m.PlannerTerm(), m.Targets, m.Unresponsive)
 	if m.AllGateways {
 		p.receiveLeaderVersions(m)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -90,6 +90,10 @@
 		// sentLoads holds the loads in the last two states sent to the leader,
 		// the older first.
 		sentLoads [2]map[string]wire.TargetLoad
+		// startedAt is when this gateway started. startDials holds the gateways
+		// that it dials since then although it is for them to dial.
+		startedAt  time.Duration
+		startDials map[string]Member
 
 		syncState
 		plannerState
@@ -111,14 +115,14 @@
 	// gateway as the planner.
 	plannerState struct {
 		// ownTerm is the version of the planner's lease if this gateway holds
-		// it; otherwise 0.
-		ownTerm uint64
+		// it; otherwise zero.
+		ownTerm topo.Version
 		// ownTargets and ownUnresponsive are sent with each GatewayState.
 		ownTargets      []topo.Target
 		ownUnresponsive []ledger.Suspicion
 		// otherTerm is the newest lease version received from another gateway
 		// that plans, and otherTermAt when it was last received.
-		otherTerm   uint64
+		otherTerm   topo.Version
 		otherTermAt time.Duration
 		// plannerUpdate is the last update received from a planner. A leader
 		// forwards it to its followers.
@@ -136,7 +140,7 @@
 	p := &Peers{
 		Options: o, topology: Topology{Mesh: true}, unlinkedSince: map[string]time.Duration{}, avoidedUntil: map[string]time.Duration{},
 		lastReceived: map[string]received{}, syncState: syncState{pendingSyncs: map[uint64]time.Duration{}},
-		prompts: o.Prompts.NewReporter(),
+		prompts: o.Prompts.NewReporter(), startedAt: o.BootClock(), startDials: map[string]Member{},
 	}
 	o.Prompts.SetPeers(p.publishPrompts, p.ownsHold)
 	o.Limits.SetPublish(p.publishLimits)
@@ -185,7 +189,7 @@
 
 // SetPlan sets the lease version under which this gateway plans, the targets'
 // status reports and the unresponsive targets. They are sent with each state.
-func (p *Peers) SetPlan(term uint64, targets []topo.Target, unresponsive []ledger.Suspicion) {
+func (p *Peers) SetPlan(term topo.Version, targets []topo.Target, unresponsive []ledger.Suspicion) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ownTerm, p.ownTargets, p.ownUnresponsive = term, targets, unresponsive
@@ -243,11 +247,11 @@
 
 // OtherPlanner returns the newest lease version under which another gateway
 // plans, and the time since it was last received.
-func (p *Peers) OtherPlanner() (term uint64, ago time.Duration) {
+func (p *Peers) OtherPlanner() (term topo.Version, ago time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.otherTerm == 0 {
-		return 0, time.Hour
+	if p.otherTerm.IsZero() {
+		return topo.Version{}, time.Hour
 	}
 	return p.otherTerm, p.BootClock() - p.otherTermAt
 }
@@ -257,6 +261,9 @@
 	_ = level.Info(p.Log).Log("event", "PeerUp", "peer", peer.Hello().Instance, "incarnation", peer.Hello().Incarnation)
 	// The other gateway may have restarted or missed reports.
 	p.sendAll(peer)
+	if peer.Hello().Revision > p.Configs.Section().Value().Version {
+		p.send(peer, p.newSyncRequest(false))
+	}
 }
 
 // LinkDown implements link.Handler.
@@ -268,9 +275,9 @@
 func (p *Peers) Receive(peer link.Peer, m wire.Message) {
 	switch m := m.(type) {
 	case wire.GatewayState:
-		p.receiveGatewayState(peer.Hello(), m)
+		p.receiveGatewayState(peer, m)
 	case wire.GroupState:
-		p.receiveGroupState(peer.Hello(), m)
+		p.receiveGroupState(peer, m)
 	case wire.SuspicionAlert:
 		p.receiveSuspicions(peer.Hello().Instance, m.Suspicions)
 		p.receivePrompts(peer.Hello().Instance, m.Prompts)
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -6,6 +6,7 @@
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
+	"shallotcourse/internal/link"
 	"shallotcourse/internal/topo"
 	"shallotcourse/internal/wire"
 )
@@ -13,11 +14,11 @@
 // ownState returns the state of this gateway.
 func (p *Peers) ownState() wire.GatewayState {
 	out := wire.GatewayState{Loads: targetLoads(p.Ledger.OwnLoads()), Suspicions: p.suspicions(), Retries: retryCounts(p.Retries.LocalCounts())}
-	out.LatePauses = p.Ledger.TakeLatePauses()
+	out.LatePauses, out.Config = p.Ledger.TakeLatePauses(), p.Configs.Section().Value().Version
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.latePauses += out.LatePauses
-	out.Term, out.Targets = p.ownTerm, p.ownTargets
+	out.Term, out.TermEra, out.Targets = p.ownTerm.Number, p.ownTerm.Era, p.ownTargets
 	for _, s := range p.ownUnresponsive {
 		out.Unresponsive = append(out.Unresponsive, wire.Suspicion(s))
 	}
@@ -57,7 +58,9 @@
 }
 
 // receiveGatewayState records the state of another gateway.
-func (p *Peers) receiveGatewayState(from wire.Hello, m wire.GatewayState) {
+func (p *Peers) receiveGatewayState(peer link.Peer, m wire.GatewayState) {
+	from := peer.Hello()
+	p.receiveConfigVersion(peer, m.Config)
 	p.Ledger.SetPeerLoads(from.Instance, chainLoads(m.Loads))
 	p.receiveCounts(from.Incarnation, wire.IncarnationCounts{Counts: m.Retries})
 	p.receiveSuspicions(from.Instance, m.Suspicions)
@@ -66,7 +69,7 @@
 	p.unsentLatePauses += m.LatePauses
 	p.lastReceived[from.Instance] = received{at: p.BootClock(), incarnation: from.Incarnation, state: m}
 	p.mu.Unlock()
-	p.receivePlannerUpdate(m.Term, m.Targets, m.Unresponsive)
+	p.receivePlannerUpdate(m.PlannerTerm(), m.Targets, m.Unresponsive)
 }
 
 func (p *Peers) receiveCounts(incarnation string, l wire.IncarnationCounts) {
@@ -102,9 +105,9 @@
 
 // receivePlannerUpdate records an update of the planner, received directly or
 // through a leader.
-func (p *Peers) receivePlannerUpdate(term uint64, targets []topo.Target, unresponsive []wire.Suspicion) {
+func (p *Peers) receivePlannerUpdate(term topo.Version, targets []topo.Target, unresponsive []wire.Suspicion) {
 	p.Fleets.Overlay(targets...)
-	if term == 0 {
+	if term.IsZero() {
 		return
 	}
 	suspects := make([]ledger.Suspicion, len(unresponsive))
@@ -114,8 +117,8 @@
 	p.Ledger.SetUnresponsive(suspects)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if term >= p.otherTerm {
+	if term.Compare(p.otherTerm) >= 0 {
 		p.otherTerm, p.otherTermAt = term, p.BootClock()
-		p.plannerUpdate, p.plannerUpdateAt = wire.GatewayState{Term: term, Targets: targets, Unresponsive: unresponsive}, p.otherTermAt
+		p.plannerUpdate, p.plannerUpdateAt = wire.GatewayState{Term: term.Number, TermEra: term.Era, Targets: targets, Unresponsive: unresponsive}, p.otherTermAt
 	}
 }
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotcourse/internal/link"
+	"shallotcourse/internal/topo"
 	"shallotcourse/internal/wire"
 )
 
@@ -27,6 +28,9 @@
 	// itself.
 	leaderSyncInterval    = 600 * time.Millisecond
 	minLeaderSyncInterval = 150 * time.Millisecond
+	// newerConfigPatience is how long a newer configuration that another gateway
+	// has may still arrive from the store.
+	newerConfigPatience = 2 * stateInterval
 )
 
 // syncState tracks the sync requests to other gateways.
@@ -35,6 +39,10 @@
 	pendingSyncs map[uint64]time.Duration
 	lastEcho     uint64
 	lastSyncAt   time.Duration
+	// newerConfig is the newest version of the configuration that another gateway
+	// has and this one lacks, since newerConfigSince or the last request for it.
+	newerConfig      uint64
+	newerConfigSince time.Duration
 	// leaderState is the last GroupState from the leader, for the versions in
 	// it.
 	leaderState wire.GroupState
@@ -78,12 +86,34 @@
 	p.mu.Lock()
 	leaderState, leader, pause := p.leaderState, p.topology.Leader, p.BootClock()-p.lastSyncAt
 	p.mu.Unlock()
-	newer := leaderState.Config > p.Configs.Section().Value().Version || leaderState.List > p.Fleets.Section().Value().Version
+	list := topo.Version{Era: leaderState.ListEra, Number: leaderState.List}
+	newer := leaderState.Config > p.Configs.Section().Value().Version || list.Compare(p.Fleets.Section().Value().Version) > 0
 	if l, ok := links[leader]; ok && (pause >= leaderSyncInterval || newer && pause >= minLeaderSyncInterval) {
 		p.send(l, p.newSyncRequest(true))
 	}
 }
 
+// receiveConfigVersion records the version of the configuration that another
+// gateway has, and asks for it if the store does not show it: the store may have
+// come back from an older copy.
+func (p *Peers) receiveConfigVersion(peer link.Peer, version uint64) {
+	own := p.Configs.Section().Value().Version
+	p.mu.Lock()
+	now := p.BootClock()
+	if own >= p.newerConfig {
+		p.newerConfig, p.newerConfigSince = 0, now
+	}
+	p.newerConfig = max(p.newerConfig, version)
+	due := version > own && now-p.newerConfigSince > newerConfigPatience
+	if due {
+		p.newerConfigSince = now
+	}
+	p.mu.Unlock()
+	if due {
+		p.send(peer, p.newSyncRequest(false))
+	}
+}
+
 // newSyncRequest returns a sync request with a new echo and drops unanswered
 // ones after syncTimeout.
 func (p *Peers) newSyncRequest(targets bool) wire.SyncRequest {
@@ -99,7 +129,7 @@
 	}
 	p.lastEcho++
 	p.pendingSyncs[p.lastEcho], p.lastSyncAt = now, now
-	return wire.SyncRequest{Echo: p.lastEcho, ConfigVersion: config, WantTargets: targets, TargetsVersion: list, MembersVersion: members}
+	return wire.SyncRequest{Echo: p.lastEcho, ConfigVersion: config, WantTargets: targets, TargetsVersion: list.Number, TargetsEra: list.Era, MembersVersion: members}
 }
 
 func (p *Peers) syncResponse(m wire.SyncRequest) wire.SyncResponse {
@@ -110,8 +140,9 @@
 	}
 	if m.WantTargets {
 		age := p.Fleets.Age()
-		out.TargetsVersion, out.Targets, out.Removed, out.Incremental = p.Fleets.ChangesSince(m.TargetsVersion)
-		out.TargetsAge = age
+		var version topo.Version
+		version, out.Targets, out.Removed, out.Incremental = p.Fleets.ChangesSince(topo.Version{Era: m.TargetsEra, Number: m.TargetsVersion})
+		out.TargetsVersion, out.TargetsEra, out.TargetsAge = version.Number, version.Era, age
 	}
 	if members, version := p.Members.List(); version != 0 && m.MembersVersion != version {
 		out.Members = append(members, p.Self)
@@ -133,16 +164,18 @@
 	if m.ConfigVersion > 0 {
 		p.Configs.ApplySync(m.ConfigVersion, m.Config, at-m.ConfigAge, instance)
 	}
+	version := topo.Version{Era: m.TargetsEra, Number: m.TargetsVersion}
 	switch {
 	case m.TargetsAge < 0 || m.TargetsVersion == 0:
 	case m.Incremental:
-		p.Fleets.ApplySyncChanges(m.TargetsVersion, m.Targets, m.Removed, at-m.TargetsAge, instance)
+		p.Fleets.ApplySyncChanges(version, m.Targets, m.Removed, at-m.TargetsAge, instance)
 	default:
-		p.Fleets.ApplySync(m.TargetsVersion, m.Targets, at-m.TargetsAge, instance)
+		p.Fleets.ApplySync(version, m.Targets, at-m.TargetsAge, instance)
 	}
 	if !p.Follows() {
 		return
 	}
+	p.Members.observeLeaderEra(m.TargetsEra)
 	if len(m.Members) > 0 {
 		p.Members.SetFromLeader(m.Members)
 	} else {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -229,9 +229,12 @@
 	p.released = true
 	p.leaseChecked.Store(0)
 	p.lease.release(ctx)
-	p.Peers.SetPlan(0, nil, nil)
+	p.Peers.SetPlan(topo.Version{}, nil, nil)
 }
 
+// Plans reports whether this gateway holds the lease and acts on it.
+func (p *Planner) Plans() bool { return p.mayAct() == nil }
+
 // LastPlacements returns the last order of this gateway that each target has
 // accepted.
 func (p *Planner) LastPlacements() map[string]Placement {
@@ -257,7 +260,7 @@
 	if config.Version == 0 || p.Fleets.Section().Value().Len() == 0 {
 		return
 	}
-	if p.lease.term == 0 && (silence < plannerTimeout+p.claimDelay || !p.Peers.MayPlan()) {
+	if !p.lease.held() && (silence < plannerTimeout+p.claimDelay || !p.Peers.MayPlan()) {
 		return
 	}
 	planning := p.lease.hold(ctx, otherTerm, silence)
@@ -448,7 +451,7 @@
 // sendOrder sends an order in the background. The order stays on record if its
 // answer is lost, since the target may still carry it out.
 func (p *Planner) sendOrder(ctx context.Context, o place.Order, load time.Duration) {
-	t := o.Target
+	t, term := o.Target, p.lease.term
 	now := p.BootClock()
 	p.mu.Lock()
 	p.orders[t.ID] = order{layers: o.Layers, started: t.Started, pollFrom: now + load, until: now + 2*load + orderSlack}
@@ -476,7 +479,7 @@
 		}
 		p.Metrics.GetOrCreateCounter("shallotcourse_orders_total").Inc()
 		_ = level.Info(p.Log).Log("event", "Order", "target", t.ID, "born", t.Started, "sequence", t.Sequence, "from", o.Layers.From,
-			"to", o.Layers.To, "held", t.Held.Len(), "why", o.Why, "term", p.lease.term, "load", load, "err", err)
+			"to", o.Layers.To, "held", t.Held.Len(), "why", o.Why, "term", term, "load", load, "err", err)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		switch {
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -38,7 +38,7 @@
 				}
 				work.Open(977, 774, []chain.Hop{{Target: targets[i], Layers: targets[i].Held}})
 			}
-			fleets.ApplySync(1, targets, time.Second, "g")
+			fleets.ApplySync(topo.Version{Number: 1}, targets, time.Second, "g")
 			s := New(Options{
 				Clock: clock, Log: logger, Metrics: metrics.NewSet(), Fleets: fleets, Ledger: work,
 				Limits:  limit.NewTargetLimiter(clock, limit.Gateway{}, nil),
--- a/internal/wire/gateway.go
+++ b/internal/wire/gateway.go
@@ -21,13 +21,18 @@
 		// that were too long for callers.
 		LatePauses int `cbor:"Late"`
 		// Term is the version of the planner's lease if the sender holds it;
-		// otherwise 0.
-		Term uint64
+		// otherwise 0. TermEra is the era of the store that it belongs to; builds
+		// that know no eras leave it out.
+		Term    uint64
+		TermEra uint64 `cbor:",omitempty"`
 		// Targets holds the targets' status reports to the planner that their
 		// entries in the target list do not show yet.
 		Targets []topo.Target `cbor:",omitempty"`
 		// Unresponsive holds the targets that answer no polls of the planner.
 		Unresponsive []Suspicion `cbor:"Dead,omitempty"`
+		// Config is the sender's version of the configuration. A receiver with an
+		// older one asks for it.
+		Config uint64 `cbor:",omitempty"`
 		// Follow asks the receiver to act as the sender's leader: to forward the
 		// sender's state and to send the state of all gateways.
 		Follow bool `cbor:",omitempty"`
@@ -45,12 +50,16 @@
 		Incarnations map[string]IncarnationCounts `cbor:"Lives,omitempty"`
 		LatePauses   int                          `cbor:"Late,omitempty"`
 		Term         uint64                       `cbor:",omitempty"`
+		TermEra      uint64                       `cbor:",omitempty"`
 		Targets      []topo.Target                `cbor:",omitempty"`
 		Unresponsive []Suspicion                  `cbor:"Dead,omitempty"`
 		// Config, List and Members are the leader's versions of the
 		// configuration, the target list and the gateway list. A follower sends
 		// a SyncRequest if it lacks one of the first two.
 		Config, List, Members uint64 `cbor:",omitempty"`
+		// ListEra is the era of the store that List belongs to; builds that know
+		// no eras leave it out.
+		ListEra uint64 `cbor:",omitempty"`
 	}
 
 	// IncarnationCounts holds the requests and retries by service that one
@@ -121,6 +130,8 @@
 		// TargetsVersion is 0, otherwise for the changes since that version.
 		WantTargets    bool   `cbor:"Targets"`
 		TargetsVersion uint64 `cbor:"ListVersion"`
+		// TargetsEra is the era of the store that TargetsVersion belongs to.
+		TargetsEra uint64 `cbor:",omitempty"`
 		// MembersVersion is the sender's version of the gateway list. If it
 		// differs from the receiver's, the response holds the list.
 		MembersVersion uint64 `cbor:"Members"`
@@ -139,6 +150,7 @@
 		// negative if it was not requested.
 		TargetsAge     time.Duration
 		TargetsVersion uint64
+		TargetsEra     uint64 `cbor:",omitempty"`
 		Targets        []topo.Target
 		// Incremental is set if Targets holds only the changed targets and
 		// Removed the IDs of those that are no longer listed.
@@ -148,6 +160,12 @@
 	}
 )
 
+// PlannerTerm returns the version of the planner's lease.
+func (m GatewayState) PlannerTerm() topo.Version { return topo.Version{Era: m.TermEra, Number: m.Term} }
+
+// PlannerTerm returns the version of the planner's lease.
+func (m GroupState) PlannerTerm() topo.Version { return topo.Version{Era: m.TermEra, Number: m.Term} }
+
 func (GatewayState) message()   {}
 func (SyncRequest) message()    {}
 func (SyncResponse) message()   {}
