--- a/internal/limit/target_test.go
+++ b/internal/limit/target_test.go
@@ -148,7 +148,7 @@
 				f.get(t, l.Text("at")).Merge([]limit.TargetLimit{{Target: "t", Started: int64(l.Int("started")), PerSecond: -1, Leaving: true, Age: time.Second}})
 			case "list":
 				for _, g := range f.gateways {
-					g.NoteList(topo.NewFleet(1, []topo.Target{target}))
+					g.NoteList(topo.NewFleet(topo.Version{Number: 1}, []topo.Target{target}))
 				}
 			case "unlisted":
 				for range l.Duration("for") / time.Minute {
--- a/internal/plan/leaving_test.go
+++ b/internal/plan/leaving_test.go
@@ -48,12 +48,12 @@
 	limits := limit.NewTargetLimiter(timer.System{}, limit.Gateway{}, nil)
 	fleets := follow.NewFleets(nil, timer.System{}, bootClock, logger)
 	p := New(Options{
-		Source: &memoryTable{}, Clock: timer.System{}, BootClock: bootClock, Log: logger, Metrics: metrics.NewSet(),
+		Source: &tableClient{table: &memoryTable{}}, Clock: timer.System{}, BootClock: bootClock, Log: logger, Metrics: metrics.NewSet(),
 		Engines: engines, Fleets: fleets, Limits: limits, Ledger: ledger.New(timer.System{}),
 	})
 	a, b := topo.Target{ID: "a", Started: 1, Service: "s"}, topo.Target{ID: "b", Started: 1, Service: "s"}
-	fleets.ApplySync(1, []topo.Target{a, b}, time.Second, "g")
-	is.True(p.lease.hold(ctx, 0, time.Hour))
+	fleets.ApplySync(topo.Version{Number: 1}, []topo.Target{a, b}, time.Second, "g")
+	is.True(p.lease.hold(ctx, topo.Version{}, time.Hour))
 	p.leaseChecked.Store(int64(p.lease.checked))
 	sent := uint64(0)
 	order := func(t topo.Target) (polls, orders int) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -409,12 +409,9 @@
 	return p.settled
 }
 
-// mayAct returns an error unless the lease was checked a short time ago and the
-// target takes orders. A pause of the process may lie between a plan and its orders.
-func (p *Planner) mayAct(t topo.Target) error {
-	if err := p.takesWork(t); err != nil {
-		return err
-	}
+// mayAct returns an error unless the lease was checked a short time ago. A pause of
+// the process may lie between a plan and its orders.
+func (p *Planner) mayAct() error {
 	checked := time.Duration(p.leaseChecked.Load())
 	if age := p.BootClock() - checked; checked == 0 || age > maxUnchecked {
 		return fault.Newf(fault.Leaving, "the planner's lease was last checked %s ago", age.Round(time.Millisecond))
@@ -471,7 +468,10 @@
 			p.applyReport(t, r)
 		}
 		if err == nil {
-			err = p.mayAct(t)
+			err = p.takesWork(t)
+		}
+		if err == nil {
+			err = p.mayAct()
 		}
 		if err == nil {
 			t.Sequence = r.Sequence
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -119,7 +119,7 @@
 // time.
 func (s *answerSite) list() {
 	s.version++
-	s.fleets.ApplySync(s.version, s.listed, time.Minute+time.Since(s.start)+time.Duration(s.version), "g")
+	s.fleets.ApplySync(topo.Version{Number: s.version}, s.listed, time.Minute+time.Since(s.start)+time.Duration(s.version), "g")
 	s.limits.NoteList(s.fleets.Section().Value().Fleet)
 }
 
