proxy: end a stream with the standby if the caller has all its events

A caller that had all events of a stream was cut off: its target fell silent before the end of the response, and the run that stood by, which had no more events to send, was dropped as one that had sent none.

Cause: the standby of "stay with a silent target until another one has begun to answer" took only an event for the beginning of an answer. The end of a complete response is one as well.

Evidence: TestGatewayEndsStreamsAtAnotherTarget failed before with "err: unexpected EOF" and passes. A response without length still counts as broken off if it ends without an event.

--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -48,6 +48,13 @@
 	r.ticket.Close()
 }
 
+// complete reports whether the response, whose events have ended, is complete.
+func (r *streamRun) complete() bool {
+	failure := <-r.upstream.end
+	r.upstream.end <- failure
+	return failure == nil && !r.head.unframed
+}
+
 // startStandby starts a second run elsewhere because of the failure that a silence
 // suggests. It does nothing if the request may not run on one more target, or if none
 // takes it now.
@@ -112,12 +119,15 @@
 
 // receiveStandbyEvent records an event of the standby, and reports whether the
 // request goes on with it. ok is false at the end of the response, which comes too
-// early.
+// early unless the caller has all events.
 func (s *stream) receiveStandbyEvent(ev event, ok bool) bool {
 	if ok && len(s.standby.received) < eventQueueLength {
 		s.standby.received = append(s.standby.received, ev)
 		return !ev.comment
 	}
+	if !ok && s.standby.complete() {
+		return true
+	}
 	target := s.standby.hops[0].Target
 	s.excluded[target.ID] = true
 	s.probeBroken(target, fault.New(fault.TargetLost, "the response of the standby ended before an event"))
