proxy: a target that ends while it stands by counts among those that a request has ended

Cause: a run that ends before it survived is counted when it was the current one. The standby of "stay with a silent target until another one has begun to answer" has an end of its own, which did not count, and was described by the age of the current run: if that one had survived, the end was no evidence against the prompt.

Evidence: TestGatewayCountsStandbysThatEnd got three targets in place of one before ("3 != 1") and passes.

--- a/internal/cmds/gateway_standby_test.go
+++ b/internal/cmds/gateway_standby_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,22 @@
 	"shallotcourse/platform/sims"
 )
 
+// startStandbyTest starts a gateway and a request at target a, then lists other
+// targets and waits until the gateway knows them.
+func startStandbyTest(t *testing.T, site *sims.Site, store, path string, others []string, headers ...string) (g *testGateway, one *sims.Engine, two []*sims.Engine, answer chan testResponse) {
+	t.Helper()
+	one = site.AddEngine("a", "x", sims.Model{Layers: 8, Token: 20 * time.Millisecond}).SetLayers(0, 8)
+	g = startGateway(t, "g1", store, nil).waitReady(t)
+	answer = make(chan testResponse, 1)
+	go func() { answer <- g.get(path, headers...) }()
+	eventually(t, "the target has begun", func() bool { return one.Running() == 1 })
+	for _, id := range others {
+		two = append(two, site.AddEngine(id, "x", testModel).SetLayers(0, 8))
+	}
+	eventually(t, "the other targets are listed", func() bool { return g.fleets.Section().Value().Len() == 3+len(others) })
+	return g, one, two, answer
+}
+
 // Guards against a stream that is cut off although the caller has all its events,
 // because the target falls silent before the end and another one has no more events.
 func TestGatewayEndsStreamsAtAnotherTarget(t *testing.T) {
@@ -27,3 +44,21 @@
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(eventIDs(a.body), "1 2 3 4 5")
 }
+
+// Guards against a prompt that ends one target after another while the first target
+// of its request is silent (BUDGET).
+func TestGatewayCountsStandbysThatEnd(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	_, one, two, answer := startStandbyTest(t, site, store, "/draft/x?events=50", []string{"b", "c", "d"}, "Prompt-Prefix", crashingPart+":4")
+	site.SetCrashingPart(crashingPart)
+	one.FallSilent(1200 * time.Millisecond)
+	a := <-answer
+	served := 0
+	for _, e := range two {
+		served += e.Served()
+	}
+	is.Equal(served, 1)
+	is.NoErr(a.err)
+	is.True(strings.HasSuffix(eventIDs(a.body), " 49 50"))
+}
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -40,9 +40,12 @@
 	young bool
 }
 
-// brokenRun describes the current run, which a target broke off.
+// brokenRun describes the current run, or the standby, which a target broke off.
 func (s *stream) brokenRun(t topo.Target) brokenRun {
 	now := s.Clock.Now()
+	if r := s.standby; r != nil && r.hops[0].Target.ID == t.ID {
+		return brokenRun{target: t, sent: now.Sub(r.sentAt), began: -1, events: s.events, young: true}
+	}
 	b := brokenRun{target: t, sent: now.Sub(s.sentAt), began: -1, events: s.events, young: !s.survived}
 	if !s.beganAt.IsZero() {
 		b.began = now.Sub(s.beganAt)
--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -110,9 +110,11 @@
 		_ = s.noteRefusal(s.standby.hops, h.err)
 		if h.err.Outcome == fault.NotRun {
 			s.removeRunner(target)
+		} else {
+			s.youngLosses[target.ID] = true
 		}
 	case brokenResponse, wholeResponse:
-		s.excluded[target.ID] = true
+		s.excluded[target.ID], s.youngLosses[target.ID] = true, true
 	}
 	s.endStandby("it was not accepted")
 }
@@ -129,7 +131,7 @@
 		return true
 	}
 	target := s.standby.hops[0].Target
-	s.excluded[target.ID] = true
+	s.excluded[target.ID], s.youngLosses[target.ID] = true, true
 	s.probeBroken(target, fault.New(fault.TargetLost, "the response of the standby ended before an event"))
 	s.endStandby("it sent no event")
 	return false
