follow: doubt an older copy also if another gateway has named its era first

A target that had drained and left was ready again after a restore.

Cause: entries that contradict what is known were doubted only on the first list of the new era. Another gateway's list may be the first, and the store's own copy, read after it, was taken as it stood.

Evidence: TestTargetStaysGoneIfAnotherGatewayNamesTheEraFirst failed before ("not true: !listed") and passes. Complete lists are now checked for as long as an entry is doubted; changes, which are written in the new era, are not.

--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -70,8 +70,10 @@
 		lapsedUntil map[string]time.Duration
 		// overlays holds what targets themselves reported.
 		overlays map[string]overlay
-		// graceEnd is the end of the grace period after the last outage.
-		graceEnd time.Duration
+		// graceEnd is the end of the grace period after the last outage. copyEnd is
+		// the time until which complete lists may be an older copy, because the era
+		// of the store has risen.
+		graceEnd, copyEnd time.Duration
 		// changedAt holds the list version at which each entry was last seen to
 		// change, removedAt the version at which entries were removed. Changes
 		// before the version historyStart are not known.
@@ -220,6 +222,11 @@
 		if restored || v.Read > 0 && readAt-v.Read > outageThreshold {
 			f.graceEnd = now + lapseGracePeriod
 		}
+		if restored {
+			// Another gateway may have named the era, so this one may read the copy
+			// after that.
+			f.copyEnd = now + copyDoubt
+		}
 		removed := page.Gone
 		if page.Complete {
 			named := map[string]bool{}
@@ -242,11 +249,11 @@
 		}
 		for _, t := range page.Targets {
 			switch d, doubted := f.doubted[t.ID]; {
-			case restored && f.contradicts(t, now):
-				_ = level.Info(f.log).Log("event", "TargetDoubtedInCopy", "target", t.ID, "born", t.Started, "version", page.Version)
-				f.doubted[t.ID] = doubtedEntry{t, now + copyDoubt}
 			case doubted && page.Complete && d.target.Started == t.Started:
 				// It need not have been written again.
+			case page.Complete && now < f.copyEnd && f.contradicts(t, now):
+				_ = level.Info(f.log).Log("event", "TargetDoubtedInCopy", "target", t.ID, "born", t.Started, "version", page.Version)
+				f.doubted[t.ID] = doubtedEntry{t, now + copyDoubt}
 			default:
 				f.put(t, page.Version)
 			}
