proxy: a stream may go back to a target that has run it

A stream was cut off because its target ended, although another sound target had run it: one that had stood by while the first was silent for a moment, or the first one, which the stream had left for the standby. With two attempts both count, the one that has just ended too until a poll proves it, so that no further target was allowed.

Cause: the bound is on the targets that run a request, and each run was counted as one more; a target that was left for its silence was excluded as if it had failed.

Why this works: where no further target is allowed, a path may begin only at one that has run the request, is listed as ready and has neither failed nor is suspected. A target that is used again counts once, and its refusal doesn't undo its earlier run.

Evidence: TestGatewayResumesWhereItHasStoodBy and TestGatewayReturnsToTargetThatWasSilent failed before with "err: unexpected EOF" and pass, three times each.

--- a/internal/cmds/gateway_standby_test.go
+++ b/internal/cmds/gateway_standby_test.go
@@ -85,3 +85,37 @@
 	is.Equal(a.status, http.StatusBadGateway)
 	is.Equal(a.header.Get(fault.Header), string(fault.Unknown))
 }
+
+// Guards against a stream that is cut off because its target ends after it was
+// silent for a moment, and the target that had stood by counts as a further one.
+func TestGatewayResumesWhereItHasStoodBy(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	_, one, two, answer := startStandbyTest(t, site, store, "/draft/x?events=80", []string{"b", "c"})
+	for _, e := range two {
+		e.FallSilent(900 * time.Millisecond)
+	}
+	one.FallSilent(800 * time.Millisecond)
+	served := func() int { return two[0].Served() + two[1].Served() }
+	eventually(t, "the target that stood by has noticed", func() bool { return served() == 1 })
+	time.Sleep(200 * time.Millisecond)
+	one.Kill()
+	a := <-answer
+	is.NoErr(a.err)
+	is.True(strings.HasSuffix(eventIDs(a.body), " 79 80"))
+	is.Equal(served(), 2)
+}
+
+// Guards against a stream that is cut off because its second target ends, although
+// the first one was only silent for a moment.
+func TestGatewayReturnsToTargetThatWasSilent(t *testing.T) {
+	is := is.New(t)
+	site, store, _ := testSite(t)
+	_, one, two, answer := startStandbyTest(t, site, store, "/draft/x?events=120", []string{"b"})
+	one.FallSilent(700 * time.Millisecond)
+	eventually(t, "the stream goes on at the other target", func() bool { return one.Running() == 0 })
+	two[0].Kill()
+	a := <-answer
+	is.NoErr(a.err)
+	is.True(strings.HasSuffix(eventIDs(a.body), " 119 120"))
+}
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -251,6 +251,7 @@
 // again, but none of its traffic crosses data centres, as it would with a
 // substitute in another one.
 func (s *stream) canResumeElsewhere() bool {
+	defer s.excludeCurrent()()
 	if !s.mayResume() {
 		return false
 	}
--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -25,6 +25,11 @@
 	// last event is the only one that is more than a comment.
 	head     *eventStream
 	received []event
+	// answers is true once the standby has sent more than comments, or the end of a
+	// complete response.
+	answers bool
+	// again is true if the target had run the request before.
+	again bool
 }
 
 // startRun sends the request along hops, unless one of the targets has said since the
@@ -34,10 +39,13 @@
 		return nil, err
 	}
 	s.sendCount++
-	s.possibleRunners = append(s.possibleRunners, hops[0].Target)
+	again := s.hasRunAt(hops[0].Target)
+	if !again {
+		s.possibleRunners = append(s.possibleRunners, hops[0].Target)
+	}
 	s.pathLog += " " + pathText(hops)
 	return &streamRun{
-		hops: hops, upstream: s.startUpstream(hops), sentAt: s.Clock.Now(),
+		hops: hops, again: again, upstream: s.startUpstream(hops), sentAt: s.Clock.Now(),
 		ticket: s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops),
 	}, nil
 }
@@ -59,17 +67,13 @@
 // suggests. It does nothing if the request may not run on one more target, or if none
 // takes it now.
 func (s *stream) startStandby(failure *fault.Error) {
-	if s.standby != nil || s.sendCount >= maxSends+maxResumes || !s.mayContinue(failure) {
+	if s.standby != nil || s.sendCount >= maxSends+maxResumes || s.Prompts.Held(s.headers.PromptParts) != nil {
 		return
 	}
-	if s.Prompts.Held(s.headers.PromptParts) != nil {
+	defer s.excludeCurrent()()
+	if !s.mayContinue(failure) {
 		return
 	}
-	first := s.hops[0].Target.ID
-	if !s.excluded[first] {
-		s.excluded[first] = true
-		defer delete(s.excluded, first)
-	}
 	hops, err := s.choosePath(s.begun)
 	if err != nil || !s.Retries.Take(s.service.Name) || !s.Limits.Take(hops[0].Target) {
 		return
@@ -80,6 +84,17 @@
 	}
 }
 
+// excludeCurrent excludes the first target of the current run from paths until
+// restore is called.
+func (s *stream) excludeCurrent() (restore func()) {
+	first := s.hops[0].Target.ID
+	if s.excluded[first] {
+		return func() {}
+	}
+	s.excluded[first] = true
+	return func() { delete(s.excluded, first) }
+}
+
 // standbyHead returns the channel on which the head of the standby's response
 // arrives; nil if none is to arrive.
 func (s *stream) standbyHead() <-chan responseHead {
@@ -109,7 +124,7 @@
 	case refusedRequest:
 		_ = s.noteRefusal(s.standby.hops, h.err)
 		if h.err.Outcome == fault.NotRun {
-			s.removeRunner(target)
+			s.removeRunner(s.standby)
 		} else {
 			s.youngLosses[target.ID] = true
 		}
@@ -125,9 +140,11 @@
 func (s *stream) receiveStandbyEvent(ev event, ok bool) bool {
 	if ok && len(s.standby.received) < eventQueueLength {
 		s.standby.received = append(s.standby.received, ev)
-		return !ev.comment
+		s.standby.answers = !ev.comment
+		return s.standby.answers
 	}
 	if !ok && s.standby.complete() {
+		s.standby.answers = true
 		return true
 	}
 	target := s.standby.hops[0].Target
@@ -147,8 +164,17 @@
 	s.standby = nil
 }
 
-// removeRunner removes a target that has refused the request from those that may
-// run it.
-func (s *stream) removeRunner(t topo.Target) {
-	s.possibleRunners = slices.DeleteFunc(s.possibleRunners, func(r topo.Target) bool { return r.ID == t.ID && r.Started == t.Started })
+// removeRunner removes the target of a run that was refused from those that may run
+// the request, unless it had run it before.
+func (s *stream) removeRunner(r *streamRun) {
+	if r.again {
+		return
+	}
+	t := r.hops[0].Target
+	s.possibleRunners = slices.DeleteFunc(s.possibleRunners, func(o topo.Target) bool { return o.ID == t.ID && o.Started == t.Started })
+}
+
+// hasRunAt reports whether a target is among those that may have run the request.
+func (s *stream) hasRunAt(t topo.Target) bool {
+	return slices.ContainsFunc(s.possibleRunners, func(o topo.Target) bool { return o.ID == t.ID && o.Started == t.Started })
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -265,13 +266,29 @@
 	return s.mayResume()
 }
 
-// mayResume reports whether one more target may run the request. A target that
+// mayResume reports whether the request may run at a target again: at one more, or at
+// one where it has run before.
+func (s *stream) mayResume() bool {
+	if !s.route.Resumable {
+		return false
+	}
+	return s.mayAddRunner() || s.sendCount < maxSends+maxResumes && slices.ContainsFunc(s.possibleRunners, s.mayRunAgain)
+}
+
+// mayAddRunner reports whether one more target may run the request. A target that
 // ended before the request had survived there counts, because the request may be
 // the reason.
-func (s *stream) mayResume() bool {
+func (s *stream) mayAddRunner() bool {
 	alive, lost := s.runners()
-	return s.route.Resumable && alive < s.route.Attempts && alive+lost < max(s.route.Attempts, minRuns) &&
-		len(s.possibleRunners) <= maxResumes
+	return alive < s.route.Attempts && alive+lost < max(s.route.Attempts, minRuns) && len(s.possibleRunners) <= maxResumes
+}
+
+// mayRunAgain reports whether a target that may have run the request is still there
+// and has not failed.
+func (s *stream) mayRunAgain(t topo.Target) bool {
+	listed, ok := s.Fleets.Section().Value().Target(t.ID)
+	return ok && listed.Started == t.Started && listed.State == topo.Ready && !s.excluded[t.ID] && !s.Ledger.Ended(t) &&
+		!s.Ledger.Suspected(t) && s.Limits.Standing(t).TakesWork()
 }
 
 // runners returns how many of the targets that may have run the request may still
@@ -328,12 +345,14 @@
 	targets := s.Fleets.Section().Value().ServiceTargets(s.service.Name)
 	suspected := s.Ledger.SuspectedAmong(targets)
 	out := make([]chain.Candidate, 0, len(targets))
+	mayAdd := len(s.possibleRunners) == 0 || s.mayAddRunner()
 	for _, t := range targets {
 		standing := s.Limits.Standing(t)
 		if standing.Leaving || standing.PausedFor <= 0 && (s.excluded[t.ID] || suspected[t.ID]) {
 			continue
 		}
-		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: standing.Full, PausedFor: standing.PausedFor})
+		notFirst := standing.Full || !mayAdd && !s.hasRunAt(t)
+		out = append(out, chain.Candidate{Target: t, Load: loads[t.ID], SlowFactor: t.Pace, NotFirst: notFirst, PausedFor: standing.PausedFor})
 	}
 	return out
 }
@@ -401,12 +420,14 @@
 	case failure == nil:
 		return nil
 	case failure.Outcome == fault.NotRun:
-		s.removeRunner(first)
+		s.removeRunner(r)
 		return failure
 	case !s.survived:
 		s.youngLosses[first.ID] = true
 	}
-	s.excluded[first.ID] = true
+	if s.standby == nil || !s.standby.answers {
+		s.excluded[first.ID] = true
+	}
 	return failure
 }
 
