soak: runs at the same time take ports far apart

Three soaks ran at once, their processes 10 numbers apart, and each takes ports in order from its process ID on, so one gave another's gateways ports that were free while these were down. The first ports are now 1009 apart.

--- a/test/soak/proc_test.go
+++ b/test/soak/proc_test.go
@@ -28,8 +28,11 @@
 	// their resident memory must not exceed.
 	memoryMegabytes = 284
 	// firstPort and portCount give the range of ports that gateways listen on.
-	firstPort = 21000
-	portCount = 11000
+	// portsPerRun is the distance between the first ports of two soaks, which must
+	// not take the ports of gateways that are down from one another.
+	firstPort   = 21000
+	portCount   = 11000
+	portsPerRun = 1009
 	// keyLife is the KeyLife setting of the gateways: the age of the
 	// configuration from which they refuse keys.
 	keyLife = 5 * time.Second
@@ -71,7 +74,7 @@
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for {
-		port := firstPort + int(lastPort.Add(1)+int32(os.Getpid()))%portCount
+		port := firstPort + (int(lastPort.Add(1))+portsPerRun*os.Getpid())%portCount
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
