--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,8 +28,10 @@
 	// ask is a request to be sent.
 	ask struct {
 		method, route string
-		body          string
-		timeout       time.Duration
+		// host is site.example if it is empty.
+		host    string
+		body    string
+		timeout time.Duration
 		// maxGap is the longest gap after which the client leaves a stream.
 		maxGap time.Duration
 	}
@@ -91,7 +94,8 @@
 	}
 	out.gateway, out.kept = c.gateway.name, c.served > 0
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s /%s/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", a.method, a.route, out.id, a.timeout.Milliseconds())
+	fmt.Fprintf(&head, "%s /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n",
+		a.method, a.route, cmp.Or(a.host, "site.example"), out.id, a.timeout.Milliseconds())
 	if c.key != "" {
 		fmt.Fprintf(&head, "Authorization: Bearer %s\r\n", c.key)
 	}
--- a/review/_stand/keys.go
+++ b/review/_stand/keys.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// revokeTime is the bound revokeMs, and configTime configApplyMs.
+// revokeTime is the bound revokeMs.
 const revokeTime = 5 * time.Second
 
 // lastTenant removes the last tenant from the config, and counts the requests with its
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -20,6 +20,7 @@
 		"endless-head": endlessHead,
 		"grey-engine":  greyEngine,
 		"last-tenant":  lastTenant,
+		"route-host":   routeHost,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE")
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -35,6 +35,8 @@
 	configVer int
 	tenants   []map[string]any
 	memoryMb  int
+	// orderHost is the host of a route that is there only if it isn't empty.
+	orderHost string
 }
 
 func newWorld(trouble bool) (*world, error) {
@@ -115,15 +117,18 @@
 		}
 		return r
 	}
+	routes := []any{
+		route("draft", "stream", "llm", map[string]any{
+			"timeoutMs": 20000, "targetLatencyMs": 500, "targetGapMs": 200, "priority": 1, "maxAttempts": 2, "sticky": true, "resumable": true,
+		}),
+		route("register", "unsafe", "app", nil),
+		route("lookup", "safe", "app", map[string]any{"maxAttempts": 2}),
+	}
+	if w.orderHost != "" {
+		routes = append(routes, route("order", "unsafe", "app", map[string]any{"host": w.orderHost}))
+	}
 	w.store.put("op", "config", map[string]any{
-		"version": w.configVer,
-		"routes": []any{
-			route("draft", "stream", "llm", map[string]any{
-				"timeoutMs": 20000, "targetLatencyMs": 500, "targetGapMs": 200, "priority": 1, "maxAttempts": 2, "sticky": true, "resumable": true,
-			}),
-			route("register", "unsafe", "app", nil),
-			route("lookup", "safe", "app", map[string]any{"maxAttempts": 2}),
-		},
+		"version": w.configVer, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConnections": 978, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": 192, "kvCapacityTokens": 100000, "kvTokenBytes": 8000, "linkMbps": 400000.0, "stride": 3,
