--- a/review/_stand/head.go
+++ b/review/_stand/head.go
@@ -12,7 +12,7 @@
 const (
 	// spoiledShare is the share of the answers that the faulty engine spoils, and
 	// troubleTime how long it does.
-	spoiledShare = 0.45
+	spoiledShare = 0.4
 	troubleTime  = 6500 * time.Millisecond
 	// spoiledBytesPerSecond is the pace of a head without end, a fiftieth of the
 	// engine's link.
