--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/shallotcourse ] && [ -x review/bin/stand ] || { echo "build target/shallotcourse and run review/build.sh first"; exit 2; }
-RECORD=review/3/record.txt timeout -k 5 115 review/bin/stand last-tenant
+TROUBLE="${TROUBLE:-1}" RECORD=review/3/record.txt timeout -k 5 115 review/bin/stand last-tenant
 code=$?
 [ $code -eq 0 ] || [ $code -eq 1 ] || exit 2
 exit $code
