proxy: do not pass on a target's failure as a promise that the request has not run

What callers saw: a call that may run once was answered 503 although its target had carried it out.

Cause: a target that has run a call and then fails answers 503 without saying that it has not run the call. The gateway counted the outcome as Unknown and tried no other target, but passed the response on as it was. Responses with 408 and 429 counted as success. The gateway's own refusals turn such a status into 502 in refuse(); responses of targets did not come by there.

Fix: such a response is a failure with the outcome Unknown. It may be repeated where the route allows that; otherwise the caller gets 502 without the seal. It works for every status that implies a promise because readResponse and refuse ask the same function, and roundTrip has taken out before what targets state not to have run.

The scripts also show whether a failure carries the target's seal.

--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -49,8 +50,10 @@
 
 	answeringTarget struct {
 		id string
-		// kind is how requests are answered, header what all answers carry.
+		// kind is how requests are answered, status that of unmarked failures, header
+		// what all answers carry.
 		kind   string
+		status int
 		header http.Header
 		polls  int
 		paths  []string
@@ -176,7 +179,8 @@
 		h.Set("Response-Seal", "s")
 		return answer(http.StatusInternalServerError, "")
 	case "unmarked":
-		return answer(http.StatusServiceUnavailable, "")
+		h.Set("Response-Seal", "s")
+		return answer(cmp.Or(t.status, http.StatusServiceUnavailable), "")
 	case "misdirected":
 		return answer(http.StatusMisdirectedRequest, "")
 	}
@@ -216,6 +220,9 @@
 	if len(got) == 0 {
 		out = fmt.Sprintf("%d, not sent", w.Code)
 	}
+	if w.Code >= http.StatusBadRequest && w.Header().Get("Response-Seal") != "" {
+		out += ", sealed"
+	}
 	if earliest := l.Duration("returns"); earliest > 0 {
 		after, err := time.ParseDuration(w.Header().Get("Retry-After") + "s")
 		if err != nil || after < earliest-returnRounding || after > earliest+time.Second+returnRounding {
@@ -245,7 +252,8 @@
 // that incarnation lives; and against holding back another incarnation or instance.
 // Also against requests to a target that has asked for a pause before it is over
 // (BUDGET), callers that are kept waiting for one or told to return before it is over,
-// and values that are no pause.
+// and values that are no pause. And against callers that are promised that a request has
+// not run although its target has only failed (REFUSED).
 func TestAnswersOfTargets(t *testing.T) {
 	script.RunInBubble(t, "testdata/answers/*.txtar", func(t *testing.T) func(script.Line) []string {
 		s := newAnswerSite(t)
@@ -255,7 +263,7 @@
 				s.add(l)
 			case "answers":
 				target := s.targets[l.Text("id")+":1"]
-				target.kind, target.header = l.Text("with"), http.Header{}
+				target.kind, target.status, target.header = l.Text("with"), l.Int("status"), http.Header{}
 				for name, key := range map[string]string{
 					"Server-Leaving": "leaving", "Request-Id": "request", "At-Server": "at", "Server-Limit": "limit", "Retry-After": "pause",
 				} {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -103,7 +103,7 @@
 			if pending > 0 {
 				continue
 			}
-			if a.response != nil && last.Outcome != fault.NotRun {
+			if a.response != nil && last.Outcome != fault.NotRun && !impliesNotRun(a.response.status) {
 				q.writeResponse(a.response)
 				return
 			}
@@ -319,7 +319,9 @@
 
 // readResponse reads the body. For a server error it returns both the response
 // and an error, so that the response can be passed on if no other target may
-// run the request.
+// run the request. So it does for a status that implies that the request has not
+// run: roundTrip handles the responses whose target states that, so this one may
+// have run, and its status must not reach the caller.
 func (q *request) readResponse(resp *http.Response) (*response, *fault.Error) {
 	defer func() { _ = resp.Body.Close() }()
 	body, err := q.buffers.readAll(resp.Body)
@@ -327,7 +329,7 @@
 		return nil, err
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if resp.StatusCode >= http.StatusInternalServerError || impliesNotRun(resp.StatusCode) {
 		return a, fault.Newf(fault.TargetLost, "the target responded with status %d", resp.StatusCode).WithOutcome(fault.Unknown)
 	}
 	return a, nil
