platform, topo: an empty list of client accounts accepts no key

Cause: a value that is there and empty was taken for one that is not there. DecodeConfig did not tell a configuration without the list, which needs no keys, from one with an empty list, and NewConfig went by the list's length. An empty key and an account without a name had the same effect in small: requests without a key ran as that account, or ran without Tenant-Id.

Fix: whether the field is there is recorded when it is decoded, and only that makes a configuration keyless.

--- a/internal/topo/config.go
+++ b/internal/topo/config.go
@@ -21,7 +21,8 @@
 	byHost map[string][]Route
 	// byKey holds the accounts by the hash of each of their keys.
 	byKey map[uint64]keyedAccount
-	// keyless says that no account is declared, so that requests need no key.
+	// keyless says that the configuration declares no list of accounts, so that
+	// requests need no key. With an empty list, no key is valid.
 	keyless bool
 }
 
@@ -33,11 +34,12 @@
 }
 
 // NewConfig returns a configuration. The map keys holds the keys of each account
-// by its name.
+// by its name. If accounts is nil, requests need no key; if it is only empty, no key
+// is valid.
 func NewConfig(version uint64, limits Limits, routes []Route, services []Service, accounts []Account, keys map[string][]string) Config {
 	c := Config{
 		Version: version, Limits: limits, services: map[string]Service{}, byHost: map[string][]Route{},
-		byKey: map[uint64]keyedAccount{}, keyless: len(accounts) == 0,
+		byKey: map[uint64]keyedAccount{}, keyless: accounts == nil,
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -50,6 +52,10 @@
 	}
 	for _, a := range accounts {
 		for _, key := range keys[a.Name] {
+			if key == "" || a.Name == "" {
+				// Requests without a key, or of no account, must not match.
+				continue
+			}
 			c.byKey[xxhash.Sum64String(key)] = keyedAccount{key, a}
 		}
 	}
@@ -76,7 +82,8 @@
 	return k.account, ok && k.key == key
 }
 
-// Keyless reports whether no account is declared, so that requests need no key.
+// Keyless reports whether no list of accounts is declared, so that requests need no
+// key.
 func (c Config) Keyless() bool { return c.keyless }
 
 // Service returns a service by name.
