topo: match hosts of routes in any spelling

Cause: Match looked the request's host up in small letters and without its port, NewConfig stored routes under the host as it is written.

Evidence: TestMatchSpellingsOfHosts, six of twelve cases failed before (capital letters, a last dot on either side, a port in the configuration, an IPv6 address), and TestMatchPrefixesAcrossSpellings.

Fix: one function brings both sides into the same form, so they cannot differ.

Tests of topo and platform pass.

--- a/internal/topo/config.go
+++ b/internal/topo/config.go
@@ -17,7 +17,7 @@
 	Limits  Limits
 
 	services map[string]Service
-	// byHost holds the routes of each host, longest prefix first.
+	// byHost holds the routes of each host, longest prefix first, by its hostKey.
 	byHost map[string][]Route
 	// byKey holds the accounts by the hash of each of their keys.
 	byKey map[uint64]keyedAccount
@@ -45,7 +45,7 @@
 		c.services[s.Name] = s
 	}
 	for _, r := range routes {
-		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		c.byHost[hostKey(r.Host)] = append(c.byHost[hostKey(r.Host)], r)
 	}
 	for _, rs := range c.byHost {
 		slices.SortStableFunc(rs, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -65,10 +65,7 @@
 // Match returns the route with the longest prefix that matches a host, with or
 // without a port, and a path.
 func (c Config) Match(host, path string) (Route, bool) {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	for _, r := range c.byHost[strings.ToLower(host)] {
+	for _, r := range c.byHost[hostKey(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -76,6 +73,17 @@
 	return Route{}, false
 }
 
+// hostKey returns the form of a host in which two spellings of the same name are
+// equal: in small letters, without a port, brackets or the dot of the root.
+func hostKey(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	} else if strings.HasPrefix(host, "[") {
+		host = strings.Trim(host, "[]")
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
 // Account returns the account that a key belongs to.
 func (c Config) Account(key string) (Account, bool) {
 	k, ok := c.byKey[xxhash.Sum64String(key)]
