bearer: the scheme of a key does not depend on case

What callers saw: a request with 'Authorization: bearer KEY' was answered 401 by gateways, entries and the operator's interface.

Cause: three copies of strings.CutPrefix(header, "Bearer ").

Fix: one function for the three, which compares the scheme without case. The key itself still depends on case.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 	"unicode/utf8"
 
@@ -18,6 +17,7 @@
 
 	"github.com/gorilla/mux"
 
+	"shallotcourse/internal/bearer"
 	"shallotcourse/internal/fault"
 	"shallotcourse/pkg/resrc"
 )
@@ -111,8 +111,8 @@
 // authenticate returns the account whose API key the request carries. Keys are
 // looked up by their digest, so that response times reveal nothing about them.
 func (e *Entry) authenticate(r *http.Request) (string, bool) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
+	key, ok := bearer.Key(r.Header)
+	if !ok {
 		return "", false
 	}
 	sum := sha256.Sum256([]byte(key))
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -11,13 +11,13 @@
 	"net/http"
 	"regexp"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
 
+	"shallotcourse/internal/bearer"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/store"
 	"shallotcourse/internal/timer"
@@ -173,7 +173,7 @@
 // authenticate returns the operator's name. It compares all key hashes, each in
 // constant time, so that the duration reveals nothing about them.
 func (h *handler) authenticate(r *http.Request) (string, error) {
-	key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key, ok := bearer.Key(r.Header)
 	digest := sha256.Sum256([]byte(key))
 	found := -1
 	for i, known := range h.keyHashes {
@@ -181,7 +181,7 @@
 			found = i
 		}
 	}
-	if !bearer || found < 0 {
+	if !ok || found < 0 {
 		return "", fault.New(fault.Unauthorized, "an operator key is required")
 	}
 	return h.Operators[found].Name, nil
