proxy: give the end of a stream a write deadline of its own

What callers saw: all events of a stream and then a broken connection, so that a complete answer was lost, if its target sent nothing for more than 5 s between the last event and the end.

Cause: each event sets a write deadline, and nothing set it anew when the stream ended. The server writes the last chunk when the handler returns, after that deadline.

Fix: the deadline is set once more at the end, so that last write has the time that each other one has.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -170,15 +170,23 @@
 		return s.noteEnd(failure.WithOutcome(s.outcome()))
 	}
 	s.writeHead()
+	// The server writes the end of the response when the handler returns.
+	s.extendWriteDeadline()
 	s.noteComplete(unframed)
 	return nil
 }
 
+// extendWriteDeadline gives the next write to the caller writeTimeout.
+func (s *stream) extendWriteDeadline() {
+	// A writer that does not support deadlines belongs to no connection.
+	_ = s.control.SetWriteDeadline(s.Clock.Now().Add(writeTimeout))
+}
+
 // writeEvents writes an event and all that are queued behind it. It reports
 // whether one of them is more than a comment.
 func (s *stream) writeEvents(ev event, more <-chan event) (progress bool, failure *fault.Error) {
 	s.writeHead()
-	_ = s.control.SetWriteDeadline(s.Clock.Now().Add(writeTimeout))
+	s.extendWriteDeadline()
 	for {
 		if _, err := s.w.Write(ev.raw); err != nil {
 			return progress, fault.New(fault.Canceled, "writing to the caller failed").WithOutcome(fault.Partial).WithCause(err)
