cmds, engine, link, plat, clnt: bound the heads of answers

Cause: the HTTP client reads heads of 10 MB unless told otherwise, and as parsed lines these take some 150 MB. The WebSocket library reads heads of any length. Bodies of the platform were read to 32 MB and what came after was cut off without an error, which made a truncated object look whole.

TestResponsesAreBounded is new and was not run on the code before, which has no such option; that a longer body was cut there is by reading.

Fix: each HTTP client has a bound on heads; a dialled link has one on all that is read before the upgrade; a body over its bound is an error. Heads of sound servers have some hundred bytes. That the peak also stays small with many at once follows from the bound: 32 KB a head at a gateway, which close the connection when they are over it.

Tests of cmds (this one, with -race), link, plat, engine and clnt pass.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -46,9 +46,14 @@
 	// in the same region, so one that does not accept within this time is
 	// treated as failed.
 	targetDialTimeout = 400 * time.Millisecond
+	// targetHeadBytes bounds the head of a target's response. Parsed, short header
+	// lines take many times their bytes, and many heads may be read at once.
+	targetHeadBytes = 32 << 10
 	// storeTimeout bounds a call to the store, in addition to the wait that the
 	// call requests.
 	storeTimeout = 700 * time.Millisecond
+	// storeResponseBytes bounds a response of the store. Pages of rows have 1 MB.
+	storeResponseBytes = 8 << 20
 	// keyLifeMargin is the share of KeyLife that is reserved for the time
 	// between the check of a request's key and its arrival at the target.
 	keyLifeMargin = 0.1
@@ -170,7 +175,7 @@
 	d := newDaemon(settings.Instance, settings.Log, logs)
 	g := &gatewayDaemon{daemon: d, settings: settings, file: file}
 	g.gatewayCount.Store(1)
-	g.store = platform.NewStore(settings.Store, plat.WithTimeout(storeTimeout), plat.WithClock(d.clock))
+	g.store = platform.NewStore(settings.Store, plat.WithTimeout(storeTimeout), plat.WithResponseBytes(storeResponseBytes), plat.WithClock(d.clock))
 	g.configs = follow.NewConfigs(g.store, d.clock, bootClock, d.logger)
 	g.fleets = follow.NewFleets(g.store, d.clock, bootClock, d.logger)
 	g.ledger = ledger.New(d.clock)
@@ -227,7 +232,9 @@
 func targetClient() *http.Client {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: targetHeadBytes,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -19,6 +19,9 @@
 	// maxResponseBytes limits the size of a response body that is read.
 	maxResponseBytes = 64 << 20
 
+	// maxHeadBytes limits the head of a response that is read.
+	maxHeadBytes = 64 << 10
+
 	// maxIdleConnections is the number of idle connections kept per engine or
 	// service. Requests other than steps come in bursts, and dialing for each
 	// would add a round trip.
@@ -44,10 +47,13 @@
 func NewClient(base string) *Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &Client{baseURL: base, httpClient: &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     time.Minute,
-	}}, noReuseClient: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}}, noReuseClient: &http.Client{Transport: &http.Transport{
+		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
+	}}}
 }
 
 // OpenSession opens a session, or returns the state of a session that is
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -57,7 +57,7 @@
 func newNoRetryTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{DialContext: dial, DisableKeepAlives: true, Protocols: protocols}
+	return &http.Transport{DialContext: dial, DisableKeepAlives: true, Protocols: protocols, MaxResponseHeaderBytes: maxHeadBytes}
 }
 
 // Do sends a call and returns the response. Redirects are not followed. An error
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -11,7 +11,19 @@
 	"github.com/gorilla/websocket"
 )
 
+// maxUpgradeBytes bounds what is read before a connection has become a link. The
+// WebSocket library reads the head of the response to its end, however long it is.
+const maxUpgradeBytes = 64 << 10
+
 type (
+	// upgradeConn is a dialled connection, whose reads are bounded until it is
+	// upgraded. Only the goroutine that reads changes it.
+	upgradeConn struct {
+		net.Conn
+		left     int
+		upgraded bool
+	}
+
 	// Dialer keeps links to the requested addresses.
 	Dialer struct {
 		group *Group
@@ -34,6 +46,19 @@
 	}
 )
 
+// Read implements net.Conn.
+func (c *upgradeConn) Read(b []byte) (int, error) {
+	if c.upgraded {
+		return c.Conn.Read(b)
+	}
+	if c.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // Want keeps a link to the address until Unwant has been called as often as
 // Want.
 func (d *Dialer) Want(address string) {
@@ -157,20 +182,24 @@
 	// aborts them. stopAbort prevents that, and reports false if it is too late.
 	// It is replaced once there is a connection.
 	stopAbort := func() bool { return true }
+	var upgrading *upgradeConn
 	dialer := websocket.Dialer{
 		ReadBufferSize: readBufferBytes, WriteBufferSize: writeBufferBytes, WriteBufferPool: writeBufferPool,
 		NetDialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-			if err == nil {
-				stopAbort = context.AfterFunc(ctx, func() { _ = c.Close() })
+			if err != nil {
+				return nil, err
 			}
-			return c, err
+			stopAbort = context.AfterFunc(ctx, func() { _ = c.Close() })
+			upgrading = &upgradeConn{Conn: c, left: maxUpgradeBytes}
+			return upgrading, nil
 		},
 	}
 	ws, _, err := dialer.DialContext(ctx, "ws://"+loop.address+Path, nil)
 	if err != nil {
 		return nil, errLinkDown.WithCause(err)
 	}
+	upgrading.upgraded = true
 	c, err := d.group.establish(ws, loop.address, loop.set)
 	if err != nil {
 		stopAbort()
--- a/internal/link/reason.go
+++ b/internal/link/reason.go
@@ -28,6 +28,7 @@
 	errStopped      = fault.New(fault.Leaving, "the process is closing all its links")
 	errNoHello      = fault.New(fault.Malformed, "the first message is not a valid Hello")
 	errHelloTimeout = fault.New(fault.Deadline, "timed out waiting for Hello")
+	errHeadTooLong  = fault.Newf(fault.Malformed, "the response to the upgrade exceeds %d bytes", maxUpgradeBytes)
 )
 
 // closeText returns the text of the close frame for a reason.
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -24,8 +24,10 @@
 	// between polls, so that a connection that does not answer delays at most
 	// one poll.
 	defaultTimeout = 1500 * time.Millisecond
-	// maxResponseBytes bounds one response of the platform.
-	maxResponseBytes = 32 << 20
+	// defaultResponseBytes and maxHeadBytes bound the body and the head of one response
+	// of the platform.
+	defaultResponseBytes = 32 << 20
+	maxHeadBytes         = 64 << 10
 )
 
 type (
@@ -45,13 +47,15 @@
 	// errors. Timeouts, rate limits and the retry of a read that timed out are
 	// implemented here only.
 	Transport struct {
-		base        string
-		http        *http.Client
-		clock       timer.Service
-		timeout     time.Duration
-		reads       *Bucket
-		writes      *Bucket
-		decodeError func(Request, *http.Response) error
+		base    string
+		http    *http.Client
+		clock   timer.Service
+		timeout time.Duration
+		// responseBytes bounds the body of a response.
+		responseBytes int64
+		reads         *Bucket
+		writes        *Bucket
+		decodeError   func(Request, *http.Response) error
 	}
 
 	// timeoutError marks a request that was sent and not answered within the
@@ -80,6 +84,9 @@
 // WithTimeout sets the timeout of one request.
 func WithTimeout(d time.Duration) Option { return func(t *Transport) { t.timeout = d } }
 
+// WithResponseBytes sets the most bytes that the body of a response may have.
+func WithResponseBytes(n int64) Option { return func(t *Transport) { t.responseBytes = n } }
+
 // WithClock sets the timer service.
 func WithClock(s timer.Service) Option { return func(t *Transport) { t.clock = s } }
 
@@ -105,7 +112,7 @@
 
 // NewTransport returns a transport to the platform at a base URL.
 func NewTransport(baseURL string, options ...Option) *Transport {
-	t := &Transport{base: baseURL, clock: timer.System{}, timeout: defaultTimeout, decodeError: responseError}
+	t := &Transport{base: baseURL, clock: timer.System{}, timeout: defaultTimeout, responseBytes: defaultResponseBytes, decodeError: responseError}
 	for _, o := range options {
 		o(t)
 	}
@@ -113,6 +120,7 @@
 		dialer := &net.Dialer{Timeout: t.timeout}
 		t.http = &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}}
 	}
 	return t
@@ -175,7 +183,10 @@
 	if resp.StatusCode/100 != 2 {
 		return nil, resp.Header, t.decodeError(r, resp)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, t.responseBytes+1))
+	if err == nil && int64(len(data)) > t.responseBytes {
+		err = fault.Newf(fault.TooLarge, "the response exceeds %d bytes", t.responseBytes)
+	}
 	if err != nil {
 		return nil, resp.Header, noResponse(ctx, r, true, err)
 	}
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -139,3 +141,24 @@
 	is.NoErr(err)
 	is.Equal(len(list), 1)
 }
+
+// Guards against memory that grows with an answer without end, and against an object
+// that is returned without its end.
+func TestResponsesAreBounded(t *testing.T) {
+	const limit = 1 << 10
+	for _, c := range []struct {
+		bytes int
+		ok    bool
+	}{{limit, true}, {limit + 1, false}, {64 * limit, false}} {
+		t.Run(fmt.Sprint(c.bytes), func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, c.bytes))
+			}))
+			defer server.Close()
+			data, err := plat.NewClient(server.URL, plat.WithResponseBytes(limit)).Objects.Get(context.Background(), "o")
+			is.Equal(err == nil, c.ok)
+			is.Equal(len(data) == c.bytes, c.ok)
+		})
+	}
+}
--- a/pkg/clnt/pool.go
+++ b/pkg/clnt/pool.go
@@ -16,8 +16,12 @@
 	"shallotcourse/internal/timer"
 )
 
-// dialTimeout bounds the time to connect to one entry.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds the time to connect to one entry.
+	dialTimeout = time.Second
+	// maxHeadBytes bounds the head of an entry's answer.
+	maxHeadBytes = 256 << 10
+)
 
 type (
 	// pool holds the addresses of the entries and the connections to them.
@@ -55,8 +59,12 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	p := &pool{
 		key: key, clock: timer.System{},
-		client:        &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: 30 * time.Second}},
-		noReuseClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+		}},
+		noReuseClient: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
+		}},
 	}
 	for _, e := range entries {
 		if !strings.Contains(e, "://") {
