proxy: long events that wait for callers share the memory of responses

What callers could see: as with heads without end, a gateway that is killed because a faulty target sends bodies without end.

Cause: events of streams were bounded one by one (256 KB), but each stream queues 16 of them for its caller, and a standby keeps as many.

Fix: an event over 4 KB is counted, from when it is read until it is written or its run ends, against the 32 MB that plain responses share. A stream that finds no room fails as one that its target broke off. Events of sound targets are shorter and are never counted, so a faulty target cannot take their room.

--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -18,12 +18,29 @@
 	maxBufferedBytes = 32 << 20
 	// firstBufferBytes is the initial size of the buffer of a response.
 	firstBufferBytes = 2 << 10
+	// uncountedEventBytes is the size up to which the events of streams that wait for
+	// their caller are not counted. Events of sound targets are shorter.
+	uncountedEventBytes = 4 << 10
 )
 
 // responseBuffers counts the memory of all responses that are being read, beyond
-// the first firstBufferBytes of each.
+// the first firstBufferBytes of each, and of the long events that wait for their
+// callers.
 type responseBuffers struct{ bytes atomic.Int64 }
 
+// reserveEvent counts an event that is to wait for its caller, and reports whether
+// there is room for it.
+func (b *responseBuffers) reserveEvent(ev event) bool {
+	return len(ev.raw) <= uncountedEventBytes || b.reserve(int64(len(ev.raw)))
+}
+
+// releaseEvent takes back what reserveEvent has counted.
+func (b *responseBuffers) releaseEvent(ev event) {
+	if len(ev.raw) > uncountedEventBytes {
+		b.bytes.Add(-int64(len(ev.raw)))
+	}
+}
+
 // readAll reads a body to its end. Errors are of type fault.Error with code
 // TargetLost and outcome Unknown: the body broke off, is longer than
 // maxResponseBytes, or too much is being read at the same time.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -41,7 +41,9 @@
 		s.begun, s.head, unframed = true, *r.head, r.head.unframed
 		heads, events = nil, u.events
 	}
-	for _, ev := range r.received {
+	for len(r.received) > 0 {
+		ev := r.received[0]
+		r.received = r.received[1:]
 		if _, err := s.receiveEvent(ev, nil); err != nil {
 			return err
 		}
@@ -188,7 +190,9 @@
 	s.writeHead()
 	s.extendWriteDeadline()
 	for {
-		if _, err := s.w.Write(ev.raw); err != nil {
+		_, err := s.w.Write(ev.raw)
+		s.buffers.releaseEvent(ev)
+		if err != nil {
 			return progress, fault.New(fault.Canceled, "writing to the caller failed").WithOutcome(fault.Partial).WithCause(err)
 		}
 		if !ev.comment {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -137,6 +137,7 @@
 	s.abortCtx, s.abort = context.WithCancel(context.Background())
 	s.reports.init()
 	s.latencies.init()
+	o.Metrics.NewGauge("shallotcourse_response_buffer_bytes", func() float64 { return float64(s.buffers.bytes.Load()) })
 	o.Metrics.NewGauge("shallotcourse_requests_open", func() float64 { return float64(s.openRequests.Load()) })
 	return s
 }
--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -50,10 +50,14 @@
 	}, nil
 }
 
-// end ends the run, if it has not ended yet.
-func (r *streamRun) end() {
+// endOf ends a run, if it has not ended yet.
+func (s *stream) endOf(r *streamRun) {
 	r.upstream.cancel()
 	r.ticket.Close()
+	for _, ev := range r.received {
+		s.buffers.releaseEvent(ev)
+	}
+	r.received = nil
 }
 
 // complete reports whether the response, whose events have ended, is complete.
@@ -147,6 +151,9 @@
 		s.standby.answers = true
 		return true
 	}
+	if ok {
+		s.buffers.releaseEvent(ev)
+	}
 	target := s.standby.hops[0].Target
 	s.excluded[target.ID], s.youngLosses[target.ID] = true, true
 	s.probeBroken(target, fault.New(fault.TargetLost, "the response of the standby ended before an event"))
@@ -160,7 +167,7 @@
 		return
 	}
 	_ = level.Info(s.Log).Log("event", "StandbyEnded", "request", s.headers.ID, "target", s.standby.hops[0].Target.ID, "why", why)
-	s.standby.end()
+	s.endOf(s.standby)
 	s.standby = nil
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -394,7 +394,7 @@
 
 // run relays the events of a run until the stream ends, or goes on with the standby.
 func (s *stream) run(r *streamRun) *fault.Error {
-	defer r.end()
+	defer s.endOf(r)
 	s.hops, s.ticket = r.hops, r.ticket
 	s.sentAt, s.beganAt, s.survived = r.sentAt, time.Time{}, false
 	failure := s.relay(r)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -75,8 +75,13 @@
 	go func() {
 		resp, head := s.readHead(ctx, hops[0].Target, send, begun)
 		u.head <- head
-		if resp != nil {
-			u.end <- s.readEvents(ctx, resp, u.events, begun)
+		if resp == nil {
+			return
+		}
+		u.end <- s.readEvents(ctx, resp, u.events, begun)
+		<-ctx.Done()
+		for ev := range u.events {
+			s.buffers.releaseEvent(ev)
 		}
 	}()
 	return u
@@ -145,9 +150,13 @@
 			return failure
 		}
 		first = first && ev.comment
+		if !s.buffers.reserveEvent(ev) {
+			return fault.New(fault.TargetLost, "too many long events are waiting").WithOutcome(fault.Partial)
+		}
 		select {
 		case events <- ev:
 		case <-ctx.Done():
+			s.buffers.releaseEvent(ev)
 			return fault.New(fault.Canceled, "the stream was abandoned").WithOutcome(fault.Partial)
 		}
 	}
