proxy, engine: do not vouch for a body that ends with its connection

What callers saw: 200 with an empty or a short body and a Content-Length that fits it, for a call whose target had stopped in its answer and closed the connection, if the head that had arrived was whole but had neither length nor chunks.

Cause: a call's body is read to its end and given a length. For a body that ends with its connection only the target knows whether that was the end. Heads that break off themselves were never taken for whole.

TestServiceStopsInItsResponse failed before at the cut after the head.

Fix: gateways pass such a body on as it came, ended by the connection, so that callers know as much as the gateway does; an empty one is a failure with the outcome Unknown, because an empty body that is meant has a length. Agents do the latter; messages between processes have a length, so that a short one is still passed on with one.

--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -89,6 +89,8 @@
 	header http.Header
 	body   string
 	err    error
+	// unframed is true if the body had neither a length nor chunks.
+	unframed bool
 }
 
 var requestNumber struct {
@@ -122,7 +124,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	return testResponse{resp.StatusCode, resp.Header, string(b), err}
+	return testResponse{resp.StatusCode, resp.Header, string(b), err, resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 }
 
 func (g *testGateway) get(path string, headers ...string) testResponse {
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -85,6 +85,11 @@
 	if len(body) > MaxServiceResponseBytes {
 		return ServiceResponse{}, fault.New(fault.TooLarge, "service response is too large").WithOutcome(fault.Unknown)
 	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if unframed && len(body) == 0 && resp.StatusCode/100 == 2 && c.Method != http.MethodHead {
+		// An empty body would have a length; the service has stopped in its head.
+		return ServiceResponse{}, fault.New(fault.Unavailable, "connection ended before the body").WithOutcome(fault.Unknown)
+	}
 	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/internal/engine/service_test.go
+++ b/internal/engine/service_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -134,3 +136,30 @@
 	is.True(fault.Is(err, fault.Conflict))
 	is.Equal(orders.Load(), int64(1))
 }
+
+// Guards against an empty success for a service that stopped in the middle of its
+// response and closed the connection.
+func TestServiceStopsInItsResponse(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody"
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		cut, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+		_, _ = io.WriteString(conn, whole[:cut])
+	}))
+	defer s.Close()
+	service := NewService(s.URL)
+	for cut := range len(whole) - len("body") + 1 {
+		_, err := service.Do(t.Context(), ServiceCall{Method: http.MethodPost, Path: "/" + strconv.Itoa(cut)})
+		if err == nil || fault.As(err).Outcome != fault.Unknown {
+			t.Errorf("cut after %d bytes: %v, want an error with the outcome Unknown", cut, err)
+		}
+	}
+	answer, err := service.Do(t.Context(), ServiceCall{Method: http.MethodPost, Path: "/" + strconv.Itoa(len(whole))})
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(string(answer.Body), "body")
+}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -34,6 +34,9 @@
 		status int
 		header http.Header
 		body   []byte
+		// unframed is true if the body ended with its connection. Only the target
+		// knows whether it is whole.
+		unframed bool
 	}
 
 	// attempt is the result of sending a request to one target.
@@ -328,7 +331,10 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
+	a := &response{status: resp.StatusCode, header: resp.Header, body: body, unframed: isUnframed(resp)}
+	if a.unframed && len(body) == 0 && a.status/100 == 2 && q.r.Method != http.MethodHead {
+		return nil, fault.New(fault.TargetLost, "the target's connection ended before the first byte of the body").WithOutcome(fault.Unknown)
+	}
 	if resp.StatusCode >= http.StatusInternalServerError || impliesNotRun(resp.StatusCode) {
 		return a, fault.Newf(fault.TargetLost, "the target responded with status %d", resp.StatusCode).WithOutcome(fault.Unknown)
 	}
@@ -338,7 +344,14 @@
 // writeResponse sends a complete response to the caller.
 func (q *request) writeResponse(resp *response) {
 	copyHeaders(q.w.Header(), resp.header)
-	q.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	if resp.unframed {
+		// A length would vouch for the body. Without one, it ends with the
+		// connection, as that of the target did.
+		q.w.Header().Set("Transfer-Encoding", "identity")
+		q.w.Header().Set("Connection", "close")
+	} else {
+		q.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	}
 	q.firstByte = q.Clock.Now()
 	q.w.WriteHeader(resp.status)
 	_, err := q.w.Write(resp.body)
