proxy, cmds, entry: refuse requests whose body ends late in a stop

What callers saw: a request that came in time, but whose body came slowly, was passed on late in a planned stop and cut at its end: a stream without an answer, a call with 502.

Cause: whether a stop still takes requests was asked only when a head arrived. The times of a gateway's stop were constants beside a StopTimeout that is a setting: with 4 s, requests were accepted until 0.1 s before the cut.

The refusal says that nothing has run, and another gateway takes the request.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -63,16 +63,6 @@
 	// gatewayGCPercent is the heap growth in percent between garbage
 	// collections. The live heap is small compared with the memory limit.
 	gatewayGCPercent = 300
-	// streamAbortMargin is the time before the end of StopTimeout at which
-	// streams that are still open are aborted, so that their callers see the
-	// failure.
-	streamAbortMargin = 900 * time.Millisecond
-	// gatewayCloseTimeout bounds the shutdown of the listeners after a drain,
-	// which ends streamAbortMargin before the end of StopTimeout.
-	gatewayCloseTimeout = 500 * time.Millisecond
-	// callAbortTime is the time after the start of that shutdown at which the
-	// requests that are still open are answered with an error.
-	callAbortTime = 400 * time.Millisecond
 	// leaveTimeout bounds the store calls of a stop, which release the
 	// planner's lease and delete the gateway's row.
 	leaveTimeout = 500 * time.Millisecond
@@ -309,38 +299,3 @@
 		}
 	}
 }
-
-// drain waits until the load balancer has noticed the stop and the open
-// requests have ended. Streams that remain shortly before the end of
-// StopTimeout are aborted.
-func (g *gatewayDaemon) drain() {
-	start := g.clock.Now()
-	g.server.StartDrain()
-	_ = level.Info(g.logger).Log("event", "Stop", "open", g.server.OpenRequests())
-	ctx, cancel := timer.WithTimeout(context.Background(), g.clock, leaveTimeout)
-	g.planner.Release(ctx)
-	g.members.Leave(ctx)
-	cancel()
-	end := start.Add(g.settings.StopTimeout.Duration - streamAbortMargin)
-	for g.clock.Now().Before(end) && (g.server.OpenRequests() > 0 || !g.server.RefusesNew()) {
-		_ = timer.Sleep(context.Background(), g.clock, drainPollInterval)
-	}
-	if n := g.server.OpenRequests(); n > 0 {
-		_ = level.Warn(g.logger).Log("event", "StopCuts", "open", n)
-		g.server.AbortStreams()
-		_ = timer.Sleep(context.Background(), g.clock, drainPollInterval)
-	}
-}
-
-// close closes the listeners and connections. By the end of a drain the gateway
-// refuses new requests, and the platform kills the process at the end of its
-// stop time.
-func (g *gatewayDaemon) close() {
-	defer g.clock.After(callAbortTime, g.server.AbortCalls)()
-	g.shutdown(gatewayCloseTimeout)
-	_ = level.Info(g.logger).Log("event", "Stopped", "open", g.server.OpenRequests())
-}
-
-// drainPollInterval is the interval between two checks for open requests during
-// a drain.
-const drainPollInterval = 50 * time.Millisecond
--- a/internal/cmds/gateway_caller_test.go
+++ b/internal/cmds/gateway_caller_test.go
@@ -73,7 +73,7 @@
 		t.Run(fmt.Sprintf("%d %s", c.status, c.length), func(t *testing.T) {
 			is := is.New(t)
 			if c.drain {
-				g.server.StartDrain()
+				g.server.StartDrain(0)
 				eventually(t, "new requests are refused", g.server.RefusesNew)
 			}
 			length, before, after := "Content-Length: "+c.length, "", ""
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -113,6 +113,10 @@
 // admit waits until a request of the account may proceed through the gate. Its
 // failures have the outcome NotRun.
 func (a *admission) admit(ctx context.Context, name string, g *gate, deadline time.Duration) (*admittedRequest, error) {
+	if a.entry.draining.Load() {
+		// The body has taken until now, and the process may end before an answer.
+		return nil, errDraining
+	}
 	spec, ok := store.Spec[resrc.ClientAccount](a.entry.cfg.Snapshot.Value(), name)
 	if !ok {
 		return nil, fault.New(fault.Unauthorized, "API key is missing or wrong")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -99,6 +100,40 @@
 	is.True(strings.Contains(body, `"outcome":"Partial"`))
 }
 
+// Guards against a request that is dispatched late in a drain because its body came
+// slowly, and is cut when the process ends.
+func TestDrainRefusesLateBodies(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, Bounds{BalancerLag: 20 * time.Millisecond, Request: 300 * time.Millisecond})
+	body, w := io.Pipe()
+	req, err := http.NewRequest(http.MethodPost, f.server.URL+"/v1/completions", body)
+	is.NoErr(err)
+	answered := make(chan string)
+	go func() {
+		_, b := f.do(req)
+		answered <- b
+	}()
+	_, err = io.WriteString(w, `{"model":"oak",`)
+	is.NoErr(err)
+	for f.entry.OpenRequests() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	drained := make(chan struct{})
+	go func() { defer close(drained); f.entry.Drain(ctx) }()
+	for !f.entry.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.WriteString(w, `"prompt":"x"}`)
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	code, outcome := decodeError(t, <-answered)
+	is.Equal(code, "Leaving")
+	is.Equal(outcome, "NotRun")
+	cancel()
+	<-drained
+}
+
 // Guards against a drain that does not return, and against an entry that admits
 // requests after it.
 func TestDrain(t *testing.T) {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -28,6 +28,9 @@
 // that still sends is not reset before it has read the refusal.
 const abandonedBodyTime = 500 * time.Millisecond
 
+// errDraining refuses requests once the balancer's lag has passed in a drain.
+var errDraining = fault.New(fault.Leaving, "entry is shutting down").WithRetryAfter(time.Second)
+
 // callerHandler handles the request of an authenticated caller. It returns its
 // failure, unless it has already written the failure to the body.
 type callerHandler func(w http.ResponseWriter, r *http.Request, account string) error
@@ -81,7 +84,7 @@
 	}
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
-		return fault.New(fault.Leaving, "entry is shutting down").WithRetryAfter(time.Second)
+		return errDraining
 	}
 	if n := headerBytes(r.Header); n > e.bounds.HeaderBytes {
 		return fault.Newf(fault.TooLarge, "header has %d bytes; allowed: %d", n, e.bounds.HeaderBytes)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -34,10 +34,6 @@
 	// defaultTimeout applies to requests if neither the caller nor the route
 	// sets a timeout.
 	defaultTimeout = 30 * time.Second
-	// drainAcceptPeriod is how long new requests are still accepted after a
-	// drain starts. The load balancer needs two failed health checks, one
-	// second apart, and requests already in flight arrive meanwhile.
-	drainAcceptPeriod = 3 * time.Second
 )
 
 type (
@@ -85,11 +81,12 @@
 	Server struct {
 		Options
 		openRequests, totalRequests atomic.Int64
-		// drainStart is the time at which the drain started; nil before.
-		drainStart atomic.Pointer[time.Time]
-		reports    reportCache
-		buffers    responseBuffers
-		latencies  latencyStats
+		// acceptUntil is the time from which a drain refuses new requests; nil before
+		// the drain.
+		acceptUntil atomic.Pointer[time.Time]
+		reports     reportCache
+		buffers     responseBuffers
+		latencies   latencyStats
 		// abortCtx is cancelled to end the streams that are still open at the
 		// end of the drain.
 		abortCtx context.Context
@@ -146,20 +143,20 @@
 func (s *Server) OpenRequests() int { return int(s.openRequests.Load()) }
 
 // StartDrain starts a drain: connections are closed after their responses, and
-// new requests are refused after drainAcceptPeriod.
-func (s *Server) StartDrain() {
-	now := s.Clock.Now()
-	s.drainStart.Store(&now)
+// new requests are refused after the given time.
+func (s *Server) StartDrain(accept time.Duration) {
+	until := s.Clock.Now().Add(accept)
+	s.acceptUntil.Store(&until)
 }
 
 // Draining reports whether a drain has started.
-func (s *Server) Draining() bool { return s.drainStart.Load() != nil }
+func (s *Server) Draining() bool { return s.acceptUntil.Load() != nil }
 
 // RefusesNew reports whether the drain has lasted long enough that new requests
 // are refused.
 func (s *Server) RefusesNew() bool {
-	started := s.drainStart.Load()
-	return started != nil && s.Clock.Now().Sub(*started) > drainAcceptPeriod
+	until := s.acceptUntil.Load()
+	return until != nil && s.Clock.Now().After(*until)
 }
 
 // TotalRequests returns the number of requests since the process started.
@@ -182,18 +179,23 @@
 	q := &request{Server: s, w: tracker, r: r, arrived: s.Clock.Now()}
 	defer q.endPanic(func() bool { return tracker.written })
 	q.headers = s.Dialect.ReadRequest(r.Header)
-	started := s.drainStart.Load()
-	if started != nil {
+	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	if s.RefusesNew() {
-		q.refuse(fault.New(fault.Leaving, "the gateway is stopping"))
+	if err := q.refuseLate(); err != nil {
+		q.refuse(err)
 		return
 	}
 	if err := q.admit(); err != nil {
 		q.refuse(err)
 		return
 	}
+	// The body may have taken until now. What is sent this late could not be
+	// answered before the process ends.
+	if err := q.refuseLate(); err != nil {
+		q.refuse(err)
+		return
+	}
 	s.Retries.CountRequest(q.service.Name)
 	switch {
 	case q.route.Semantics == topo.Stream && q.service.Model != nil:
@@ -203,6 +205,14 @@
 	}
 }
 
+// refuseLate returns an error if the drain refuses new requests.
+func (q *request) refuseLate() error {
+	if q.RefusesNew() {
+		return fault.New(fault.Leaving, "the gateway is stopping")
+	}
+	return nil
+}
+
 // admit matches the request to a route, checks its key, chooses its service,
 // sets its deadline and reads its body. It first waits until the target list
 // has been read; Read is 0 before.
