bounds, follow, peers: ages and waits follow from the deployment's bounds

Cause: a follower called the store only when its list was 3.5 s old. After a call of its own nothing was read for 3.5 s more, so that a change right after it was known up to 3.6 s later. The deployment's bounds (drainMs 2, 3 or 4 s) reached neither the settings nor the code, and nothing added the steps up.

Fix: the bounds are settings. One pure function derives the ages, long polls and intervals from them, with the sum of the steps of the worst case for each bound, so that the sum is what is kept, whatever the bound is. A bound that cannot be kept is logged, counted and shown by gateway status. A leader whose data is older than usual asks other gateways at once. The first failed call of a follower is repeated within 0.4 s.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"shallotcourse/internal/blame"
+	"shallotcourse/internal/bounds"
 	"shallotcourse/internal/conf"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
@@ -54,9 +55,6 @@
 	storeTimeout = 700 * time.Millisecond
 	// storeResponseBytes bounds a response of the store. Pages of rows have 1 MB.
 	storeResponseBytes = 8 << 20
-	// keyLifeMargin is the share of KeyLife that is reserved for the time
-	// between the check of a request's key and its arrival at the target.
-	keyLifeMargin = 0.1
 	// heapShare is the share of MemoryMegabytes that the Go runtime may use
 	// before it collects garbage more often.
 	heapShare = 0.6
@@ -93,6 +91,8 @@
 	members  *peers.Members
 	planner  *plan.Planner
 	server   *proxy.Server
+	// times are those that follow from the bounds of the deployment.
+	times bounds.Times
 	// gatewayCount is the number of gateways that share the retry limit.
 	gatewayCount atomic.Int64
 }
@@ -138,7 +138,7 @@
 	defer lines.Close()
 	g := newGateway(file, settings, lines)
 	_ = level.Info(g.logger).Log("event", "Start", "incarnation", g.incarnation, "dataCentre", settings.DataCentre,
-		"store", settings.Store, "firstStart", settings.FirstStart)
+		"store", settings.Store, "firstStart", settings.FirstStart, "drain", settings.Bounds.Drain, "configApply", settings.Bounds.ConfigApply)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -168,6 +168,12 @@
 	g.store = platform.NewStore(settings.Store, plat.WithTimeout(storeTimeout), plat.WithResponseBytes(storeResponseBytes), plat.WithClock(d.clock))
 	g.configs = follow.NewConfigs(g.store, d.clock, bootClock, d.logger)
 	g.fleets = follow.NewFleets(g.store, d.clock, bootClock, d.logger)
+	g.times = bounds.Derive(bounds.Bounds{
+		Drain: settings.Bounds.Drain.Duration, ConfigApply: settings.Bounds.ConfigApply.Duration, KeyLife: settings.KeyLife.Duration,
+	})
+	g.configs.SetTimes(g.times.Config)
+	g.fleets.SetTimes(g.times.Targets)
+	g.noteBounds()
 	g.ledger = ledger.New(d.clock)
 	g.prompts = blame.New(blame.Options{Clock: d.clock, Log: d.logger, Instance: settings.Instance})
 	client := targetClient()
@@ -176,8 +182,8 @@
 	}}
 	handlers := &deferredHandlers{}
 	g.links = d.newLinkGroup(linkSettings{times: settings.Links, hello: g.hello, handler: handlers})
-	bounds := limit.RetryBounds{Window: settings.Repeats.Window.Duration, Ratio: settings.Repeats.Ratio, Slack: settings.Repeats.Slack}
-	retries := limit.NewRetryLimiter(d.clock, bounds, func() int { return int(g.gatewayCount.Load()) })
+	retryBounds := limit.RetryBounds{Window: settings.Repeats.Window.Duration, Ratio: settings.Repeats.Ratio, Slack: settings.Repeats.Slack}
+	retries := limit.NewRetryLimiter(d.clock, retryBounds, func() int { return int(g.gatewayCount.Load()) })
 	self := peers.Member{
 		Instance: settings.Instance, Address: settings.Advertise, DataCentre: settings.DataCentre, MilliCores: int(1000 * settings.Processor),
 	}
@@ -186,6 +192,7 @@
 	g.peers = peers.New(peers.Options{
 		Self: self, Incarnation: d.incarnation, Members: g.members, Links: g.links, Clock: d.clock, BootClock: bootClock, Log: d.logger,
 		Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger, Prompts: g.prompts, Limits: g.limits, Retries: retries,
+		Times: g.times,
 	})
 	d.metrics.NewGauge("shallotcourse_store_era", func() float64 { return float64(g.store.Era()) })
 	d.metrics.NewGauge("shallotcourse_prompt_holds", func() float64 { return float64(len(g.prompts.Holds())) })
@@ -201,7 +208,7 @@
 	g.server = proxy.New(proxy.Options{
 		Settings: proxy.Settings{
 			DataCentre: settings.DataCentre, BodyBytes: defaultBodyBytes,
-			ConfigMaxAge: time.Duration((1 - keyLifeMargin) * float64(settings.KeyLife.Duration)),
+			ConfigMaxAge: time.Duration((1 - bounds.KeyLifeMargin) * float64(settings.KeyLife.Duration)),
 			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -92,6 +92,11 @@
 		row(b.Service, strings.Join(b.DataCentres, ","), int(b.Requests), int(b.Best), fmt.Sprintf("%d-%d", b.Binding.From, b.Binding.To))
 	}
 	row()
+	row("PROMISE", "REQUIRED", "WORST CASE", "KEPT", "STEPS")
+	for _, p := range s.Promises {
+		row(p.Name, p.Bound, p.Sum, p.Kept, p.Steps)
+	}
+	row()
 	row("HELD PROMPT PARTS", "LEFT", "SINCE", "ROUNDS", "EVIDENCE")
 	for _, h := range s.Holds {
 		row(strings.Join(h.Parts, ","), h.Left.Round(time.Second), h.Age.Round(time.Second).String()+" ago", h.Rounds, h.EvidenceText())
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -34,6 +34,8 @@
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
+		// Promises holds the times within which changes take effect.
+		Promises []promiseStatus
 		// Holds holds the parts of prompts that are not sent to targets for some
 		// time, because targets have ended under them.
 		Holds []blame.Hold
@@ -74,7 +76,7 @@
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
-		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(),
+		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/conf/gateway.go
+++ b/internal/conf/gateway.go
@@ -1,6 +1,10 @@
 package conf
 
-import "time"
+import (
+	"time"
+
+	"shallotcourse/internal/bounds"
+)
 
 type (
 	// Gateway holds the settings of a gateway process.
@@ -37,11 +41,23 @@
 		StallLimit Duration
 		// StopTimeout bounds the time from SIGTERM to the end of the process.
 		StopTimeout Duration
+		Bounds      Bounds
 		Repeats     Repeats
 		Links       Links
 		Log         Log
 	}
 
+	// Bounds holds the times within which the deployment requires changes to take
+	// effect. The ages and waits of a gateway follow from them and from KeyLife.
+	Bounds struct {
+		// Drain is the time from when the store shows that a target drains or is gone
+		// until no request reaches it.
+		Drain Duration
+		// ConfigApply is the time from when the store accepts a configuration until it
+		// is in force.
+		ConfigApply Duration
+	}
+
 	// Repeats bounds the retries that all gateways together send to targets.
 	Repeats struct {
 		// Window is the time span that Ratio and Slack refer to.
@@ -59,9 +75,10 @@
 		Listen: ":8080", ReadyListen: ":8081", LinkListen: ":8082", OpsListen: ":8083", ReadyPath: "/readyz",
 		MemoryMegabytes: 256,
 		Processor:       1,
-		KeyLife:         newDuration(5 * time.Second),
+		KeyLife:         newDuration(bounds.Default.KeyLife),
 		StallLimit:      newDuration(2 * time.Second),
 		StopTimeout:     newDuration(8 * time.Second),
+		Bounds:          Bounds{Drain: newDuration(bounds.Default.Drain), ConfigApply: newDuration(bounds.Default.ConfigApply)},
 		Repeats:         Repeats{Window: newDuration(10 * time.Second), Ratio: 0.1, Slack: 100},
 		Links:           Links{Heartbeat: newDuration(500 * time.Millisecond), Silence: newDuration(2 * time.Second), DialTimeout: newDuration(time.Second)},
 		Log:             defaultLog(),
@@ -91,6 +108,8 @@
 	c.duration("KeyLife", g.KeyLife, time.Second, time.Hour)
 	c.duration("StallLimit", g.StallLimit, 100*time.Millisecond, time.Minute)
 	c.duration("StopTimeout", g.StopTimeout, time.Second, time.Hour)
+	c.duration("Bounds.Drain", g.Bounds.Drain, 100*time.Millisecond, time.Hour)
+	c.duration("Bounds.ConfigApply", g.Bounds.ConfigApply, 100*time.Millisecond, time.Hour)
 	c.duration("Repeats.Window", g.Repeats.Window, time.Second, time.Hour)
 	c.require(g.Repeats.Ratio >= 0 && g.Repeats.Ratio <= 1, "Repeats.Ratio", g.Repeats.Ratio, "0 to 1")
 	c.number("Repeats.Slack", int64(g.Repeats.Slack), 0, 1<<20)
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -8,24 +8,11 @@
 	"github.com/go-kit/log/level"
 
 	"shallotcourse/internal/board"
+	"shallotcourse/internal/bounds"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
 
-const (
-	// configLongPoll is how long the store may delay a response about the
-	// configuration. Together with the timeout of the call it stays below the
-	// time within which a new configuration must be in force.
-	configLongPoll = 1500 * time.Millisecond
-	// configLongPollLeader is the same for a leader. It is shorter, because
-	// what followers receive can be two waits old.
-	configLongPollLeader = 700 * time.Millisecond
-	// configFollowerMaxAge is the age up to which a follower does not call the
-	// store. At this value a call ends before other gateways are asked or keys
-	// are refused.
-	configFollowerMaxAge = 2800 * time.Millisecond
-)
-
 type (
 	// Config is the configuration in force in this process.
 	Config struct {
@@ -49,7 +36,7 @@
 
 // NewConfigs returns Configs without a configuration; Run fetches it.
 func NewConfigs(source Source, clock timer.Service, bootClock BootClock, logger log.Logger) *Configs {
-	return &Configs{feed: newFeed(source, clock, bootClock, logger), section: board.New(Config{}), await: func(context.Context) {}}
+	return &Configs{feed: newFeed(source, clock, bootClock, logger, bounds.Derive(bounds.Default).Config), section: board.New(Config{}), await: func(context.Context) {}}
 }
 
 // SetAwait sets a function that Run calls before it reads the store for the first
@@ -67,8 +54,7 @@
 // Run follows the store until ctx ends.
 func (c *Configs) Run(ctx context.Context) {
 	c.await(ctx)
-	p := pollOptions{name: "Config", age: c.Age, followerMaxAge: configFollowerMaxAge, waits: longPollWaits{configLongPoll, configLongPollLeader}}
-	c.poll(ctx, p, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
+	c.poll(ctx, pollOptions{name: "Config", age: c.Age}, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		// The confirmation counts from before the request, because the
 		// response may show a state as old as that.
 		requestedAt := c.bootClock()
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -10,19 +10,12 @@
 	"github.com/go-kit/log/level"
 
 	"shallotcourse/internal/board"
+	"shallotcourse/internal/bounds"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
 
 const (
-	// targetsLongPoll is how long the store may delay a response about the
-	// target list. The list changes a few times a minute, so longer waits save
-	// calls.
-	targetsLongPoll = 2 * time.Second
-	// targetsLongPollLeader is the same for a leader. targetsFollowerMaxAge is
-	// the age of the list up to which a follower does not call the store.
-	targetsLongPollLeader = time.Second
-	targetsFollowerMaxAge = 3500 * time.Millisecond
 	// targetsMinInterval is the minimum time between the starts of two calls,
 	// for lists that change all the time. Together with the time of a call it
 	// stays below the time within which a draining target must get no more
@@ -105,7 +98,7 @@
 // NewFleets returns Fleets with an empty list; Run fetches it.
 func NewFleets(source Source, clock timer.Service, bootClock BootClock, logger log.Logger) *Fleets {
 	return &Fleets{
-		feed: newFeed(source, clock, bootClock, logger), section: board.New(Fleet{}),
+		feed: newFeed(source, clock, bootClock, logger, bounds.Derive(bounds.Default).Targets), section: board.New(Fleet{}),
 		listed: map[string]topo.Target{}, lapsedUntil: map[string]time.Duration{},
 		overlays: map[string]overlay{}, changedAt: map[string]topo.Version{}, removedAt: map[string]topo.Version{},
 		gone: map[string]goneTarget{}, doubted: map[string]doubtedEntry{},
@@ -120,8 +113,7 @@
 
 // Run follows the store until ctx ends.
 func (f *Fleets) Run(ctx context.Context) {
-	p := pollOptions{name: "Target", age: f.Age, followerMaxAge: targetsFollowerMaxAge, waits: longPollWaits{targetsLongPoll, targetsLongPollLeader}}
-	f.poll(ctx, p, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
+	f.poll(ctx, pollOptions{name: "Target", age: f.Age}, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		requestedAt := f.bootClock()
 		page, err := f.source.Targets(ctx, after, wait)
 		if err == nil {
--- a/internal/follow/poll.go
+++ b/internal/follow/poll.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"shallotcourse/internal/bounds"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
@@ -17,12 +18,9 @@
 	// neverReadAge is reported as the age of data that has never been read. It
 	// exceeds the age up to which a follower relies on its data.
 	neverReadAge = time.Hour
-	// followerPollInterval is the interval at which a follower checks the age
-	// of the data that it has received.
-	followerPollInterval = 100 * time.Millisecond
-	// followerRetryFactor lengthens the pause after a failed call of a
-	// follower. Its leader calls more often, and retries of many followers
-	// would overload a store that is recovering.
+	// followerRetryFactor lengthens the pause after the second and each further
+	// failed call of a follower. Its leader calls more often, and retries of many
+	// followers would overload a store that is recovering.
 	followerRetryFactor = 5
 	// minRetryPause and maxRetryPause bound the random pause after a failed
 	// call.
@@ -51,28 +49,25 @@
 		bootClock BootClock
 		log       log.Logger
 		role      func() Role
+		times     bounds.Feed
 	}
 
-	// longPollWaits is how long the store may delay a response, by the role of
-	// the process.
-	longPollWaits struct{ standalone, leader time.Duration }
-
 	// pollOptions are the parameters of one poll loop.
 	pollOptions struct {
 		// name is the prefix of the loop's log events.
 		name string
 		age  func() time.Duration
-		// followerMaxAge is the age of the data up to which a follower does not
-		// call the store.
-		followerMaxAge time.Duration
-		waits          longPollWaits
 	}
 )
 
-func newFeed(source Source, clock timer.Service, bootClock BootClock, logger log.Logger) feed {
-	return feed{source: source, clock: clock, bootClock: bootClock, log: logger, role: func() Role { return Standalone }}
+func newFeed(source Source, clock timer.Service, bootClock BootClock, logger log.Logger, times bounds.Feed) feed {
+	return feed{source: source, clock: clock, bootClock: bootClock, log: logger, role: func() Role { return Standalone }, times: times}
 }
 
+// SetTimes sets the times that follow from the bounds of the deployment. It must be
+// called before Run.
+func (f *feed) SetTimes(times bounds.Feed) { f.times = times }
+
 // SetRole sets the function that returns the role of this process. It must be
 // called before Run.
 func (f *feed) SetRole(role func() Role) { f.role = role }
@@ -94,13 +89,13 @@
 	after := topo.Version{}
 	failing := false
 	for ctx.Err() == nil {
-		if f.role() == Follower && p.age() < p.followerMaxAge {
-			_ = timer.Sleep(ctx, f.clock, followerPollInterval)
+		if f.role() == Follower && p.age() < f.times.FollowerMaxAge {
+			_ = timer.Sleep(ctx, f.clock, bounds.FollowerPollInterval)
 			continue
 		}
-		wait := p.waits.standalone
+		wait := f.times.LongPoll
 		if f.role() == Leader {
-			wait = p.waits.leader
+			wait = f.times.LeaderLongPoll
 		}
 		version, pause, err := call(after, wait)
 		switch {
@@ -111,10 +106,11 @@
 			if !failing && ctx.Err() == nil {
 				_ = level.Warn(f.log).Log("event", p.name+"SourceLost", "age", p.age(), "feed", after.Number, "era", f.source.Era(), "err", err)
 			}
-			failing, pause = true, minRetryPause+rand.N(maxRetryPause-minRetryPause)
-			if f.role() == Follower {
+			pause = minRetryPause + rand.N(maxRetryPause-minRetryPause)
+			if f.role() == Follower && failing {
 				pause *= followerRetryFactor
 			}
+			failing = true
 		default:
 			if failing {
 				_ = level.Info(f.log).Log("event", p.name+"SourceBack", "feed", version.Number, "era", version.Era)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"shallotcourse/internal/blame"
+	"shallotcourse/internal/bounds"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
@@ -24,7 +25,7 @@
 	// stateInterval is the interval at which GatewayState and GroupState are
 	// sent. Work in flight lasts seconds, whereas a failing target pauses its
 	// streams within tenths of a second.
-	stateInterval = 200 * time.Millisecond
+	stateInterval = bounds.StateInterval
 	// groupStateLag is the delay with which loads arrive through one or two
 	// leaders.
 	groupStateLag = 3 * stateInterval / 2
@@ -62,6 +63,8 @@
 		Prompts   *blame.Tracker
 		Limits    *limit.TargetLimiter
 		Retries   *limit.RetryLimiter
+		// Times holds the times that follow from the bounds of the deployment.
+		Times bounds.Times
 		// Incarnation is the incarnation of this process.
 		Incarnation string
 	}
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -5,28 +5,19 @@
 	"strings"
 	"time"
 
+	"shallotcourse/internal/follow"
 	"shallotcourse/internal/link"
 	"shallotcourse/internal/topo"
 	"shallotcourse/internal/wire"
 )
 
 const (
-	// configSyncAge is the age of the configuration from which other gateways
-	// are asked for it: two long polls at the store and a margin. It leaves
-	// them a second to answer before API keys are refused.
-	configSyncAge = 3300 * time.Millisecond
-	// targetsSyncAge is the same for the target list.
-	targetsSyncAge = 4500 * time.Millisecond
 	// maxSyncPeers is the number of gateways that are asked at once.
 	maxSyncPeers = 3
 	// syncTimeout bounds the wait for a response.
 	syncTimeout = 2 * time.Second
-	// leaderSyncInterval is the time between two sync requests to the leader,
-	// and minLeaderSyncInterval the minimum time if the leader has newer
-	// versions. Even with the leader's own long poll at the store, a follower's
-	// configuration stays younger than the age at which it reads the store
-	// itself.
-	leaderSyncInterval    = 600 * time.Millisecond
+	// minLeaderSyncInterval is the minimum time between two sync requests to the
+	// leader if it has newer versions.
 	minLeaderSyncInterval = 150 * time.Millisecond
 	// newerConfigPatience is how long a newer configuration that another gateway
 	// has may still arrive from the store.
@@ -55,7 +46,8 @@
 	if p.Follows() {
 		p.requestLeaderSync(links)
 	}
-	if configAge < configSyncAge && listAge < targetsSyncAge {
+	configLimit, listLimit := p.syncAges()
+	if configAge < configLimit && listAge < listLimit {
 		return
 	}
 	names := make([]string, 0, len(links))
@@ -63,7 +55,7 @@
 		names = append(names, instance)
 	}
 	slices.SortFunc(names, strings.Compare)
-	request := p.newSyncRequest(listAge > targetsSyncAge)
+	request := p.newSyncRequest(listAge >= listLimit)
 	for i := range min(maxSyncPeers, len(names)) {
 		// Successive requests go to different gateways, since some of them may
 		// have lost the store too.
@@ -71,6 +63,18 @@
 	}
 }
 
+// syncAges returns the ages of the configuration and of the target list from which
+// other gateways are asked for them.
+func (p *Peers) syncAges() (config, list time.Duration) {
+	switch p.Role() {
+	case follow.Leader:
+		return p.Times.Config.LeaderSyncAge, p.Times.Targets.LeaderSyncAge
+	case follow.Follower:
+		return min(p.Times.Config.SyncAge, p.Times.Config.FollowerSyncAge), p.Times.Targets.FollowerSyncAge
+	}
+	return p.Times.Config.SyncAge, p.Times.Targets.SyncAge
+}
+
 // receiveLeaderVersions records the versions that the leader has, and asks at
 // once for those that this gateway lacks.
 func (p *Peers) receiveLeaderVersions(m wire.GroupState) {
@@ -88,7 +92,7 @@
 	p.mu.Unlock()
 	list := topo.Version{Era: leaderState.ListEra, Number: leaderState.List}
 	newer := leaderState.Config > p.Configs.Section().Value().Version || list.Compare(p.Fleets.Section().Value().Version) > 0
-	if l, ok := links[leader]; ok && (pause >= leaderSyncInterval || newer && pause >= minLeaderSyncInterval) {
+	if l, ok := links[leader]; ok && (pause >= p.Times.LeaderSync || newer && pause >= minLeaderSyncInterval) {
 		p.send(l, p.newSyncRequest(true))
 	}
 }
