--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -98,9 +98,9 @@
 }
 
 func gatewayCommand() *cobra.Command {
-	var file string
+	var file, drain, configApply string
 	c := &cobra.Command{
-		Use:   "gateway [--config FILE]",
+		Use:   "gateway [--config FILE] [--drain DURATION] [--config-apply DURATION]",
 		Short: "Run a gateway with the settings in a TOML file",
 		Long: "Run a gateway: an entry for deployments whose operator declares routes in the\n" +
 			"platform's store and whose targets pass tokens on to one another.",
@@ -117,10 +117,15 @@
 			if err != nil {
 				return err
 			}
+			if settings, err = settings.WithBounds(drain, configApply); err != nil {
+				return err
+			}
 			return runGateway(c.Context(), file, settings, c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&file, "config", "", "settings file; by default the one that $"+settingsVariable+" names")
+	c.Flags().StringVar(&drain, "drain", "", "Bounds.Drain, in place of the one in the file")
+	c.Flags().StringVar(&configApply, "config-apply", "", "Bounds.ConfigApply, in place of the one in the file")
 	c.AddCommand(gatewayStatusCommand())
 	return c
 }
--- a/internal/conf/gateway.go
+++ b/internal/conf/gateway.go
@@ -108,8 +108,7 @@
 	c.duration("KeyLife", g.KeyLife, time.Second, time.Hour)
 	c.duration("StallLimit", g.StallLimit, 100*time.Millisecond, time.Minute)
 	c.duration("StopTimeout", g.StopTimeout, time.Second, time.Hour)
-	c.duration("Bounds.Drain", g.Bounds.Drain, 100*time.Millisecond, time.Hour)
-	c.duration("Bounds.ConfigApply", g.Bounds.ConfigApply, 100*time.Millisecond, time.Hour)
+	c.bounds(g.Bounds)
 	c.duration("Repeats.Window", g.Repeats.Window, time.Second, time.Hour)
 	c.require(g.Repeats.Ratio >= 0 && g.Repeats.Ratio <= 1, "Repeats.Ratio", g.Repeats.Ratio, "0 to 1")
 	c.number("Repeats.Slack", int64(g.Repeats.Slack), 0, 1<<20)
@@ -117,3 +116,25 @@
 	c.log(g.Log)
 	return g, c.result()
 }
+
+// WithBounds returns the settings with other bounds, as text; an empty one stays as it
+// is. Its error is of type Problems.
+func (g Gateway) WithBounds(drain, configApply string) (Gateway, error) {
+	for _, b := range []struct {
+		text string
+		to   *Duration
+	}{{drain, &g.Bounds.Drain}, {configApply, &g.Bounds.ConfigApply}} {
+		if b.text != "" {
+			// An invalid text is reported by the check.
+			_ = b.to.UnmarshalText([]byte(b.text))
+		}
+	}
+	var c checker
+	c.bounds(g.Bounds)
+	return g, c.result()
+}
+
+func (c *checker) bounds(b Bounds) {
+	c.duration("Bounds.Drain", b.Drain, 100*time.Millisecond, time.Hour)
+	c.duration("Bounds.ConfigApply", b.ConfigApply, 100*time.Millisecond, time.Hour)
+}
