--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -320,11 +320,11 @@
 	return a.ID == q.headers.ID
 }
 
-// readResponse reads the body. For a server error it returns both the response
-// and an error, so that the response can be passed on if no other target may
-// run the request. So it does for a status that implies that the request has not
-// run: roundTrip handles the responses whose target states that, so this one may
-// have run, and its status must not reach the caller.
+// readResponse reads the body. For a failure of the target it returns both the
+// response and an error, so that the response can be passed on if no other target
+// may run the request. A status that implies that the request has not run is a
+// failure too: roundTrip handles the targets that state so, and any other may have
+// run it.
 func (q *request) readResponse(resp *http.Response) (*response, *fault.Error) {
 	defer func() { _ = resp.Body.Close() }()
 	body, err := q.buffers.readAll(resp.Body)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -182,7 +182,7 @@
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := q.refuseLate(); err != nil {
+	if err := q.stoppingError(); err != nil {
 		q.refuse(err)
 		return
 	}
@@ -192,7 +192,7 @@
 	}
 	// The body may have taken until now. What is sent this late could not be
 	// answered before the process ends.
-	if err := q.refuseLate(); err != nil {
+	if err := q.stoppingError(); err != nil {
 		q.refuse(err)
 		return
 	}
@@ -205,8 +205,8 @@
 	}
 }
 
-// refuseLate returns an error if the drain refuses new requests.
-func (q *request) refuseLate() error {
+// stoppingError returns an error if the drain refuses new requests.
+func (q *request) stoppingError() error {
 	if q.RefusesNew() {
 		return fault.New(fault.Leaving, "the gateway is stopping")
 	}
