bounds, proxy: the age of keys is derived once, admit asks for the stop

A second reading of the change found two things. The gateway computed the age from which keys are refused beside bounds.Derive, which computes the same for its own use: it is Times.KeyMaxAge now, and the margin is private. ServeHTTP asked three times whether to refuse, in a row: admit asks before it matches a route and after it has read the body.

Nothing was ruled out; behaviour is as before.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -11,10 +11,10 @@
 	// StateInterval is the interval at which gateways send their state, by which
 	// followers learn of newer versions.
 	StateInterval = 200 * time.Millisecond
-	// KeyLifeMargin is the share of KeyLife that is reserved for the time between the
-	// check of a request's key and its arrival at the target.
-	KeyLifeMargin = 0.1
 
+	// keyLifeMargin is the share of KeyLife that is reserved for the time between the
+	// check of a request's key and its arrival at the target.
+	keyLifeMargin = 0.1
 	// callTime is the time of a call to a store that is sound, linkTime that of a
 	// message to another gateway, and sendTime the time from the choice of a target to
 	// the arrival of the request there.
@@ -71,6 +71,9 @@
 	// Times holds all derived times, and what they amount to.
 	Times struct {
 		Config, Targets Feed
+		// KeyMaxAge is the age from which the configuration can no longer be used to
+		// check keys.
+		KeyMaxAge time.Duration
 		// LeaderSync is the time between two requests of a follower to its leader.
 		LeaderSync time.Duration
 		Promises   []Promise
@@ -96,11 +99,11 @@
 
 // Derive returns the times for a deployment.
 func Derive(b Bounds) Times {
-	keyAge := time.Duration((1 - KeyLifeMargin) * float64(b.KeyLife))
+	keyAge := time.Duration((1 - keyLifeMargin) * float64(b.KeyLife))
 	reserve := FollowerPollInterval + callTime + sendTime
 	configAge := max(minAge, min(b.ConfigApply-reserve, keyAge-syncTime-syncPatience))
 	targetsAge := max(minAge, b.Drain-reserve)
-	t := Times{LeaderSync: min(maxLeaderSync, time.Duration(leaderSyncShare*float64(min(configAge, targetsAge))))}
+	t := Times{KeyMaxAge: keyAge, LeaderSync: min(maxLeaderSync, time.Duration(leaderSyncShare*float64(min(configAge, targetsAge))))}
 	t.Config = newFeed(min(maxConfigPoll, b.ConfigApply*3/4), maxConfigLeaderPoll, configAge, t.LeaderSync)
 	t.Config.SyncAge = max(minAge, min(t.Config.SyncAge, keyAge-syncTime))
 	t.Targets = newFeed(min(maxTargetsPoll, b.Drain), maxTargetsLeaderPoll, targetsAge, t.LeaderSync)
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -213,7 +213,7 @@
 	g.server = proxy.New(proxy.Options{
 		Settings: proxy.Settings{
 			DataCentre: settings.DataCentre, BodyBytes: defaultBodyBytes,
-			ConfigMaxAge: time.Duration((1 - bounds.KeyLifeMargin) * float64(settings.KeyLife.Duration)),
+			ConfigMaxAge: g.times.KeyMaxAge,
 			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -182,20 +182,10 @@
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := q.stoppingError(); err != nil {
-		q.refuse(err)
-		return
-	}
 	if err := q.admit(); err != nil {
 		q.refuse(err)
 		return
 	}
-	// The body may have taken until now. What is sent this late could not be
-	// answered before the process ends.
-	if err := q.stoppingError(); err != nil {
-		q.refuse(err)
-		return
-	}
 	s.Retries.CountRequest(q.service.Name)
 	switch {
 	case q.route.Semantics == topo.Stream && q.service.Model != nil:
@@ -217,6 +207,9 @@
 // sets its deadline and reads its body. It first waits until the target list
 // has been read; Read is 0 before.
 func (q *request) admit() error {
+	if err := q.stoppingError(); err != nil {
+		return err
+	}
 	if err := q.waitFor(func() bool { return q.Fleets.Section().Value().Read > 0 }); err != nil {
 		return fault.New(fault.Unavailable, "the target list has not been read yet").WithCause(err)
 	}
@@ -256,7 +249,12 @@
 		timeout = defaultTimeout
 	}
 	q.deadline = q.arrived.Add(timeout)
-	return q.readBody(config.Limits.BodyBytes)
+	if err := q.readBody(config.Limits.BodyBytes); err != nil {
+		return err
+	}
+	// The body may have taken until now. What is sent this late could not be
+	// answered before the process ends.
+	return q.stoppingError()
 }
 
 // confirmedConfig returns the configuration once its confirmation is recent
