proxy: show the age of the target list at each send

A connection to a target now tells the proxy right before its first byte is written, which may be long after the target was chosen. Behaviour is as before.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -214,7 +214,7 @@
 		Settings: proxy.Settings{
 			DataCentre: settings.DataCentre, BodyBytes: defaultBodyBytes,
 			ConfigMaxAge: g.times.KeyMaxAge,
-			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
+			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost, Drain: settings.Bounds.Drain.Duration,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
 		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
@@ -235,7 +235,7 @@
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: targetHeadBytes,
+			DialContext: proxy.NoticeSends(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: targetHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -279,6 +279,7 @@
 		connected.Store(true)
 		reused.Store(info.Reused)
 	}}
+	ctx = withBeforeSend(ctx, func() { q.noteSend(t) })
 	req := q.outgoing(httptrace.WithClientTrace(ctx, trace), t, send)
 	resp, err := q.Client.Transport.RoundTrip(req)
 	if err != nil {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -52,6 +52,9 @@
 		// CrossCost is added to the latency of a hop between data centres when
 		// paths are compared.
 		CrossCost time.Duration
+		// Drain is the time from when the store shows that a target leaves until no
+		// request may reach it.
+		Drain time.Duration
 	}
 
 	// Options holds the dependencies of a Server.
@@ -119,6 +122,8 @@
 		// sendCount is the number of requests sent to targets. possibleRuns is
 		// the number of those that a target may have run.
 		sendCount, possibleRuns int
+		// oldestList is the greatest age of the target list at a send to a target.
+		oldestList atomic.Int64
 		// firstByte is the time of the first byte sent to the caller.
 		firstByte time.Time
 		// pathLog lists the targets and paths used, for the log.
@@ -387,7 +392,7 @@
 	fields := []any{
 		"event", "Request", "request", q.headers.ID, "route", q.route.Name, "service", q.service.Name, "account", q.account,
 		"config", q.version, "configAge", q.Configs.Age().Round(time.Millisecond), "fleetAge", q.Fleets.Age().Round(time.Millisecond),
-		"status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
+		"sendAge", time.Duration(q.oldestList.Load()).Round(time.Millisecond), "status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
 		"prompt", promptText(q.headers.PromptParts),
 	}
 	if !q.firstByte.IsZero() {
