follow: the target list never goes back

What callers saw: requests could be sent to a target that had left, or drained, for up to a call to the store and the age of the list more, and failed there or came late (DRAIN).

Cause: Fleets applied a response of the store, and a complete list of another gateway, without comparing its version with the list in force. A response that was read at version 2 and arrived after another gateway had sent version 3 brought back what version 3 had removed, while the list kept the newer time of its reading: it passed for fresh, followers did not call the store, and answers with the right list were dropped as not newer.

The fix works because versions of the store only rise within an era, so a list at a later version holds all that an older page shows. The time of the page's reading still counts: the store was at the older version then, so the newer list is at least as fresh as that. Configs compares versions already (TestConfigNeverGoesBack).

--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -209,6 +209,9 @@
 		_ = level.Error(f.log).Log("event", "TargetMalformed", "err", m)
 	}
 	f.section.Update(func(v Fleet) (Fleet, bool) {
+		if page.Version.Compare(v.Version) < 0 {
+			return v.overtaking(page.Version, readAt)
+		}
 		now := f.bootClock()
 		restored := v.Read > 0 && page.Version.Era > v.Version.Era
 		if restored || v.Read > 0 && readAt-v.Read > outageThreshold {
@@ -267,6 +270,17 @@
 	})
 }
 
+// overtaking returns the list after a page of an older version has arrived, and whether
+// the list has changed. It holds all that the page shows. It was the newest when the
+// page was read or appeared later, unless the store has come back from a copy meanwhile.
+func (v Fleet) overtaking(page topo.Version, readAt time.Duration) (Fleet, bool) {
+	if page.Era != v.Version.Era || readAt <= v.Read {
+		return v, false
+	}
+	v.Read = readAt
+	return v, true
+}
+
 // contradicts reports whether an entry names an incarnation that is known to have
 // been replaced or removed.
 func (f *Fleets) contradicts(t topo.Target, now time.Duration) bool {
