peers, follow: a leader that lacks the store asks others at once

Cause: a leader whose call is reset knows at once that it lacks the store, but asked other gateways only from an age of 1.94 s on. Its followers went on with what it had.

Feeds tell now when calls to the store fail; other gateways are asked at that moment and then at each state (0.2 s), as before from an age on. A follower counts as failing only until its leader keeps it up to date again.

Followers have TestFollowersLearnOfDrainsInTime, as it was.

--- a/internal/follow/poll.go
+++ b/internal/follow/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -50,6 +51,11 @@
 		log       log.Logger
 		role      func() Role
 		times     bounds.Feed
+		// failing is true from a failed call to the next one that succeeds, or at a
+		// follower until its leader keeps it up to date again. onFailure is called when
+		// it becomes true.
+		failing   atomic.Bool
+		onFailure func()
 	}
 
 	// pollOptions are the parameters of one poll loop.
@@ -61,7 +67,7 @@
 )
 
 func newFeed(source Source, clock timer.Service, bootClock BootClock, logger log.Logger, times bounds.Feed) feed {
-	return feed{source: source, clock: clock, bootClock: bootClock, log: logger, role: func() Role { return Standalone }, times: times}
+	return feed{source: source, clock: clock, bootClock: bootClock, log: logger, role: func() Role { return Standalone }, times: times, onFailure: func() {}}
 }
 
 // SetTimes sets the times that follow from the bounds of the deployment. It must be
@@ -72,6 +78,13 @@
 // called before Run.
 func (f *feed) SetRole(role func() Role) { f.role = role }
 
+// SetOnFailure sets the function that is called when a call to the store has failed
+// after one that succeeded. It must be called before Run.
+func (f *feed) SetOnFailure(onFailure func()) { f.onFailure = onFailure }
+
+// Failing reports whether the last call to the store has failed.
+func (f *feed) Failing() bool { return f.failing.Load() }
+
 // ageOf returns the time since a reading of the boot clock; 0 means never.
 func (f *feed) ageOf(at time.Duration) time.Duration {
 	if at == 0 {
@@ -87,9 +100,9 @@
 // has come back from an older copy.
 func (f *feed) poll(ctx context.Context, p pollOptions, call func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error)) {
 	after := topo.Version{}
-	failing := false
 	for ctx.Err() == nil {
 		if f.role() == Follower && p.age() < f.times.FollowerMaxAge {
+			f.failing.Store(false)
 			_ = timer.Sleep(ctx, f.clock, bounds.FollowerPollInterval)
 			continue
 		}
@@ -103,19 +116,21 @@
 			_ = level.Info(f.log).Log("event", p.name+"HistoryLost", "feed", after.Number, "era", f.source.Era())
 			after, pause = topo.Version{}, minRetryPause
 		case err != nil:
-			if !failing && ctx.Err() == nil {
+			first := !f.failing.Swap(true) && ctx.Err() == nil
+			if first {
 				_ = level.Warn(f.log).Log("event", p.name+"SourceLost", "age", p.age(), "feed", after.Number, "era", f.source.Era(), "err", err)
 			}
 			pause = minRetryPause + rand.N(maxRetryPause-minRetryPause)
-			if f.role() == Follower && failing {
+			if f.role() == Follower && !first {
 				pause *= followerRetryFactor
 			}
-			failing = true
+			if first {
+				f.onFailure()
+			}
 		default:
-			if failing {
+			if f.failing.Swap(false) {
 				_ = level.Info(f.log).Log("event", p.name+"SourceBack", "feed", version.Number, "era", version.Era)
 			}
-			failing = false
 			if version.Compare(after) > 0 {
 				after = version
 			}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -73,6 +73,8 @@
 	// link.Handler.
 	Peers struct {
 		Options
+		// links returns one link to each connected gateway.
+		links func() map[string]link.Peer
 
 		mu sync.Mutex
 		// topology is the place of this gateway in the exchange of state, and
@@ -145,9 +147,15 @@
 		lastReceived: map[string]received{}, syncState: syncState{pendingSyncs: map[uint64]time.Duration{}},
 		prompts: o.Prompts.NewReporter(), startedAt: o.BootClock(), startDials: map[string]Member{},
 	}
+	p.links = p.linksByInstance
 	o.Prompts.SetPeers(p.publishPrompts, p.ownsHold)
 	o.Limits.SetPublish(p.publishLimits)
 	o.Members.setMayPrune(p.mayPrune)
+	// Followers get the list from a leader that lacks the store, so it does not wait
+	// until what it has is old.
+	onFailure := func() { p.askOthers(p.links()) }
+	o.Configs.SetOnFailure(onFailure)
+	o.Fleets.SetOnFailure(onFailure)
 	return p
 }
 
@@ -166,7 +174,7 @@
 }
 
 func (p *Peers) tick() {
-	links := p.linksByInstance()
+	links := p.links()
 	p.updateTopology(links)
 	switch topology := p.Topology(); {
 	case topology.Mesh:
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -28,7 +28,7 @@
 			// A store without eras does not come back from an older copy.
 			return
 		}
-		links := p.linksByInstance()
+		links := p.links()
 		own, started := p.Configs.Section().Value().Version, 0
 		for _, l := range links {
 			switch revision := l.Hello().Revision; {
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -96,7 +96,7 @@
 	if fresh == nil || !p.Topology().Leads {
 		return
 	}
-	for instance, l := range p.linksByInstance() {
+	for instance, l := range p.links() {
 		if instance != from {
 			p.send(l, wire.SuspicionAlert{Suspicions: fresh})
 		}
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -42,12 +42,19 @@
 // requestSync sends a sync request to the leader, and to some other gateways if
 // the store does not answer.
 func (p *Peers) requestSync(links map[string]link.Peer) {
-	configAge, listAge := p.Configs.Age(), p.Fleets.Age()
 	if p.Follows() {
 		p.requestLeaderSync(links)
 	}
+	p.askOthers(links)
+}
+
+// askOthers sends a sync request to some other gateways if calls to the store fail, or
+// if what this gateway has is too old.
+func (p *Peers) askOthers(links map[string]link.Peer) {
 	configLimit, listLimit := p.syncAges()
-	if configAge < configLimit && listAge < listLimit {
+	config := p.Configs.Failing() || p.Configs.Age() >= configLimit
+	list := p.Fleets.Failing() || p.Fleets.Age() >= listLimit
+	if !config && !list {
 		return
 	}
 	names := make([]string, 0, len(links))
@@ -55,7 +62,7 @@
 		names = append(names, instance)
 	}
 	slices.SortFunc(names, strings.Compare)
-	request := p.newSyncRequest(listAge >= listLimit)
+	request := p.newSyncRequest(list)
 	for i := range min(maxSyncPeers, len(names)) {
 		// Successive requests go to different gateways, since some of them may
 		// have lost the store too.
@@ -81,7 +88,7 @@
 	p.mu.Lock()
 	p.leaderState = m
 	p.mu.Unlock()
-	p.requestLeaderSync(p.linksByInstance())
+	p.requestLeaderSync(p.links())
 }
 
 // requestLeaderSync sends a sync request to the leader if one is due, or if the
--- /dev/null
+++ b/internal/peers/sync_test.go
@@ -0,0 +1,127 @@
+package peers
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"shallotcourse/internal/blame"
+	"shallotcourse/internal/bounds"
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/follow"
+	"shallotcourse/internal/ledger"
+	"shallotcourse/internal/limit"
+	"shallotcourse/internal/link"
+	"shallotcourse/internal/timer"
+	"shallotcourse/internal/topo"
+	"shallotcourse/internal/wire"
+)
+
+// calmLinkTime is the time of a message between two gateways.
+const calmLinkTime = 5 * time.Millisecond
+
+type (
+	// listSource is a store whose target list changes at no time.
+	listSource struct {
+		follow.Source
+		lost atomic.Bool
+	}
+
+	// peerLink is a link to another gateway of the test.
+	peerLink struct {
+		link.Peer
+		from, to *Peers
+	}
+)
+
+func (s *listSource) call(ctx context.Context, wait time.Duration) error {
+	if s.lost.Load() || timer.Sleep(ctx, timer.System{}, wait+4*time.Millisecond) != nil || s.lost.Load() {
+		return fault.New(fault.Unavailable, "connection reset")
+	}
+	return nil
+}
+
+// Targets implements follow.Source.
+func (s *listSource) Targets(ctx context.Context, after topo.Version, wait time.Duration) (follow.TargetPage, error) {
+	if after.IsZero() {
+		wait = 0
+	}
+	return follow.TargetPage{Complete: after.IsZero(), Version: topo.Version{Number: 1}}, s.call(ctx, wait)
+}
+
+// Era implements follow.Source.
+func (*listSource) Era() uint64 { return 0 }
+
+func (l peerLink) Hello() wire.Hello { return wire.Hello{Instance: l.to.Self.Instance} }
+
+func (l peerLink) Send(m wire.Message) error {
+	go func() {
+		time.Sleep(calmLinkTime)
+		l.to.Receive(peerLink{from: l.to, to: l.from}, m)
+	}()
+	return nil
+}
+
+func newTestPeers(name string, source follow.Source, times bounds.Times) *Peers {
+	start, clock, logger := time.Now(), timer.System{}, log.NewNopLogger()
+	bootClock := func() time.Duration { return time.Minute + time.Since(start) }
+	members := NewMembers(Member{Instance: name}, nil, nil, clock, logger, func(int) {})
+	p := New(Options{
+		Self: Member{Instance: name}, Members: members, Clock: clock, BootClock: bootClock, Log: logger, Times: times,
+		Configs: follow.NewConfigs(source, clock, bootClock, logger), Fleets: follow.NewFleets(source, clock, bootClock, logger),
+		Ledger: ledger.New(clock), Prompts: blame.New(blame.Options{Clock: clock, Log: logger, Instance: name}),
+		Limits: limit.NewTargetLimiter(clock, limit.Gateway{}, members),
+	})
+	p.topology = Topology{Leads: true, Leader: name}
+	p.Fleets.SetTimes(times.Targets)
+	p.Fleets.SetRole(p.Role)
+	return p
+}
+
+// Guards against a leader that lacks the store and goes on with its old target list,
+// which its followers use too (DRAIN), although other leaders have the store.
+func TestLeaderWithoutStoreAsksOthersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		times := bounds.Derive(bounds.Bounds{Drain: 3 * time.Second, ConfigApply: 3 * time.Second, KeyLife: 5 * time.Second})
+		source := &listSource{}
+		cut, sound := newTestPeers("cut", source, times), newTestPeers("sound", &listSource{}, times)
+		cut.links = func() map[string]link.Peer { return map[string]link.Peer{"sound": peerLink{from: cut, to: sound}} }
+		sound.links = func() map[string]link.Peer { return map[string]link.Peer{"cut": peerLink{from: sound, to: cut}} }
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for _, p := range []*Peers{cut, sound} {
+			wg.Go(func() { p.Fleets.Run(ctx) })
+			wg.Go(func() {
+				for timer.Sleep(ctx, timer.System{}, stateInterval) == nil {
+					p.askOthers(p.links())
+				}
+			})
+		}
+		oldest := func(span time.Duration) (age time.Duration) {
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				age = max(age, cut.Fleets.Age())
+			}
+			return age
+		}
+		time.Sleep(5 * time.Second)
+		calm := oldest(10 * time.Second)
+		source.lost.Store(true)
+		outage := oldest(7 * time.Second)
+		source.lost.Store(false)
+		t.Logf("oldest list in calm %s, in the outage %s", calm, outage)
+		// What the other leader has is as old, and asked for once each interval.
+		is.True(outage <= calm+stateInterval+4*calmLinkTime)
+		time.Sleep(2 * time.Second) // a pause and a long poll
+		is.True(!cut.Fleets.Failing())
+		cancel()
+		wg.Wait()
+		time.Sleep(4 * calmLinkTime) // messages in flight
+	})
+}
