peers: the responses of all asked gateways count

What callers saw: a gateway that lacks the store sends requests by a target list older than drainMs, although others have a newer one and are asked for it (DRAIN).

Cause: up to three gateways were asked with one echo, and the first response used it up. The others were dropped as unknown. A leader is linked to its followers, which have what it told them itself; if one of them answered first, the list of the other leader was lost.

A response with its own echo counts from the time of its own request, as before.

--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -30,6 +30,8 @@
 	pendingSyncs map[uint64]time.Duration
 	lastEcho     uint64
 	lastSyncAt   time.Duration
+	// syncRounds counts the rounds in which other gateways than the leader were asked.
+	syncRounds int
 	// newerConfig is the newest version of the configuration that another gateway
 	// has and this one lacks, since newerConfigSince or the last request for it.
 	newerConfig      uint64
@@ -62,11 +64,15 @@
 		names = append(names, instance)
 	}
 	slices.SortFunc(names, strings.Compare)
-	request := p.newSyncRequest(list)
+	p.mu.Lock()
+	p.syncRounds++
+	round := p.syncRounds
+	p.mu.Unlock()
 	for i := range min(maxSyncPeers, len(names)) {
-		// Successive requests go to different gateways, since some of them may
-		// have lost the store too.
-		p.send(links[names[(int(request.Echo)+i)%len(names)]], request)
+		// Successive rounds begin with different gateways, since some of them may
+		// have lost the store too. Each request has its own echo, since the first
+		// response need not be the newest.
+		p.send(links[names[(round+i)%len(names)]], p.newSyncRequest(list))
 	}
 }
 
--- a/internal/peers/sync_test.go
+++ b/internal/peers/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -84,44 +85,72 @@
 	return p
 }
 
+// newGroup returns a leader that lacks the store while source.lost is set, with followers that
+// have nothing, and another leader that has the store. All but the other leader answer
+// before it does.
+func newGroup(followers int, times bounds.Times) (cut *Peers, source *listSource, sound *Peers) {
+	source = &listSource{}
+	cut, sound = newTestPeers("cut", source, times), newTestPeers("sound", &listSource{}, times)
+	links := map[string]link.Peer{"sound": peerLink{from: cut, to: sound}}
+	cut.lastReceived["sound"] = received{group: "sound"}
+	for i := range followers {
+		name := fmt.Sprint("follower", i)
+		links[name] = peerLink{from: cut, to: newTestPeers(name, nil, times)}
+		cut.lastReceived[name] = received{state: wire.GatewayState{Follow: true}}
+	}
+	cut.links = func() map[string]link.Peer { return links }
+	sound.links = func() map[string]link.Peer { return nil }
+	return cut, source, sound
+}
+
+// oldestLists returns the greatest age of the leader's list in calm and during an outage.
+func oldestLists(t *testing.T, followers int) (calm, outage time.Duration) {
+	times := bounds.Derive(bounds.Bounds{Drain: 3 * time.Second, ConfigApply: 3 * time.Second, KeyLife: 5 * time.Second})
+	cut, source, sound := newGroup(followers, times)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, p := range []*Peers{cut, sound} {
+		wg.Go(func() { p.Fleets.Run(ctx) })
+		wg.Go(func() {
+			for timer.Sleep(ctx, timer.System{}, stateInterval) == nil {
+				p.askOthers(p.links())
+			}
+		})
+	}
+	oldest := func(span time.Duration) (age time.Duration) {
+		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			age = max(age, cut.Fleets.Age())
+		}
+		return age
+	}
+	time.Sleep(5 * time.Second)
+	calm = oldest(10 * time.Second)
+	source.lost.Store(true)
+	outage = oldest(7 * time.Second)
+	source.lost.Store(false)
+	time.Sleep(2 * time.Second) // a pause and a long poll
+	if cut.Fleets.Failing() {
+		t.Error("the store is back and counts as failing")
+	}
+	cancel()
+	wg.Wait()
+	time.Sleep(4 * calmLinkTime) // messages in flight
+	t.Logf("oldest list in calm %s, in the outage %s", calm, outage)
+	return calm, outage
+}
+
 // Guards against a leader that lacks the store and goes on with its old target list,
-// which its followers use too (DRAIN), although other leaders have the store.
+// which its followers use too (DRAIN), although another leader has the store: it asks
+// late, or takes the first of several answers for all.
 func TestLeaderWithoutStoreAsksOthersAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		times := bounds.Derive(bounds.Bounds{Drain: 3 * time.Second, ConfigApply: 3 * time.Second, KeyLife: 5 * time.Second})
-		source := &listSource{}
-		cut, sound := newTestPeers("cut", source, times), newTestPeers("sound", &listSource{}, times)
-		cut.links = func() map[string]link.Peer { return map[string]link.Peer{"sound": peerLink{from: cut, to: sound}} }
-		sound.links = func() map[string]link.Peer { return map[string]link.Peer{"cut": peerLink{from: sound, to: cut}} }
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		for _, p := range []*Peers{cut, sound} {
-			wg.Go(func() { p.Fleets.Run(ctx) })
-			wg.Go(func() {
-				for timer.Sleep(ctx, timer.System{}, stateInterval) == nil {
-					p.askOthers(p.links())
-				}
+	for _, followers := range []int{0, 2} {
+		t.Run(fmt.Sprint(followers, " followers"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				calm, outage := oldestLists(t, followers)
+				// What the other leader has is as old, and asked for once each interval.
+				is.True(outage <= calm+stateInterval+4*calmLinkTime)
 			})
-		}
-		oldest := func(span time.Duration) (age time.Duration) {
-			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-				age = max(age, cut.Fleets.Age())
-			}
-			return age
-		}
-		time.Sleep(5 * time.Second)
-		calm := oldest(10 * time.Second)
-		source.lost.Store(true)
-		outage := oldest(7 * time.Second)
-		source.lost.Store(false)
-		t.Logf("oldest list in calm %s, in the outage %s", calm, outage)
-		// What the other leader has is as old, and asked for once each interval.
-		is.True(outage <= calm+stateInterval+4*calmLinkTime)
-		time.Sleep(2 * time.Second) // a pause and a long poll
-		is.True(!cut.Fleets.Failing())
-		cancel()
-		wg.Wait()
-		time.Sleep(4 * calmLinkTime) // messages in flight
-	})
+		})
+	}
 }
