peers: leaders are asked before followers

A leader that lacks the store asked three of its links at a time, in turn. With ten followers and two other leaders, most rounds asked only followers, which have nothing but what it told them.

The other leaders read the store themselves; followers are still asked where the leaders do not fill the round.

--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -1,8 +1,8 @@
 package peers
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"shallotcourse/internal/follow"
@@ -59,21 +59,37 @@
 	if !config && !list {
 		return
 	}
-	names := make([]string, 0, len(links))
-	for instance := range links {
-		names = append(names, instance)
-	}
-	slices.SortFunc(names, strings.Compare)
 	p.mu.Lock()
 	p.syncRounds++
 	round := p.syncRounds
 	p.mu.Unlock()
-	for i := range min(maxSyncPeers, len(names)) {
-		// Successive rounds begin with different gateways, since some of them may
-		// have lost the store too. Each request has its own echo, since the first
-		// response need not be the newest.
-		p.send(links[names[(round+i)%len(names)]], p.newSyncRequest(list))
+	for _, instance := range p.syncTargets(links, round) {
+		// Each request has its own echo, since the first response need not be the
+		// newest.
+		p.send(links[instance], p.newSyncRequest(list))
+	}
+}
+
+// syncTargets returns the gateways to ask in a round, leaders first: followers have what
+// a leader has told them, which may be the one that asks. Successive rounds begin with
+// different gateways, since some of them may have lost the store too.
+func (p *Peers) syncTargets(links map[string]link.Peer, round int) []string {
+	_, isLeader := p.followersAndLeaders()
+	var leaders, others []string
+	for _, instance := range slices.Sorted(maps.Keys(links)) {
+		if isLeader[instance] {
+			leaders = append(leaders, instance)
+		} else {
+			others = append(others, instance)
+		}
+	}
+	var out []string
+	for _, names := range [][]string{leaders, others} {
+		for i := range min(maxSyncPeers-len(out), len(names)) {
+			out = append(out, names[(round+i)%len(names)])
+		}
 	}
+	return out
 }
 
 // syncAges returns the ages of the configuration and of the target list from which
--- a/internal/peers/sync_test.go
+++ b/internal/peers/sync_test.go
@@ -141,9 +141,9 @@
 
 // Guards against a leader that lacks the store and goes on with its old target list,
 // which its followers use too (DRAIN), although another leader has the store: it asks
-// late, or takes the first of several answers for all.
+// late, takes the first of several answers for all, or asks its own followers.
 func TestLeaderWithoutStoreAsksOthersAtOnce(t *testing.T) {
-	for _, followers := range []int{0, 2} {
+	for _, followers := range []int{0, 2, 10} {
 		t.Run(fmt.Sprint(followers, " followers"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
