peers: a follower that asks others goes on asking its leader

What callers saw: a follower whose calls to the store fail, or whose list is old, uses it longer than it need (DRAIN).

Cause: each sync request, also one to another gateway, postponed the next one to the leader by LeaderSync (0.36 s to 0.6 s). A follower that asks others at each state (0.2 s) asked its leader only when that named a newer version, so the age of its list grew while the leader had a fresh one. The time of the last request to the leader is kept by itself.

Found by reading, while the requests of leaders were traced. TestFollowerThatAsksOthersAsksItsLeader failed before: fewer requests to the leader than one each LeaderSync and state interval in 10 s.

--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -29,7 +29,8 @@
 	// pendingSyncs holds the times of unanswered requests by their echo.
 	pendingSyncs map[uint64]time.Duration
 	lastEcho     uint64
-	lastSyncAt   time.Duration
+	// lastLeaderSyncAt is when the leader was last asked by requestLeaderSync.
+	lastLeaderSyncAt time.Duration
 	// syncRounds counts the rounds in which other gateways than the leader were asked.
 	syncRounds int
 	// newerConfig is the newest version of the configuration that another gateway
@@ -117,11 +118,15 @@
 // leader has newer versions than this gateway.
 func (p *Peers) requestLeaderSync(links map[string]link.Peer) {
 	p.mu.Lock()
-	leaderState, leader, pause := p.leaderState, p.topology.Leader, p.BootClock()-p.lastSyncAt
+	now := p.BootClock()
+	leaderState, leader, pause := p.leaderState, p.topology.Leader, now-p.lastLeaderSyncAt
 	p.mu.Unlock()
 	list := topo.Version{Era: leaderState.ListEra, Number: leaderState.List}
 	newer := leaderState.Config > p.Configs.Section().Value().Version || list.Compare(p.Fleets.Section().Value().Version) > 0
 	if l, ok := links[leader]; ok && (pause >= p.Times.LeaderSync || newer && pause >= minLeaderSyncInterval) {
+		p.mu.Lock()
+		p.lastLeaderSyncAt = now
+		p.mu.Unlock()
 		p.send(l, p.newSyncRequest(true))
 	}
 }
@@ -161,7 +166,7 @@
 		}
 	}
 	p.lastEcho++
-	p.pendingSyncs[p.lastEcho], p.lastSyncAt = now, now
+	p.pendingSyncs[p.lastEcho] = now
 	return wire.SyncRequest{Echo: p.lastEcho, ConfigVersion: config, WantTargets: targets, TargetsVersion: list.Number, TargetsEra: list.Era, MembersVersion: members}
 }
 
--- a/internal/peers/sync_test.go
+++ b/internal/peers/sync_test.go
@@ -34,6 +34,12 @@
 		lost atomic.Bool
 	}
 
+	// countingLink counts the messages that are sent on it.
+	countingLink struct {
+		link.Peer
+		sent int
+	}
+
 	// peerLink is a link to another gateway of the test.
 	peerLink struct {
 		link.Peer
@@ -69,6 +75,11 @@
 	return nil
 }
 
+func (l *countingLink) Send(wire.Message) error {
+	l.sent++
+	return nil
+}
+
 func newTestPeers(name string, source follow.Source, times bounds.Times) *Peers {
 	start, clock, logger := time.Now(), timer.System{}, log.NewNopLogger()
 	bootClock := func() time.Duration { return time.Minute + time.Since(start) }
@@ -154,3 +165,23 @@
 		})
 	}
 }
+
+// Guards against a follower that no longer asks its leader for the list, because it asks
+// other gateways all the time.
+func TestFollowerThatAsksOthersAsksItsLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		times := bounds.Derive(bounds.Default)
+		follower, leader := newTestPeers("f", nil, times), &countingLink{}
+		follower.topology = Topology{Leader: "l"}
+		follower.lastReceived["l"] = received{allGateways: true}
+		links := map[string]link.Peer{"l": leader}
+		const span = 10 * time.Second
+		for range span / stateInterval {
+			time.Sleep(stateInterval)
+			follower.requestLeaderSync(links)
+			_ = follower.newSyncRequest(true) // to another gateway
+		}
+		is.True(leader.sent >= int(span/(times.LeaderSync+stateInterval)))
+	})
+}
