proxy: a target is checked against the newest list when a request is sent

What callers saw: requests reached targets that the gateway itself knew to drain, to be gone or to have restarted (DRAIN; 421, 503 or a cut answer), later than the age of its list explains.

Cause: the targets of a request were fixed when its path was chosen. Only what targets say of themselves was asked again, before the wait for the connection.

Evidence: TestNothingIsSentToATargetThatLeftMeanwhile (drained, gone, restarted, first or later target of the path, while the connection opens) and TestPathIsCheckedAfterAWaitForARetry; without the comparison with the list all their cases but the one that stays fail.

The check runs right before the first byte of the request is written, so no wait comes after it. A request that fails it has not run: it goes to another target, and the target is neither doubted nor excluded. Orders that change a path are checked for their new targets in the same way. refusesWork is part of the check.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -235,7 +235,7 @@
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: proxy.NoticeSends(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: targetHeadBytes,
+			DialContext: proxy.CheckSends(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: targetHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -56,6 +56,9 @@
 	// Held means that targets ended under a part of the prompt, and that requests
 	// with it are not sent for some time.
 	Held Code = "Held"
+	// Outdated means that a decision relied on data that is too old, or that has
+	// changed since.
+	Outdated Code = "Outdated"
 	// Leaving means that the process or target accepts no new work.
 	Leaving Code = "Leaving"
 	// Unavailable means that a dependency did not answer.
@@ -148,7 +151,7 @@
 // later.
 func (e *Error) Retryable() bool {
 	switch e.Code {
-	case Overloaded, LimitReached, TargetLimit, TargetPause, NoTarget, Held, Leaving, Unavailable, Deadline, TargetLost:
+	case Overloaded, LimitReached, TargetLimit, TargetPause, NoTarget, Held, Outdated, Leaving, Unavailable, Deadline, TargetLost:
 		return true
 	}
 	return false
@@ -189,7 +192,7 @@
 		return http.StatusRequestEntityTooLarge
 	case LimitReached:
 		return http.StatusTooManyRequests
-	case Overloaded, TargetLimit, TargetPause, NoTarget, Held, Leaving, Unavailable:
+	case Overloaded, TargetLimit, TargetPause, NoTarget, Held, Outdated, Leaving, Unavailable:
 		return http.StatusServiceUnavailable
 	case Deadline:
 		return http.StatusGatewayTimeout
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/timer"
@@ -97,17 +96,6 @@
 	return strings.Join(out, "; ")
 }
 
-// refusesWork returns the failure of a path with a target that takes no work. It may
-// have said so since the path was chosen.
-func (s *stream) refusesWork(hops []chain.Hop) *fault.Error {
-	for _, h := range hops {
-		if !s.Limits.Standing(h.Target).TakesWork() {
-			return fault.Newf(fault.Overloaded, "target %s has just said that it takes no work", h.Target.ID)
-		}
-	}
-	return nil
-}
-
 // noteLimit records what a target says of its limit in a response to this request.
 // A malformed limit changes nothing: the one before stays in force.
 func (q *request) noteLimit(t topo.Target, l NamedLimit) {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -93,6 +93,10 @@
 			if a.err.Outcome == fault.NotRun {
 				q.possibleRuns--
 			}
+			if a.err.Code == fault.Outdated {
+				// Nothing was sent, so the target may be chosen again.
+				tried = slices.DeleteFunc(tried, func(id string) bool { return id == a.target.ID })
+			}
 			if q.mayRetry(a.err) {
 				err := send(true)
 				if err == nil {
@@ -240,7 +244,7 @@
 	start := q.Clock.Now()
 	ticket := q.Ledger.OpenPlain(t)
 	defer ticket.Close()
-	resp, err := q.roundTrip(ctx, t, TargetHeaders{LastEvent: q.headers.LastEvent})
+	resp, err := q.roundTrip(ctx, []topo.Target{t}, TargetHeaders{LastEvent: q.headers.LastEvent})
 	if err == nil {
 		out.response, err = q.readResponse(resp)
 	}
@@ -253,6 +257,8 @@
 	case ctx.Err() != nil:
 		// An abandoned request still shows that the target is slow.
 		q.latencies.recordAbandoned(t.ID, took)
+	case err.Code == fault.Outdated:
+		q.noteUnsent(t, err)
 	default:
 		q.latencies.recordFailure(t.ID)
 		q.suspectIf(err.Code == fault.Unavailable, t, err)
@@ -270,18 +276,22 @@
 	}
 }
 
-// roundTrip sends the request to a target and returns the response with its
-// body unread. The outcome of an error is NotRun only if the target certainly
+// roundTrip sends the request to the first target of a path and returns the response
+// with its body unread. The outcome of an error is NotRun only if the target certainly
 // has not run the request.
-func (q *request) roundTrip(ctx context.Context, t topo.Target, send TargetHeaders) (*http.Response, *fault.Error) {
+func (q *request) roundTrip(ctx context.Context, path []topo.Target, send TargetHeaders) (*http.Response, *fault.Error) {
+	t := path[0]
 	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
 		reused.Store(info.Reused)
 	}}
-	ctx = withBeforeSend(ctx, func() { q.noteSend(t) })
-	req := q.outgoing(httptrace.WithClientTrace(ctx, trace), t, send)
+	check := q.checkSend(t, path)
+	req := q.outgoing(httptrace.WithClientTrace(check.context(ctx), trace), t, send)
 	resp, err := q.Client.Transport.RoundTrip(req)
+	if failure := check.failure.Load(); failure != nil {
+		return nil, failure
+	}
 	if err != nil {
 		if !connected.Load() {
 			return nil, fault.Newf(fault.Unavailable, "connecting to target %s failed", t.ID).WithCause(err)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -66,6 +67,8 @@
 	s := testServer(nil)
 	s.Limits = limit.NewTargetLimiter(s.Clock, limit.Gateway{}, nil)
 	first, second := topo.Target{ID: "a", Started: 1}, topo.Target{ID: "b", Started: 1}
+	s.Fleets.ApplySync(topo.Version{Number: 1}, []topo.Target{first, second}, time.Minute, "g2")
+	is.True(s.mayReach([]topo.Target{first, second}) == nil)
 	s.Limits.Leaves(second)
 	st := &stream{request: &request{Server: s}}
 	_, failure := st.startRun([]chain.Hop{{Target: first}, {Target: second}})
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -103,7 +103,7 @@
 		return q.Returns.NextHint(q.service.Name, minRetryAfter)
 	case fault.NoTarget:
 		return minRepairRetryAfter + rand.N(maxRepairRetryAfter-minRepairRetryAfter)
-	case fault.Unavailable:
+	case fault.Outdated, fault.Unavailable:
 		return minRetryAfter + rand.N(maxUnavailableRetryAfter-minRetryAfter)
 	case fault.Leaving:
 		// Another gateway can take the request at once.
--- a/internal/proxy/repath.go
+++ b/internal/proxy/repath.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -195,11 +196,20 @@
 		_ = level.Warn(s.Log).Log("event", "NoNewPath", "request", s.headers.ID, "silent", silent, "err", err)
 		return eventSilence, nil
 	}
+	substitutes := s.substitutes(hops)
+	if err := s.mayReach(substitutes); err != nil {
+		s.noteUnsent(s.hops[0].Target, err)
+		return eventSilence, nil
+	}
 	ctx, cancel := timer.WithTimeout(s.r.Context(), s.Clock, repathTimeout)
 	defer cancel()
-	err = s.Engines.Repath(ctx, s.hops[0].Target, s.headers.ID, HopsOf(hops))
+	check := s.checkSend(s.hops[0].Target, substitutes)
+	err = s.Engines.Repath(check.context(ctx), s.hops[0].Target, s.headers.ID, HopsOf(hops))
 	f := fault.As(err)
 	switch {
+	case check.failure.Load() != nil:
+		s.noteUnsent(s.hops[0].Target, check.failure.Load())
+		return eventSilence, nil
 	case err == nil:
 		_ = level.Info(s.Log).Log("event", "Repath", "request", s.headers.ID, "silent", silent.Round(time.Millisecond),
 			"events", s.events, "before", pathText(s.hops), "after", pathText(hops))
@@ -220,6 +230,14 @@
 	return 0, fault.Newf(fault.TargetLost, "changing the path at the first target %s failed", s.hops[0].Target.ID).WithOutcome(s.outcome()).WithCause(err)
 }
 
+// substitutes returns the targets of a new path that are not on the current one. The
+// others run the request already.
+func (s *stream) substitutes(hops []chain.Hop) []topo.Target {
+	return slices.DeleteFunc(targetsOf(hops), func(t topo.Target) bool {
+		return slices.ContainsFunc(s.hops, func(h chain.Hop) bool { return h.Target.ID == t.ID })
+	})
+}
+
 // excludeRefusing excludes the target at an address from the next paths. Without
 // an address, some substitute has no room; all of them are excluded, since the
 // same path would be refused again.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-kit/log/level"
 
+	"shallotcourse/internal/chain"
+	"shallotcourse/internal/fault"
 	"shallotcourse/internal/topo"
 )
 
@@ -19,45 +21,92 @@
 	// DialFunc opens a connection, like net.Dialer.DialContext.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-	// beforeSendKey is the context key of a request's beforeSend function.
-	beforeSendKey struct{}
+	// sendCheck is the check of a request right before it is sent. That may be long
+	// after its targets were chosen, as the connection is opened in between.
+	sendCheck struct {
+		check func() *fault.Error
+		// failure is what the check has returned. Nothing has been sent if it is set.
+		failure atomic.Pointer[fault.Error]
+	}
+
+	// sendCheckKey is the context key of a request's sendCheck.
+	sendCheckKey struct{}
 
-	// noticedConn calls beforeSend right before the first byte is written, which may
-	// be long after the target was chosen: the connection is opened in between.
-	noticedConn struct {
+	// checkedConn is a connection that runs a check before its first byte.
+	checkedConn struct {
 		net.Conn
-		// beforeSend is nil once it has been called. Only the one goroutine that
-		// writes to the connection uses it.
-		beforeSend func()
+		// check is nil once it has passed. Only the one goroutine that writes to the
+		// connection uses it.
+		check *sendCheck
 	}
 )
 
-// NoticeSends returns a dial function for the client that sends requests to targets.
-// Its connections tell the proxy when a request is about to be sent.
-func NoticeSends(dial DialFunc) DialFunc {
+// CheckSends returns a dial function for the client that sends requests to targets. Its
+// connections ask the proxy right before they send a request.
+func CheckSends(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
-		beforeSend, ok := ctx.Value(beforeSendKey{}).(func())
+		check, ok := ctx.Value(sendCheckKey{}).(*sendCheck)
 		if err != nil || !ok {
 			return conn, err
 		}
-		return &noticedConn{Conn: conn, beforeSend: beforeSend}, nil
+		return &checkedConn{Conn: conn, check: check}, nil
 	}
 }
 
-func withBeforeSend(ctx context.Context, f func()) context.Context {
-	return context.WithValue(ctx, beforeSendKey{}, f)
-}
-
 // Write implements net.Conn.
-func (c *noticedConn) Write(b []byte) (int, error) {
-	if c.beforeSend != nil {
-		c.beforeSend()
-		c.beforeSend = nil
+func (c *checkedConn) Write(b []byte) (int, error) {
+	if c.check != nil {
+		if err := c.check.run(); err != nil {
+			return 0, err
+		}
+		c.check = nil
 	}
 	return c.Conn.Write(b)
 }
 
+func (c *sendCheck) run() error {
+	if failure := c.check(); failure != nil {
+		c.failure.Store(failure)
+		return failure
+	}
+	return nil
+}
+
+// context returns a context with which CheckSends runs the check.
+func (c *sendCheck) context(ctx context.Context) context.Context {
+	return context.WithValue(ctx, sendCheckKey{}, c)
+}
+
+// checkSend returns a check of what is sent to a target, for itself or for others. It
+// fails if one of those that get the request must not get it any more. Otherwise it
+// records the age of the target list.
+func (q *request) checkSend(to topo.Target, getting []topo.Target) *sendCheck {
+	return &sendCheck{check: func() *fault.Error {
+		failure := q.mayReach(getting)
+		if failure == nil {
+			q.noteSend(to)
+		}
+		return failure
+	}}
+}
+
+// mayReach returns the reason why no request may be sent to some targets that were
+// chosen before, because one of them has left since.
+func (s *Server) mayReach(targets []topo.Target) *fault.Error {
+	fleet := s.Fleets.Section().Value()
+	for _, t := range targets {
+		listed, ok := fleet.Target(t.ID)
+		switch {
+		case !ok, listed.Started > t.Started, listed.Started == t.Started && listed.State != topo.Ready:
+			return fault.Newf(fault.Outdated, "target %s has left since it was chosen", t.ID)
+		case !s.Limits.Standing(t).TakesWork():
+			return fault.Newf(fault.Outdated, "target %s has said since it was chosen that it takes no work", t.ID)
+		}
+	}
+	return nil
+}
+
 // noteSend records the age of the target list that a send to t relies on.
 func (q *request) noteSend(t topo.Target) {
 	age := q.Fleets.Age()
@@ -69,9 +118,24 @@
 	}
 }
 
+// noteUnsent records why a request was not sent to a target that was chosen.
+func (q *request) noteUnsent(t topo.Target, why *fault.Error) {
+	q.Metrics.GetOrCreateCounter("shallotcourse_sends_withheld_total").Inc()
+	_ = level.Info(q.Log).Log("event", "SendWithheld", "request", q.headers.ID, "target", t.ID, "err", why)
+}
+
 // raise sets d to at least a value.
 func raise(d *atomic.Int64, to time.Duration) {
 	for known := d.Load(); int64(to) > known && !d.CompareAndSwap(known, int64(to)); {
 		known = d.Load()
 	}
 }
+
+// targetsOf returns the targets of a path.
+func targetsOf(hops []chain.Hop) []topo.Target {
+	out := make([]topo.Target, len(hops))
+	for i, h := range hops {
+		out[i] = h.Target
+	}
+	return out
+}
--- a/internal/proxy/send_test.go
+++ b/internal/proxy/send_test.go
@@ -14,6 +14,8 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/chain"
+	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/timer"
@@ -30,13 +32,14 @@
 	received int
 }
 
+var sendTarget = topo.Target{ID: "t", Started: 1, Service: "s", Address: "t:1"}
+
 func newSendSite() *sendSite {
 	start := time.Now()
 	s := &sendSite{Server: testServer(plainDialect{}), now: func() time.Duration { return time.Minute + time.Since(start) }}
 	s.Fleets = follow.NewFleets(nil, s.Clock, s.now, log.NewNopLogger())
 	s.Limits = limit.NewTargetLimiter(s.Clock, limit.Gateway{}, noGateways{})
-	s.Settings.Drain = 2 * time.Second
-	s.Client = &http.Client{Transport: &http.Transport{DialContext: NoticeSends(s.dial), DisableKeepAlives: true}}
+	s.Client = &http.Client{Transport: &http.Transport{DialContext: CheckSends(s.dial), DisableKeepAlives: true}}
 	return s
 }
 
@@ -75,14 +78,70 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newSendSite()
-		target := topo.Target{ID: "t", Started: 1, Address: "t:1"}
-		s.list(1, target)
+		s.list(1, sendTarget)
 		s.dialTime = 300 * time.Millisecond
 		q := s.request()
-		resp, err := q.roundTrip(t.Context(), target, TargetHeaders{})
+		resp, err := q.roundTrip(t.Context(), []topo.Target{sendTarget}, TargetHeaders{})
 		is.True(err == nil)
 		_ = resp.Body.Close()
 		is.Equal(time.Duration(q.oldestList.Load()), s.dialTime)
 		is.Equal(s.received, 1)
 	})
 }
+
+// Guards against a request that reaches a target which the list shows as draining, gone
+// or restarted since it was chosen (DRAIN): the connection opens late, or the process got
+// no processor. A later target of the path counts as the first one does.
+func TestNothingIsSentToATargetThatLeftMeanwhile(t *testing.T) {
+	first := topo.Target{ID: "a", Started: 1, Address: "a:1"}
+	draining, restarted := sendTarget, sendTarget
+	draining.State, restarted.Started = topo.Draining, 2
+	for _, c := range []struct {
+		name string
+		path []topo.Target
+		then []topo.Target
+		sent int
+	}{
+		{"stays", []topo.Target{sendTarget}, []topo.Target{sendTarget}, 1},
+		{"gone", []topo.Target{sendTarget}, nil, 0},
+		{"drains", []topo.Target{sendTarget}, []topo.Target{draining}, 0},
+		{"restarted", []topo.Target{sendTarget}, []topo.Target{restarted}, 0},
+		{"later target drains", []topo.Target{first, sendTarget}, []topo.Target{first, draining}, 0},
+		{"later target gone", []topo.Target{first, sendTarget}, []topo.Target{first}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSendSite()
+				s.list(1, c.path...)
+				s.dialTime = 300 * time.Millisecond
+				time.AfterFunc(200*time.Millisecond, func() { s.list(2, c.then...) })
+				resp, err := s.request().roundTrip(t.Context(), c.path, TargetHeaders{})
+				is.Equal(s.received, c.sent)
+				if c.sent > 0 {
+					is.True(err == nil)
+					_ = resp.Body.Close()
+					return
+				}
+				is.Equal(err.Outcome, fault.NotRun) // so it may go elsewhere
+				is.Equal(err.Code, fault.Outdated)
+			})
+		})
+	}
+}
+
+// Guards against a path that is used as it was chosen after a wait for a retry, although
+// one of its targets has left meanwhile.
+func TestPathIsCheckedAfterAWaitForARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSendSite()
+		s.list(1, sendTarget)
+		st := &stream{request: s.request()}
+		time.Sleep(time.Second) // the wait
+		s.list(2)
+		_, failure := st.startRun([]chain.Hop{{Target: sendTarget}})
+		is.Equal(failure.Outcome, fault.NotRun)
+		is.Equal(st.sendCount, 0)
+	})
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -76,7 +76,7 @@
 		Dialect Dialect
 		Engines Engines
 		// Client sends requests to targets. It must not retry requests, reuse
-		// connections or decompress bodies.
+		// connections or decompress bodies, and opens connections with CheckSends.
 		Client *http.Client
 	}
 
--- a/internal/proxy/stale_test.go
+++ b/internal/proxy/stale_test.go
@@ -119,7 +119,7 @@
 				q.headers.ID = []string{"r0", "r1"}[i+2-len(responses)]
 				q.body = make([]byte, 1<<20)
 				var resp *http.Response
-				if resp, err = q.roundTrip(ctx, target, TargetHeaders{}); err == nil {
+				if resp, err = q.roundTrip(ctx, []topo.Target{target}, TargetHeaders{}); err == nil {
 					_, _ = io.Copy(io.Discard, resp.Body)
 					is.NoErr(resp.Body.Close())
 					time.Sleep(20 * time.Millisecond) // the connection becomes idle
--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -32,10 +32,11 @@
 	again bool
 }
 
-// startRun sends the request along hops, unless one of the targets has said since the
-// path was chosen that it takes no work.
+// startRun sends the request along hops, unless one of the targets has left or takes no
+// work any more since the path was chosen.
 func (s *stream) startRun(hops []chain.Hop) (*streamRun, *fault.Error) {
-	if err := s.refusesWork(hops); err != nil {
+	if err := s.mayReach(targetsOf(hops)); err != nil {
+		s.noteUnsent(hops[0].Target, err)
 		return nil, err
 	}
 	s.sendCount++
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -73,7 +73,7 @@
 		begun = &continuation{contentType: s.w.Header().Get("Content-Type"), lastEvent: s.lastEvent}
 	}
 	go func() {
-		resp, head := s.readHead(ctx, hops[0].Target, send, begun)
+		resp, head := s.readHead(ctx, targetsOf(hops), send, begun)
 		u.head <- head
 		if resp == nil {
 			return
@@ -87,10 +87,10 @@
 	return u
 }
 
-// readHead sends the request and reads the head of the response, and its body
+// readHead sends the request along a path and reads the head of the response, and its body
 // unless it is a stream. The response is nil unless it is a stream. For a stream
 // that has begun it must continue that one.
-func (s *stream) readHead(ctx context.Context, t topo.Target, send TargetHeaders, begun *continuation) (resp *http.Response, head responseHead) {
+func (s *stream) readHead(ctx context.Context, path []topo.Target, send TargetHeaders, begun *continuation) (resp *http.Response, head responseHead) {
 	var failure *fault.Error
 	defer func() {
 		if failure != nil {
@@ -98,7 +98,7 @@
 		}
 	}()
 	defer s.catchPanic(&failure)
-	resp, err := s.roundTrip(ctx, t, send)
+	resp, err := s.roundTrip(ctx, path, send)
 	switch {
 	case err != nil:
 		return nil, refusedRequest{err}
@@ -167,6 +167,10 @@
 // or checks its entry in the target list.
 func (s *stream) noteRefusal(hops []chain.Hop, err *fault.Error) *fault.Error {
 	at := hops[0].Target
+	if err.Code == fault.Outdated {
+		s.noteUnsent(at, err)
+		return err
+	}
 	for _, h := range hops {
 		if err.Field != "" && h.Target.Address == err.Field {
 			at = h.Target
