bounds, follow, proxy: no request is sent by a list older than the bound

Cause: the bound was a sum of steps, 3.00 s of 3.00 s, of which a call to the store (100 ms) and a send (250 ms) were assumed. Nothing ended a call that took longer, and nothing looked at the list when a request was sent: a connection that opens late, a store that takes 300 ms, a process that was frozen or got no processor each went over it. By its own account, the list of a gateway without a leader was 4 s old at a bound of 2 s (two long polls of 2 s), and a follower with a list that was too old asked for it with a long poll.

The age of the list is compared with Bounds.Drain, less 250 ms for the way, right before the first byte of a request. Otherwise the request waits up to 0.25 s for a newer list and is refused (503, Outdated). The old list is used all the same only while calls to the store fail, others were asked at the first failure, and 0.25 s have passed since that and since the list got too old: then nothing newer is to be had, and refusing would serve nobody. So that this is known in time, a call is given up after CallTime (0.2 s) beside its wait, unless the store was slow before. Lists that are too old, slow stores and stores that may be back are asked without a delay. The long poll of gateways without a leader follows from the bound (0.7 s at 2 s, 1.2 s at 3 s; 2 s before).

Tests that were there: TestTimesOfKnownDeployments asked for long polls of 2 s and 4.5 s until others are asked at a bound of 2 s, which is the fault; it has the new times. TestBoundsThatAreTooShort has the new bound too. TestAnswersOfTargets confirms the list while time passes, as a store does, and says where the store is away.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -15,10 +15,10 @@
 	// keyLifeMargin is the share of KeyLife that is reserved for the time between the
 	// check of a request's key and its arrival at the target.
 	keyLifeMargin = 0.1
-	// callTime is the time of a call to a store that is sound, linkTime that of a
-	// message to another gateway, and sendTime the time from the choice of a target to
-	// the arrival of the request there.
-	callTime = 100 * time.Millisecond
+	// callTime is the time after which a call to a store that is sound is given up,
+	// linkTime that of a message to another gateway, and sendTime the time from the
+	// first byte of a request to its arrival at the target, with one packet lost.
+	callTime = 200 * time.Millisecond
 	linkTime = 50 * time.Millisecond
 	sendTime = 250 * time.Millisecond
 	// ageSlack is what the age of followers' data stays below FollowerMaxAge while all
@@ -29,6 +29,8 @@
 	syncPatience = 500 * time.Millisecond
 	syncTime     = 1200 * time.Millisecond
 
+	// maxInterval bounds the rate of calls while the data changes all the time.
+	maxInterval          = 600 * time.Millisecond
 	maxConfigPoll        = 1500 * time.Millisecond
 	maxConfigLeaderPoll  = 700 * time.Millisecond
 	maxTargetsPoll       = 2 * time.Second
@@ -63,6 +65,15 @@
 		LongPoll, LeaderLongPoll time.Duration
 		// FollowerMaxAge is the age up to which a follower does not call the store.
 		FollowerMaxAge time.Duration
+		// MaxAge is the age from which no request is sent by the data, unless nothing
+		// newer is to be had.
+		MaxAge time.Duration
+		// CallTime is the time, beside the wait, after which a call to the store that
+		// answered in time before is given up.
+		CallTime time.Duration
+		// MinInterval is the time between the starts of two calls while the data
+		// changes all the time.
+		MinInterval time.Duration
 		// SyncAge, LeaderSyncAge and FollowerSyncAge are the ages from which other
 		// gateways are asked, by the role of the process.
 		SyncAge, LeaderSyncAge, FollowerSyncAge time.Duration
@@ -106,13 +117,16 @@
 	t := Times{KeyMaxAge: keyAge, LeaderSync: min(maxLeaderSync, time.Duration(leaderSyncShare*float64(min(configAge, targetsAge))))}
 	t.Config = newFeed(min(maxConfigPoll, b.ConfigApply*3/4), maxConfigLeaderPoll, configAge, t.LeaderSync)
 	t.Config.SyncAge = max(minAge, min(t.Config.SyncAge, keyAge-syncTime))
-	t.Targets = newFeed(min(maxTargetsPoll, b.Drain), maxTargetsLeaderPoll, targetsAge, t.LeaderSync)
+	t.Targets = newFeed(min(maxTargetsPoll, (b.Drain-sendTime-callTime-ageSlack)/2), maxTargetsLeaderPoll, targetsAge, t.LeaderSync)
+	t.Config, t.Targets = t.Config.withMaxAge(b.ConfigApply-sendTime), t.Targets.withMaxAge(b.Drain-sendTime)
+	t.Targets.SyncAge, t.Targets.FollowerSyncAge = min(t.Targets.SyncAge, t.Targets.MaxAge), min(t.Targets.FollowerSyncAge, t.Targets.MaxAge)
 	t.Promises = []Promise{
 		{"Drain", b.Drain, t.Targets.ownCall()},
 		{"ConfigApply", b.ConfigApply, t.Config.ownCall()},
 		{"KeyLife", keyAge, []Step{{"age at which other gateways are asked", t.Config.SyncAge}, {"their answer", syncTime}}},
 		{"TargetsOfLeader", t.Targets.FollowerMaxAge, t.Targets.fromLeader(t.LeaderSync)},
 		{"ConfigOfLeader", t.Config.FollowerMaxAge, t.Config.fromLeader(t.LeaderSync)},
+		{"TargetsOfStandalone", b.Drain - sendTime, t.Targets.standalone()},
 	}
 	return t
 }
@@ -120,13 +134,26 @@
 // newFeed returns the times of a feed whose followers call the store at an age.
 func newFeed(poll, maxLeaderPoll, followerAge, leaderSync time.Duration) Feed {
 	leaderPoll := (followerAge - leaderSync - StateInterval - callTime - linkTime - ageSlack) / 2
-	leaderPoll = max(minPoll, min(maxLeaderPoll, leaderPoll))
+	poll, leaderPoll = max(minPoll, poll), max(minPoll, min(maxLeaderPoll, leaderPoll))
 	return Feed{
-		LongPoll: poll, LeaderLongPoll: leaderPoll, FollowerMaxAge: followerAge, SyncAge: 2*poll + syncPatience,
-		LeaderSyncAge: 2*leaderPoll + syncPatience, FollowerSyncAge: followerAge + syncPatience,
+		CallTime: callTime, MinInterval: min(maxInterval, 2*leaderPoll), LongPoll: poll, LeaderLongPoll: leaderPoll,
+		FollowerMaxAge: followerAge, SyncAge: 2*poll + syncPatience, LeaderSyncAge: 2*leaderPoll + syncPatience, FollowerSyncAge: followerAge + syncPatience,
 	}
 }
 
+// withMaxAge returns f with an age from which no request is sent by the data, or with
+// the least that the other times allow.
+func (f Feed) withMaxAge(age time.Duration) Feed {
+	f.MaxAge = max(age, f.FollowerMaxAge+FollowerPollInterval+f.CallTime, 2*f.LongPoll+f.CallTime, 2*f.LeaderLongPoll+f.CallTime)
+	return f
+}
+
+// standalone returns the steps that make up the age of what a gateway without a leader
+// has from the store.
+func (f Feed) standalone() []Step {
+	return []Step{{"two long polls", 2 * f.LongPoll}, {"call to the store", callTime}}
+}
+
 // ownCall returns the steps until a follower, whose leader lacks the store, acts on a
 // change that it reads itself.
 func (f Feed) ownCall() []Step {
--- a/internal/bounds/bounds_test.go
+++ b/internal/bounds/bounds_test.go
@@ -29,7 +29,13 @@
 						is.True(f.LeaderSyncAge > 2*f.LeaderLongPoll) // not while all is well
 						is.True(f.FollowerSyncAge > f.FollowerMaxAge) // its own call comes first
 						is.True(times.LeaderSync > 0)
+						// Not over it while all is well.
+						is.True(f.MaxAge >= f.FollowerMaxAge+bounds.FollowerPollInterval+f.CallTime)
+						is.True(f.MaxAge >= 2*f.LongPoll+f.CallTime)
+						is.True(f.MaxAge >= f.MinInterval+f.CallTime)
 					}
+					is.True(times.Targets.MaxAge < drain)
+					is.True(times.Targets.SyncAge <= times.Targets.MaxAge && times.Targets.FollowerSyncAge <= times.Targets.MaxAge)
 				})
 			}
 		}
@@ -45,18 +51,18 @@
 	for _, p := range times.Promises {
 		exceeded[p.Name] = p.Excess() > 0
 	}
-	is.Equal(exceeded, map[string]bool{"Drain": true, "ConfigApply": true, "KeyLife": true, "TargetsOfLeader": true, "ConfigOfLeader": true})
+	is.Equal(exceeded, map[string]bool{"Drain": true, "ConfigApply": true, "KeyLife": true, "TargetsOfLeader": true, "ConfigOfLeader": true, "TargetsOfStandalone": true})
 	is.True(times.Targets.LeaderLongPoll >= 100*time.Millisecond)
 	is.True(times.Targets.FollowerMaxAge > 0 && times.Config.FollowerMaxAge > 0 && times.Config.SyncAge > 0)
 }
 
-// Guards against a change of the times of gateways without leaders, and of the largest
-// deployments, whose bounds the former constants kept.
+// Guards against a change of the times of the known deployments that nobody has weighed.
+// The list of a gateway without a leader is two long polls old at most.
 func TestTimesOfKnownDeployments(t *testing.T) {
 	is := is.New(t)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	small := bounds.Derive(bounds.Bounds{Drain: ms(2000), ConfigApply: ms(2000), KeyLife: ms(5000)})
-	is.Equal([]time.Duration{small.Targets.LongPoll, small.Targets.SyncAge, small.Config.LongPoll, small.Config.SyncAge}, []time.Duration{ms(2000), ms(4500), ms(1500), ms(3300)})
+	is.Equal([]time.Duration{small.Targets.LongPoll, small.Targets.SyncAge, small.Config.LongPoll, small.Config.SyncAge}, []time.Duration{ms(700), ms(1750), ms(1500), ms(3300)})
 	large := bounds.Derive(bounds.Bounds{Drain: ms(4000), ConfigApply: ms(4000), KeyLife: ms(5000)})
 	is.Equal([]time.Duration{large.Targets.LeaderLongPoll, large.Config.LeaderLongPoll, large.Config.FollowerMaxAge, large.LeaderSync}, []time.Duration{ms(1000), ms(700), ms(2800), ms(600)})
 }
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -214,7 +214,7 @@
 		Settings: proxy.Settings{
 			DataCentre: settings.DataCentre, BodyBytes: defaultBodyBytes,
 			ConfigMaxAge: g.times.KeyMaxAge,
-			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost, Drain: settings.Bounds.Drain.Duration,
+			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
 		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -54,7 +54,7 @@
 // Run follows the store until ctx ends.
 func (c *Configs) Run(ctx context.Context) {
 	c.await(ctx)
-	c.poll(ctx, pollOptions{name: "Config", age: c.Age}, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
+	c.poll(ctx, pollOptions{name: "Config", age: c.Age}, func(ctx context.Context, after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		// The confirmation counts from before the request, because the
 		// response may show a state as old as that.
 		requestedAt := c.bootClock()
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -16,11 +16,6 @@
 )
 
 const (
-	// targetsMinInterval is the minimum time between the starts of two calls,
-	// for lists that change all the time. Together with the time of a call it
-	// stays below the time within which a draining target must get no more
-	// work.
-	targetsMinInterval = 600 * time.Millisecond
 	// outageThreshold is the time without a response after which the store is
 	// taken to have been down, so that heartbeats of targets may have lapsed
 	// meanwhile.
@@ -111,15 +106,22 @@
 // Age returns the time since the list was last read.
 func (f *Fleets) Age() time.Duration { return f.ageOf(f.section.Value().Read) }
 
+// Usable reports whether requests may be sent by the list: while it is at most MaxAge
+// old, or if nothing newer is to be had.
+func (f *Fleets) Usable() bool { return f.usable(f.Age()) }
+
+// MaxAge returns the age up to which the list shows each leave in time.
+func (f *Fleets) MaxAge() time.Duration { return f.times.MaxAge }
+
 // Run follows the store until ctx ends.
 func (f *Fleets) Run(ctx context.Context) {
-	f.poll(ctx, pollOptions{name: "Target", age: f.Age}, func(after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
+	f.poll(ctx, pollOptions{name: "Target", age: f.Age}, func(ctx context.Context, after topo.Version, wait time.Duration) (topo.Version, time.Duration, error) {
 		requestedAt := f.bootClock()
 		page, err := f.source.Targets(ctx, after, wait)
 		if err == nil {
 			f.apply(page, requestedAt)
 		}
-		return page.Version, targetsMinInterval - (f.bootClock() - requestedAt), err
+		return page.Version, f.times.MinInterval - (f.bootClock() - requestedAt), err
 	})
 }
 
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 
 	"shallotcourse/internal/blame"
+	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
@@ -42,6 +43,8 @@
 		listed  []topo.Target
 		version uint64
 		sent    int
+		// away is true once calls to the store fail.
+		away bool
 
 		mu sync.Mutex
 		// targets is keyed by address.
@@ -85,7 +88,7 @@
 	bootClock := func() time.Duration { return time.Minute + time.Since(s.start) }
 	configs := follow.NewConfigs(answerSource{}, clock, bootClock, logger)
 	configs.ApplySync(1, []byte("x"), bootClock(), "g")
-	s.fleets = follow.NewFleets(nil, clock, bootClock, logger)
+	s.fleets = follow.NewFleets(answerSource{}, clock, bootClock, logger)
 	s.limits = limit.NewTargetLimiter(clock, limit.Gateway{Instance: "g"}, &oneGateway{})
 	bounds := limit.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 200}
 	s.server = proxy.New(proxy.Options{
@@ -126,6 +129,36 @@
 	s.limits.NoteList(s.fleets.Section().Value().Fleet)
 }
 
+// confirm gives the gateway the list again, which the store still has unless it is away.
+func (s *answerSite) confirm() {
+	if !s.away {
+		s.fleets.ApplySyncChanges(s.fleets.Section().Value().Version, nil, nil, time.Minute+time.Since(s.start), "g")
+	}
+}
+
+// loseStore makes all calls to the store fail from now on.
+func (s *answerSite) loseStore() {
+	s.away = true
+	ctx, cancel := context.WithCancel(s.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.fleets.Run(ctx)
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// Targets implements follow.Source.
+func (answerSource) Targets(context.Context, topo.Version, time.Duration) (follow.TargetPage, error) {
+	return follow.TargetPage{}, fault.New(fault.Unavailable, "the store is away")
+}
+
+// Era implements follow.Source.
+func (answerSource) Era() uint64 { return 0 }
+
 // add adds a target of the service with a model if it holds layers, and else of the
 // plain one.
 func (s *answerSite) add(l script.Line) {
@@ -277,6 +310,9 @@
 				return []string{fmt.Sprint(s.server.Metrics.GetOrCreateCounter("shallotcourse_" + l.Text("name")).Get())}
 			case "wait":
 				time.Sleep(l.Duration("for"))
+				s.confirm()
+			case "outage":
+				s.loseStore()
 			case "restart":
 				s.restart(l)
 			case "list":
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -56,6 +56,9 @@
 	var tried []string
 	pending := 0
 	send := func(retry bool) *fault.Error {
+		if err := q.listError(); err != nil {
+			return err
+		}
 		t, err := q.pickPlainTarget(tried)
 		if err != nil {
 			return err
@@ -132,7 +135,7 @@
 
 // sendFirst calls send, again and again while the targets have reached their limits
 // or pause, and one is likely to take the request within capacityWaitShare of the
-// objective.
+// objective, or while the target list is being refreshed.
 func (q *request) sendFirst(send func() *fault.Error) *fault.Error {
 	wait := limitWait{request: q, until: q.arrived.Add(time.Duration(capacityWaitShare * float64(q.route.Objective)))}
 	defer wait.end()
@@ -141,6 +144,8 @@
 		switch {
 		case err == nil:
 			return nil
+		case err.Code == fault.Outdated:
+			err = q.awaitList(refreshTimeout)
 		case err.Code == fault.TargetPause:
 			err = q.awaitPause(err, wait.until)
 		case err.Code == fault.TargetLimit:
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -10,13 +10,10 @@
 
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
 
-// lateShare is the part of Settings.Drain from which the age of the target list at a
-// send is logged.
-const lateShare = 0.5
-
 type (
 	// DialFunc opens a connection, like net.Dialer.DialContext.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -92,8 +89,11 @@
 }
 
 // mayReach returns the reason why no request may be sent to some targets that were
-// chosen before, because one of them has left since.
+// chosen before: the target list is too old, or one of them has left since.
 func (s *Server) mayReach(targets []topo.Target) *fault.Error {
+	if err := s.listError(); err != nil {
+		return err
+	}
 	fleet := s.Fleets.Section().Value()
 	for _, t := range targets {
 		listed, ok := fleet.Target(t.ID)
@@ -107,12 +107,38 @@
 	return nil
 }
 
+// listError returns an error while the target list is too old to send requests by.
+func (s *Server) listError() *fault.Error {
+	if s.Fleets.Usable() {
+		return nil
+	}
+	return fault.Newf(fault.Outdated, "the target list was read %s ago", s.Fleets.Age().Round(time.Millisecond))
+}
+
+// awaitList waits for some time until requests may be sent by the target list.
+func (q *request) awaitList(wait time.Duration) *fault.Error {
+	for until := q.Clock.Now().Add(wait); ; {
+		err := q.listError()
+		if err == nil {
+			return nil
+		}
+		if !q.Clock.Now().Before(until) {
+			q.Metrics.GetOrCreateCounter("shallotcourse_list_stale_refusals_total").Inc()
+			return err
+		}
+		if err := timer.Sleep(q.r.Context(), q.Clock, refreshPollInterval); err != nil {
+			return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
+		}
+	}
+}
+
 // noteSend records the age of the target list that a send to t relies on.
 func (q *request) noteSend(t topo.Target) {
 	age := q.Fleets.Age()
 	q.Metrics.GetOrCreateHistogram("shallotcourse_send_list_age_seconds").Update(age.Seconds())
 	raise(&q.oldestList, age)
-	if limit := time.Duration(lateShare * float64(q.Settings.Drain)); limit > 0 && age > limit {
+	if age > q.Fleets.MaxAge() {
+		q.Metrics.GetOrCreateCounter("shallotcourse_sends_on_old_list_total").Inc()
 		_ = level.Info(q.Log).Log("event", "SendOnOldList", "request", q.headers.ID, "target", t.ID, "listAge", age.Round(time.Millisecond),
 			"list", q.Fleets.Section().Value().Version)
 	}
--- a/internal/proxy/send_test.go
+++ b/internal/proxy/send_test.go
@@ -14,9 +14,11 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/bounds"
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
+	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
@@ -145,3 +147,48 @@
 		is.Equal(st.sendCount, 0)
 	})
 }
+
+// Guards against a request that is sent by a target list older than the deployment
+// allows (DRAIN), by a process that was frozen or a connection that opens late, and
+// against requests that wait for a list that does not come.
+func TestNothingIsSentByAnOldList(t *testing.T) {
+	maxAge := bounds.Derive(bounds.Default).Targets.MaxAge
+	for _, c := range []struct {
+		name string
+		// age is that of the list when the request arrives, and refreshed the time
+		// from then until it is renewed; 0 is never.
+		age, refreshed, dialTime time.Duration
+		status                   int
+		took                     time.Duration
+	}{
+		{"young", maxAge, 0, 0, http.StatusOK, 0},
+		{"too old at first", 5 * time.Second, 100 * time.Millisecond, 0, http.StatusOK, 100 * time.Millisecond},
+		{"too old", 5 * time.Second, 0, 0, http.StatusServiceUnavailable, refreshTimeout},
+		{"too old when the connection is open", maxAge - 100*time.Millisecond, 0, 200 * time.Millisecond, http.StatusServiceUnavailable, 200 * time.Millisecond},
+		{"renewed while it opens", maxAge - 100*time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond, http.StatusOK, 200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSendSite()
+				s.Ledger, s.Retries = ledger.New(s.Clock), limit.NewRetryLimiter(s.Clock, limit.RetryBounds{Window: time.Second, Ratio: 1, Slack: 9}, func() int { return 1 })
+				s.list(1, sendTarget)
+				time.Sleep(c.age)
+				if c.refreshed > 0 {
+					time.AfterFunc(c.refreshed, func() { s.list(1, sendTarget) })
+				}
+				s.dialTime = c.dialTime
+				w, start := httptest.NewRecorder(), time.Now()
+				q := s.request()
+				q.w, q.service = w, topo.Service{Name: "s"}
+				q.servePlain()
+				is.Equal(w.Code, c.status)
+				took := time.Since(start)
+				is.True(took >= c.took && took <= c.took+refreshPollInterval)
+				is.Equal(s.received == 1, c.status == http.StatusOK)
+				is.Equal(w.Header().Get("Retry-After") != "", c.status != http.StatusOK)
+				time.Sleep(time.Second) // the renewal, if the request has ended before
+			})
+		})
+	}
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -52,9 +52,6 @@
 		// CrossCost is added to the latency of a hop between data centres when
 		// paths are compared.
 		CrossCost time.Duration
-		// Drain is the time from when the store shows that a target leaves until no
-		// request may reach it.
-		Drain time.Duration
 	}
 
 	// Options holds the dependencies of a Server.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -170,6 +170,9 @@
 		if h := s.Prompts.Check(s.headers.PromptParts); h != nil {
 			return nil, s.heldError(h)
 		}
+		if err := s.awaitList(s.listWait()); err != nil {
+			return nil, err
+		}
 		hops, err := s.findPath()
 		if err != nil {
 			return nil, err
@@ -206,6 +209,14 @@
 	return time.Duration(retryWaitShare * float64(s.Settings.StallLimit))
 }
 
+// listWait is how long the stream waits for a target list that is young enough.
+func (s *stream) listWait() time.Duration {
+	if s.begun {
+		return s.retryWait()
+	}
+	return refreshTimeout
+}
+
 // expectedTokens estimates the memory that a request uses at its end, in
 // tokens.
 func expectedTokens(a RequestHeaders, m *topo.Model) int {
