follow: reports of a target do not go back

A request is sent along a path with layers that a target has given up, and is refused (421).

Cause: a report replaced the one before, whichever was made first. Reports reach a gateway through one or two leaders, and also from polls of its own requests, so an older one may arrive later and hold until the next.

A target counts the orders that it has accepted. A report with a lower count of the same incarnation is older, and is dropped while the newer one is in force; another incarnation counts anew. TestReportsNeverGoBack failed before.

--- a/internal/follow/back_test.go
+++ b/internal/follow/back_test.go
@@ -82,3 +82,30 @@
 	is.Equal(f.Section().Value().Version, topo.Version{Number: 3})
 	is.Equal(f.Age(), time.Second) // version 3 was the newest after version 2 was read
 }
+
+// Guards against layers that a target no longer holds, because a report of the planner
+// arrives after a newer one that another gateway or a request has obtained.
+func TestReportsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	f := follow.NewFleets(&source{}, fast{}, func() time.Duration { return now }, log.NewNopLogger())
+	listed := topo.Target{ID: "t", Started: 1, Service: "s", Address: "t:1"}
+	f.ApplySync(topo.Version{Number: 1}, []topo.Target{listed}, now, "g2")
+	older, newer := listed.WithHeld(topo.Layers{From: 0, To: 8}), listed.WithHeld(topo.Layers{From: 0, To: 4})
+	older.Sequence, newer.Sequence = 1, 2
+	held := func() topo.Layers {
+		target, _ := f.Section().Value().Target("t")
+		return target.Held
+	}
+	f.Overlay(newer)
+	f.Overlay(older)
+	is.Equal(held(), newer.Held)
+	restarted := older
+	restarted.Started, restarted.Sequence = 2, 0
+	f.Overlay(restarted) // counts anew
+	is.Equal(held(), older.Held)
+	now += 5 * time.Second
+	f.Overlay(older) // the newer one has expired
+	f.Overlay(newer)
+	is.Equal(held(), newer.Held)
+}
--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -193,6 +193,9 @@
 		changed := false
 		for _, t := range targets {
 			old, known := f.overlays[t.ID]
+			if known && now <= old.expires && old.target.Started == t.Started && t.Sequence < old.target.Sequence {
+				continue // made before a later order
+			}
 			changed = changed || !known || old.target != t || now > old.expires
 			f.overlays[t.ID] = overlay{t, now + overlayTTL}
 		}
