bounds, proxy: no request is admitted by a configuration older than the bound

Cause: the age of the configuration was compared with the bound for keys only, and by its own account that of a gateway without a leader was up to 3.1 s at a bound of 2 s (two long polls of 1.5 s).

Configs.Usable is asked before a request is matched, with the same rules as the target list: a request waits up to 0.25 s, and the old one is used while calls to the store fail and others have nothing newer. The long poll follows from Bounds.ConfigApply (0.7 s at 2 s). The age at the admission is in a histogram and in the request's line.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -115,9 +115,9 @@
 	configAge := max(minAge, min(b.ConfigApply-reserve, keyAge-syncTime-syncPatience))
 	targetsAge := max(minAge, b.Drain-reserve)
 	t := Times{KeyMaxAge: keyAge, LeaderSync: min(maxLeaderSync, time.Duration(leaderSyncShare*float64(min(configAge, targetsAge))))}
-	t.Config = newFeed(min(maxConfigPoll, b.ConfigApply*3/4), maxConfigLeaderPoll, configAge, t.LeaderSync)
+	t.Config = newFeed(min(maxConfigPoll, pollWithin(b.ConfigApply)), maxConfigLeaderPoll, configAge, t.LeaderSync)
 	t.Config.SyncAge = max(minAge, min(t.Config.SyncAge, keyAge-syncTime))
-	t.Targets = newFeed(min(maxTargetsPoll, (b.Drain-sendTime-callTime-ageSlack)/2), maxTargetsLeaderPoll, targetsAge, t.LeaderSync)
+	t.Targets = newFeed(min(maxTargetsPoll, pollWithin(b.Drain)), maxTargetsLeaderPoll, targetsAge, t.LeaderSync)
 	t.Config, t.Targets = t.Config.withMaxAge(b.ConfigApply-sendTime), t.Targets.withMaxAge(b.Drain-sendTime)
 	t.Targets.SyncAge, t.Targets.FollowerSyncAge = min(t.Targets.SyncAge, t.Targets.MaxAge), min(t.Targets.FollowerSyncAge, t.Targets.MaxAge)
 	t.Promises = []Promise{
@@ -127,10 +127,17 @@
 		{"TargetsOfLeader", t.Targets.FollowerMaxAge, t.Targets.fromLeader(t.LeaderSync)},
 		{"ConfigOfLeader", t.Config.FollowerMaxAge, t.Config.fromLeader(t.LeaderSync)},
 		{"TargetsOfStandalone", b.Drain - sendTime, t.Targets.standalone()},
+		{"ConfigOfStandalone", b.ConfigApply - sendTime, t.Config.standalone()},
 	}
 	return t
 }
 
+// pollWithin returns the long poll with which the data of a gateway without a leader is
+// young enough for a bound, as it is two polls old at most.
+func pollWithin(bound time.Duration) time.Duration {
+	return (bound - sendTime - callTime - ageSlack) / 2
+}
+
 // newFeed returns the times of a feed whose followers call the store at an age.
 func newFeed(poll, maxLeaderPoll, followerAge, leaderSync time.Duration) Feed {
 	leaderPoll := (followerAge - leaderSync - StateInterval - callTime - linkTime - ageSlack) / 2
--- a/internal/bounds/bounds_test.go
+++ b/internal/bounds/bounds_test.go
@@ -35,6 +35,7 @@
 						is.True(f.MaxAge >= f.MinInterval+f.CallTime)
 					}
 					is.True(times.Targets.MaxAge < drain)
+					is.True(times.Config.MaxAge < apply)
 					is.True(times.Targets.SyncAge <= times.Targets.MaxAge && times.Targets.FollowerSyncAge <= times.Targets.MaxAge)
 				})
 			}
@@ -51,7 +52,7 @@
 	for _, p := range times.Promises {
 		exceeded[p.Name] = p.Excess() > 0
 	}
-	is.Equal(exceeded, map[string]bool{"Drain": true, "ConfigApply": true, "KeyLife": true, "TargetsOfLeader": true, "ConfigOfLeader": true, "TargetsOfStandalone": true})
+	is.Equal(exceeded, map[string]bool{"Drain": true, "ConfigApply": true, "KeyLife": true, "TargetsOfLeader": true, "ConfigOfLeader": true, "TargetsOfStandalone": true, "ConfigOfStandalone": true})
 	is.True(times.Targets.LeaderLongPoll >= 100*time.Millisecond)
 	is.True(times.Targets.FollowerMaxAge > 0 && times.Config.FollowerMaxAge > 0 && times.Config.SyncAge > 0)
 }
@@ -62,7 +63,7 @@
 	is := is.New(t)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	small := bounds.Derive(bounds.Bounds{Drain: ms(2000), ConfigApply: ms(2000), KeyLife: ms(5000)})
-	is.Equal([]time.Duration{small.Targets.LongPoll, small.Targets.SyncAge, small.Config.LongPoll, small.Config.SyncAge}, []time.Duration{ms(700), ms(1750), ms(1500), ms(3300)})
+	is.Equal([]time.Duration{small.Targets.LongPoll, small.Targets.SyncAge, small.Config.LongPoll, small.Config.SyncAge}, []time.Duration{ms(700), ms(1750), ms(700), ms(1900)})
 	large := bounds.Derive(bounds.Bounds{Drain: ms(4000), ConfigApply: ms(4000), KeyLife: ms(5000)})
 	is.Equal([]time.Duration{large.Targets.LeaderLongPoll, large.Config.LeaderLongPoll, large.Config.FollowerMaxAge, large.LeaderSync}, []time.Duration{ms(1000), ms(700), ms(2800), ms(600)})
 }
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -51,6 +51,10 @@
 // newest. It is neverReadAge before the first confirmation.
 func (c *Configs) Age() time.Duration { return c.ageOf(c.section.Value().ConfirmedAt) }
 
+// Usable reports whether requests may be admitted by the configuration: while its
+// confirmation is as recent as the deployment requires, or if nothing newer is to be had.
+func (c *Configs) Usable() bool { return c.usable(c.Age()) }
+
 // Run follows the store until ctx ends.
 func (c *Configs) Run(ctx context.Context) {
 	c.await(ctx)
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -37,6 +37,7 @@
 	answerSite struct {
 		t       *testing.T
 		server  *proxy.Server
+		configs *follow.Configs
 		fleets  *follow.Fleets
 		limits  *limit.TargetLimiter
 		start   time.Time
@@ -86,14 +87,14 @@
 	clock, logger := timer.System{}, log.NewNopLogger()
 	s := &answerSite{t: t, start: time.Now(), targets: map[string]*answeringTarget{}}
 	bootClock := func() time.Duration { return time.Minute + time.Since(s.start) }
-	configs := follow.NewConfigs(answerSource{}, clock, bootClock, logger)
-	configs.ApplySync(1, []byte("x"), bootClock(), "g")
+	s.configs = follow.NewConfigs(answerSource{}, clock, bootClock, logger)
+	s.configs.ApplySync(1, []byte("x"), bootClock(), "g")
 	s.fleets = follow.NewFleets(answerSource{}, clock, bootClock, logger)
 	s.limits = limit.NewTargetLimiter(clock, limit.Gateway{Instance: "g"}, &oneGateway{})
 	bounds := limit.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 200}
 	s.server = proxy.New(proxy.Options{
 		Settings: proxy.Settings{DataCentre: "x", ConfigMaxAge: time.Hour, BodyBytes: 1000, StallLimit: 2 * time.Second},
-		Clock:    clock, Log: logger, Metrics: metrics.NewSet(), Configs: configs, Fleets: s.fleets, Ledger: ledger.New(clock),
+		Clock:    clock, Log: logger, Metrics: metrics.NewSet(), Configs: s.configs, Fleets: s.fleets, Ledger: ledger.New(clock),
 		Prompts: blame.New(blame.Options{Clock: clock, Log: logger, Instance: "g"}), Limits: s.limits,
 		Retries: limit.NewRetryLimiter(clock, bounds, func() int { return 1 }), Returns: limit.NewRetryPacer(clock),
 		LoadLag: func() (int, time.Duration) { return 0, 0 }, Dialect: platform.Dialect{}, Engines: answerEngines{site: s},
@@ -129,10 +130,12 @@
 	s.limits.NoteList(s.fleets.Section().Value().Fleet)
 }
 
-// confirm gives the gateway the list again, which the store still has unless it is away.
+// confirm gives the gateway the list and the configuration again, which the store still
+// has unless it is away.
 func (s *answerSite) confirm() {
-	if !s.away {
-		s.fleets.ApplySyncChanges(s.fleets.Section().Value().Version, nil, nil, time.Minute+time.Since(s.start), "g")
+	if now := time.Minute + time.Since(s.start); !s.away {
+		s.fleets.ApplySyncChanges(s.fleets.Section().Value().Version, nil, nil, now, "g")
+		s.configs.ApplySync(1, nil, now, "g")
 	}
 }
 
@@ -140,14 +143,12 @@
 func (s *answerSite) loseStore() {
 	s.away = true
 	ctx, cancel := context.WithCancel(s.t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.fleets.Run(ctx)
-	}()
+	var wg sync.WaitGroup
+	wg.Go(func() { s.fleets.Run(ctx) })
+	wg.Go(func() { s.configs.Run(ctx) })
 	s.t.Cleanup(func() {
 		cancel()
-		<-done
+		wg.Wait()
 	})
 }
 
@@ -156,6 +157,11 @@
 	return follow.TargetPage{}, fault.New(fault.Unavailable, "the store is away")
 }
 
+// Config implements follow.Source.
+func (answerSource) Config(context.Context, topo.Version, time.Duration) (follow.ConfigPage, error) {
+	return follow.ConfigPage{}, fault.New(fault.Unavailable, "the store is away")
+}
+
 // Era implements follow.Source.
 func (answerSource) Era() uint64 { return 0 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -107,9 +107,10 @@
 		// service is the service chosen for this request.
 		service topo.Service
 		// version is the version of the configuration that admitted the
-		// request.
-		version uint64
-		account string
+		// request, and configAge the time since its confirmation then.
+		version   uint64
+		configAge time.Duration
+		account   string
 		// bodyRead is true once body holds the whole body.
 		bodyRead bool
 		body     []byte
@@ -215,6 +216,9 @@
 	if err := q.waitFor(func() bool { return q.Fleets.Section().Value().Read > 0 }); err != nil {
 		return fault.New(fault.Unavailable, "the target list has not been read yet").WithCause(err)
 	}
+	if err := q.waitFor(q.Configs.Usable); err != nil {
+		return q.staleConfigError(err)
+	}
 	config := q.Configs.Section().Value()
 	q.version = config.Version
 	route, ok := config.Match(q.r.Host, q.r.URL.Path)
@@ -231,7 +235,8 @@
 			return fault.Newf(fault.NotFound, "no route for host %q and path %q", q.r.Host, q.r.URL.Path)
 		}
 	}
-	q.version, q.route = config.Version, route
+	q.version, q.route, q.configAge = config.Version, route, q.Configs.Age()
+	q.Metrics.GetOrCreateHistogram("shallotcourse_admission_config_age_seconds").Update(q.configAge.Seconds())
 	if !route.Public && !config.Keyless() {
 		account, ok := config.Account(q.headers.Key)
 		if !ok {
@@ -267,13 +272,19 @@
 		return q.Configs.Section().Value().Version > 0 && q.Configs.Age() < q.Settings.ConfigMaxAge
 	})
 	if err != nil {
-		q.Metrics.GetOrCreateCounter("shallotcourse_config_stale_refusals_total").Inc()
-		e := fault.Newf(fault.Unavailable, "the configuration was last proved %s ago", q.Configs.Age().Round(time.Millisecond))
-		return follow.Config{}, e.WithCause(err)
+		return follow.Config{}, q.staleConfigError(err)
 	}
 	return q.Configs.Section().Value(), nil
 }
 
+// staleConfigError returns the failure of a request whose configuration has not been
+// confirmed in time.
+func (q *request) staleConfigError(cause error) *fault.Error {
+	q.Metrics.GetOrCreateCounter("shallotcourse_config_stale_refusals_total").Inc()
+	e := fault.Newf(fault.Unavailable, "the configuration was last proved %s ago", q.Configs.Age().Round(time.Millisecond))
+	return e.WithCause(cause)
+}
+
 // waitFor polls until known returns true, at most refreshTimeout after the
 // request arrived. It is for conditions that one call to the store fulfils.
 func (q *request) waitFor(known func() bool) error {
@@ -388,7 +399,7 @@
 	q.Metrics.GetOrCreateHistogram(`shallotcourse_request_seconds{Service="` + q.service.Name + `"}`).Update(took.Seconds())
 	fields := []any{
 		"event", "Request", "request", q.headers.ID, "route", q.route.Name, "service", q.service.Name, "account", q.account,
-		"config", q.version, "configAge", q.Configs.Age().Round(time.Millisecond), "fleetAge", q.Fleets.Age().Round(time.Millisecond),
+		"config", q.version, "configAge", q.Configs.Age().Round(time.Millisecond), "admitAge", q.configAge.Round(time.Millisecond), "fleetAge", q.Fleets.Age().Round(time.Millisecond),
 		"sendAge", time.Duration(q.oldestList.Load()).Round(time.Millisecond), "status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
 		"prompt", promptText(q.headers.PromptParts),
 	}
