soak: targets leave while some gateways lack the store

A request that reaches a target more than 2 s after its drain fails the test, unless its gateway was disturbed in the 3 s before, or the store before the drain. TestSoak has the new fault and the check too.

--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -41,17 +41,17 @@
 	cutConnections(linkRelay), silenceConnections(linkRelay), delayMessages(linkRelay), holdDirection(linkRelay),
 	cutConnections(storeRelay), silenceConnections(storeRelay), holdDirection(storeRelay),
 	failStoreRequests, storeOutage, loseWriteAnswers, dropStoreHistory, rotateKeys,
-	killEngine, killEngine, drainEngine, breakStreams, slowService, failService,
+	killEngine, killEngine, drainEngine, leaveWithoutStore, breakStreams, slowService, failService,
 	limitEngine, limitService,
 	leaveEngine, pauseEngine, leaveService, pauseService,
 }
 
-// injectFaults draws faults until the given time, single ones and series of
+// injectFaults draws faults of some kinds until the given time, single ones and series of
 // three of one kind. It returns when all of them have ended.
-func (w *world) injectFaults(end time.Time) {
+func (w *world) injectFaults(kinds []fault, end time.Time) {
 	var open sync.WaitGroup
 	for time.Now().Before(end) {
-		kind := faults[w.random.IntN(len(faults))]
+		kind := kinds[w.random.IntN(len(kinds))]
 		times := 1
 		if w.random.IntN(4) == 0 {
 			times = 3
@@ -131,10 +131,15 @@
 // cutConnections closes the connections and refuses new ones.
 func cutConnections(of relayOf) fault {
 	return func(w *world) (string, func()) {
-		name, r := of(w.randomGateway())
+		g := w.randomGateway()
+		name, r := of(g)
+		end := w.disturb(g)
 		r.RefuseNew(true)
 		r.Cut()
-		return "cut " + name, func() { r.RefuseNew(false) }
+		return "cut " + name, func() {
+			r.RefuseNew(false)
+			end()
+		}
 	}
 }
 
@@ -142,41 +147,58 @@
 // work, so there is nothing to end.
 func silenceConnections(of relayOf) fault {
 	return func(w *world) (string, func()) {
-		name, r := of(w.randomGateway())
+		g := w.randomGateway()
+		name, r := of(g)
+		end := w.disturb(g)
 		r.Silence()
-		return "silence " + name, func() {}
+		return "silence " + name, end
 	}
 }
 
 func delayMessages(of relayOf) fault {
 	return func(w *world) (string, func()) {
-		name, r := of(w.randomGateway())
+		g := w.randomGateway()
+		name, r := of(g)
+		end := w.disturb(g)
 		d := time.Duration(w.random.Int64N(int64(maxDelay)))
 		r.SetDelay(d)
-		return fmt.Sprintf("delay %s by %s", name, d), func() { r.SetDelay(0) }
+		return fmt.Sprintf("delay %s by %s", name, d), func() {
+			r.SetDelay(0)
+			end()
+		}
 	}
 }
 
 // holdDirection holds back all data in one direction; nothing is lost.
 func holdDirection(of relayOf) fault {
 	return func(w *world) (string, func()) {
-		name, r := of(w.randomGateway())
+		g := w.randomGateway()
+		name, r := of(g)
+		end := w.disturb(g)
 		toTarget := w.random.IntN(2) == 0
 		r.PauseDirection(toTarget, true)
-		return fmt.Sprintf("hold back %s, direction to the relay's target: %v", name, toTarget), func() { r.PauseDirection(toTarget, false) }
+		return fmt.Sprintf("hold back %s, direction to the relay's target: %v", name, toTarget), func() {
+			r.PauseDirection(toTarget, false)
+			end()
+		}
 	}
 }
 
 // failStoreRequests makes the store answer with an error status, or not at all.
 func failStoreRequests(w *world) (string, func()) {
 	f := []sims.StoreFaults{{Status: 503}, {Status: 429}, {Silent: true}}[w.random.IntN(3)]
+	end := w.disturb(nil)
 	w.site.Store.SetFaults(f)
-	return fmt.Sprintf("store %+v", f), func() { w.site.Store.SetFaults(sims.StoreFaults{}) }
+	return fmt.Sprintf("store %+v", f), func() {
+		w.site.Store.SetFaults(sims.StoreFaults{})
+		end()
+	}
 }
 
 // storeOutage disconnects all gateways from the store for longer than KeyLife,
 // and rotates the keys at its start, which no gateway receives until it ends.
 func storeOutage(w *world) (string, func()) {
+	ended := w.disturb(nil)
 	for _, g := range w.gateways {
 		g.store.RefuseNew(true)
 		g.store.Cut()
@@ -188,13 +210,18 @@
 		for _, g := range w.gateways {
 			g.store.RefuseNew(false)
 		}
+		ended()
 	}
 }
 
 // loseWriteAnswers makes the store perform writes without answering them.
 func loseWriteAnswers(w *world) (string, func()) {
+	end := w.disturb(nil)
 	w.site.Store.SetFaults(sims.StoreFaults{LoseAnswers: 3})
-	return "store loses answers to writes", func() { w.site.Store.SetFaults(sims.StoreFaults{}) }
+	return "store loses answers to writes", func() {
+		w.site.Store.SetFaults(sims.StoreFaults{})
+		end()
+	}
 }
 
 // dropStoreHistory makes the store forget past changes, so that gateways that
@@ -233,6 +260,7 @@
 	e := w.randomEngine()
 	return w.exclusive("drain engine", e.ID, func() func() {
 		e.WriteRow("draining")
+		w.noteDrain(e)
 		return func() { e.WriteRow("ready") }
 	})
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -61,20 +61,20 @@
 func TestSoak(t *testing.T) {
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, seed, *gatewayCount, *faultsLength) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, seed, *gatewayCount, *faultsLength, faults) })
 	}
 }
 
 // Guards against the return of failures that the soak has found before.
 func TestRegressions(t *testing.T) {
 	for _, r := range regressions {
-		t.Run(fmt.Sprintf("seed %d: %s", r.seed, r.cause), func(t *testing.T) { soak(t, r.seed, r.gateways, *faultsLength) })
+		t.Run(fmt.Sprintf("seed %d: %s", r.seed, r.cause), func(t *testing.T) { soak(t, r.seed, r.gateways, *faultsLength, faults) })
 	}
 }
 
 // soak runs one seed: it starts the gateways and callers, injects faults for the
 // given time, and then checks that all gateways serve again.
-func soak(t *testing.T, seed uint64, gateways int, length time.Duration) {
+func soak(t *testing.T, seed uint64, gateways int, length time.Duration, kinds []fault) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	w := newWorld(ctx, t, seed, gateways)
@@ -83,7 +83,7 @@
 	for n := range callerCount {
 		callers.Go(newCaller(w, n, seed).run)
 	}
-	w.injectFaults(time.Now().Add(length))
+	w.injectFaults(kinds, time.Now().Add(length))
 	w.recordEvent("the last fault has ended")
 	w.awaitServing(recoveryBound)
 	cancel()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -46,6 +46,9 @@
 	started time.Time
 	// faulted holds the gateways and targets with an active exclusive fault.
 	faulted map[string]bool
+	// drains and disturbances are in the order of their start.
+	drains       []drain
+	disturbances []disturbance
 }
 
 func newWorld(ctx context.Context, t *testing.T, seed uint64, gateways int) *world {
@@ -168,6 +171,7 @@
 		}
 	}
 	w.checkStandings()
+	w.checkDrains()
 	for _, g := range w.gateways {
 		if m := g.megabytes(); m > memoryMegabytes {
 			w.recordFailure("%s uses %d MB", g.name, m)
