--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -215,7 +215,7 @@
 	}
 	f.section.Update(func(v Fleet) (Fleet, bool) {
 		if page.Version.Compare(v.Version) < 0 {
-			return v.overtaking(page.Version, readAt)
+			return v.withOlderPage(page.Version, readAt)
 		}
 		now := f.bootClock()
 		restored := v.Read > 0 && page.Version.Era > v.Version.Era
@@ -275,10 +275,10 @@
 	})
 }
 
-// overtaking returns the list after a page of an older version has arrived, and whether
-// the list has changed. It holds all that the page shows. It was the newest when the
-// page was read or appeared later, unless the store has come back from a copy meanwhile.
-func (v Fleet) overtaking(page topo.Version, readAt time.Duration) (Fleet, bool) {
+// withOlderPage returns the list after a page of an older version has arrived, and
+// whether that changes it. The list holds all that the page shows, and was read when the
+// page was or later. A page of an earlier era says nothing about it.
+func (v Fleet) withOlderPage(page topo.Version, readAt time.Duration) (Fleet, bool) {
 	if page.Era != v.Version.Era || readAt <= v.Read {
 		return v, false
 	}
--- a/spec/send.pml
+++ b/spec/send.pml
@@ -29,7 +29,7 @@
 #endif
 
 /* Gateway: a reading that is older than the list does not replace it. */
-/* Go: internal/follow, Fleets.apply (overtaking). */
+/* Go: internal/follow, Fleets.apply (withOlderPage). */
 #ifdef MUTANT_GOES_BACK
 #define MERGED(value) value
 #else
