--- a/internal/peers/sync_test.go
+++ b/internal/peers/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -96,31 +97,42 @@
 	return p
 }
 
-// newGroup returns a leader that lacks the store while source.lost is set, with followers that
-// have nothing, and another leader that has the store. All but the other leader answer
-// before it does.
-func newGroup(followers int, times bounds.Times) (cut *Peers, source *listSource, sound *Peers) {
+// newGroup returns leaders that lack the store while the source is lost, and another one
+// that has it. The followers of the first have nothing. All answer before the leader that
+// has the store does.
+func newGroup(followers, leaders int, times bounds.Times) (cut []*Peers, source *listSource, sound *Peers) {
 	source = &listSource{}
-	cut, sound = newTestPeers("cut", source, times), newTestPeers("sound", &listSource{}, times)
-	links := map[string]link.Peer{"sound": peerLink{from: cut, to: sound}}
-	cut.lastReceived["sound"] = received{group: "sound"}
-	for i := range followers {
-		name := fmt.Sprint("follower", i)
-		links[name] = peerLink{from: cut, to: newTestPeers(name, nil, times)}
-		cut.lastReceived[name] = received{state: wire.GatewayState{Follow: true}}
-	}
-	cut.links = func() map[string]link.Peer { return links }
+	sound = newTestPeers("sound", &listSource{}, times)
 	sound.links = func() map[string]link.Peer { return nil }
+	for i := range leaders {
+		cut = append(cut, newTestPeers(fmt.Sprint("cut", i), source, times))
+	}
+	for i, p := range cut {
+		links := map[string]link.Peer{}
+		for _, other := range append(slices.Clone(cut), sound) {
+			if other != p {
+				links[other.Self.Instance] = peerLink{from: p, to: other}
+				p.lastReceived[other.Self.Instance] = received{group: other.Self.Instance}
+			}
+		}
+		for n := range followers {
+			name := fmt.Sprint("follower", i, "-", n)
+			links[name] = peerLink{from: p, to: newTestPeers(name, nil, times)}
+			p.lastReceived[name] = received{state: wire.GatewayState{Follow: true}}
+		}
+		p.links = func() map[string]link.Peer { return links }
+	}
 	return cut, source, sound
 }
 
-// oldestLists returns the greatest age of the leader's list in calm and during an outage.
-func oldestLists(t *testing.T, followers int) (calm, outage time.Duration) {
+// oldestLists returns the greatest age of the lists of leaders in calm and while they
+// lack the store.
+func oldestLists(t *testing.T, followers, leaders int) (calm, outage time.Duration) {
 	times := bounds.Derive(bounds.Bounds{Drain: 3 * time.Second, ConfigApply: 3 * time.Second, KeyLife: 5 * time.Second})
-	cut, source, sound := newGroup(followers, times)
+	cut, source, sound := newGroup(followers, leaders, times)
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
-	for _, p := range []*Peers{cut, sound} {
+	for _, p := range append(slices.Clone(cut), sound) {
 		wg.Go(func() { p.Fleets.Run(ctx) })
 		wg.Go(func() {
 			for timer.Sleep(ctx, timer.System{}, stateInterval) == nil {
@@ -130,7 +142,9 @@
 	}
 	oldest := func(span time.Duration) (age time.Duration) {
 		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			age = max(age, cut.Fleets.Age())
+			for _, p := range cut {
+				age = max(age, p.Fleets.Age())
+			}
 		}
 		return age
 	}
@@ -140,8 +154,10 @@
 	outage = oldest(7 * time.Second)
 	source.lost.Store(false)
 	time.Sleep(2 * time.Second) // a pause and a long poll
-	if cut.Fleets.Failing() {
-		t.Error("the store is back and counts as failing")
+	for _, p := range cut {
+		if p.Fleets.Failing() {
+			t.Errorf("the store is back and counts as failing at %s", p.Self.Instance)
+		}
 	}
 	cancel()
 	wg.Wait()
@@ -152,15 +168,18 @@
 
 // Guards against a leader that lacks the store and goes on with its old target list,
 // which its followers use too (DRAIN), although another leader has the store: it asks
-// late, takes the first of several answers for all, or asks its own followers.
+// late, takes the first of several answers for all, or asks its own followers. Other
+// leaders may lack the store too.
 func TestLeaderWithoutStoreAsksOthersAtOnce(t *testing.T) {
-	for _, followers := range []int{0, 2, 10} {
-		t.Run(fmt.Sprint(followers, " followers"), func(t *testing.T) {
+	for _, c := range []struct{ followers, leaders int }{{0, 1}, {2, 1}, {10, 1}, {10, 2}, {10, 4}} {
+		t.Run(fmt.Sprint(c.followers, " followers, ", c.leaders, " leaders"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				calm, outage := oldestLists(t, followers)
-				// What the other leader has is as old, and asked for once each interval.
-				is.True(outage <= calm+stateInterval+4*calmLinkTime)
+				calm, outage := oldestLists(t, c.followers, c.leaders)
+				// What the leader with the store has is as old. It is asked once each
+				// interval, or in turn with the others if they are more than a round.
+				rounds := (c.leaders + maxSyncPeers - 1) / maxSyncPeers
+				is.True(outage <= calm+time.Duration(rounds)*stateInterval+4*calmLinkTime)
 			})
 		})
 	}
