--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 # Fuzzes each decoder that reads from outside. A failing input stays in testdata/fuzz
 # of the package and is a test from then on. The limit is a number of runs: at the end
 # of a time, Go's fuzzer may report "context deadline exceeded" without a failure.
-FUZZTIME ?= 100000x
+FUZZTIME ?= 200000x
 FUZZERS := internal/proxy:FuzzEventReader platform:FuzzDecodeTarget platform:FuzzReport platform:FuzzDecodeConfig platform:FuzzRequestHeaders \
   internal/wire:FuzzDecode internal/conf:FuzzParseGateway
 fuzz:
