--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -32,7 +32,7 @@
 
 // admit matches the request to a route, checks its key, chooses its service,
 // sets its deadline and reads its body. It first waits until the target list
-// has been read; Read is 0 before.
+// has been read (Read is 0 before) and the configuration is young enough.
 func (q *request) admit() error {
 	if err := q.stoppingError(); err != nil {
 		return err
