follow: routes stay closed when the list of accounts is left out

Cause: a configuration without the field for accounts needs no keys, also right after one that had accounts. A writer that leaves empty lists out removed the check together with the last account.

Ruled out by reading: an older configuration that comes back (versions only grow, other gateways pass on the operator's bytes), ages (boot clock, counted from before each call).

Change: once a configuration has declared accounts, a process goes on requiring keys, and a configuration without the list counts as one with an empty list. RequireKeys, set by the contracts that the deploy file passes, does the same from the first configuration on, for gateways that start later. It depends on what was declared, not on a deployment. The request's line names the rule of admission, gateway status whether keys are required.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -98,9 +98,9 @@
 }
 
 func gatewayCommand() *cobra.Command {
-	var file, drain, configApply string
+	var file, drain, configApply, contracts string
 	c := &cobra.Command{
-		Use:   "gateway [--config FILE] [--drain DURATION] [--config-apply DURATION]",
+		Use:   "gateway [--config FILE] [--drain DURATION] [--config-apply DURATION] [--contracts LIST]",
 		Short: "Run a gateway with the settings in a TOML file",
 		Long: "Run a gateway: an entry for deployments whose operator declares routes in the\n" +
 			"platform's store and whose targets pass tokens on to one another.",
@@ -120,12 +120,14 @@
 			if settings, err = settings.WithBounds(drain, configApply); err != nil {
 				return err
 			}
+			settings.RequireKeys = settings.RequireKeys || platform.KeysRequired(contracts)
 			return runGateway(c.Context(), file, settings, c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&file, "config", "", "settings file; by default the one that $"+settingsVariable+" names")
 	c.Flags().StringVar(&drain, "drain", "", "Bounds.Drain, in place of the one in the file")
 	c.Flags().StringVar(&configApply, "config-apply", "", "Bounds.ConfigApply, in place of the one in the file")
+	c.Flags().StringVar(&contracts, "contracts", "", "the platform's contracts in force, separated by commas; those on client accounts set RequireKeys")
 	c.AddCommand(gatewayStatusCommand())
 	return c
 }
@@ -177,6 +179,7 @@
 		Drain: settings.Bounds.Drain.Duration, ConfigApply: settings.Bounds.ConfigApply.Duration, KeyLife: settings.KeyLife.Duration,
 	})
 	g.configs.SetTimes(g.times.Config)
+	g.configs.SetRequireKeys(settings.RequireKeys)
 	g.fleets.SetTimes(g.times.Targets)
 	g.noteBounds()
 	g.ledger = ledger.New(d.clock)
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -75,8 +75,8 @@
 		// A write error is returned by Flush.
 		_, _ = io.WriteString(t, strings.Join(text, "\t")+"\n")
 	}
-	row("INSTANCE", "CONFIGURATION", "PROVED", "LIST", "ERA", "GATEWAYS", "OPEN")
-	row(s.Instance, s.Version, s.ConfigAge+" ago", s.FleetAge+" old", s.StoreEra, s.Gateways, s.Open)
+	row("INSTANCE", "CONFIGURATION", "PROVED", "LIST", "ERA", "GATEWAYS", "OPEN", "KEYS REQUIRED")
+	row(s.Instance, s.Version, s.ConfigAge+" ago", s.FleetAge+" old", s.StoreEra, s.Gateways, s.Open, s.KeysRequired)
 	row()
 	row("ROUTE", "HOST", "PREFIX", "KIND", "SERVICES", "TIMEOUT", "PUBLIC")
 	for _, r := range s.Routes {
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -24,6 +24,8 @@
 		Version   uint64
 		ConfigAge string
 		FleetAge  string
+		// KeysRequired is true if routes that are not public need an API key.
+		KeysRequired bool
 		// StoreEra is the newest era of the store that the gateway has seen; it
 		// rises when the store comes back from an older copy.
 		StoreEra uint64
@@ -74,7 +76,7 @@
 	config, fleet := g.configs.Section().Value(), g.fleets.Section().Value()
 	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
-		StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
+		KeysRequired: !config.Keyless(), StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
 		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises),
 	}
--- a/internal/conf/gateway.go
+++ b/internal/conf/gateway.go
@@ -33,6 +33,10 @@
 		// Processor is the processor time that the process may use, in cores.
 		// The gateways with the most cores relay the state of the others.
 		Processor float64
+		// RequireKeys is true if requests need an API key also while the configuration
+		// declares no client accounts. Without it, they need one from the first
+		// configuration on that declares some.
+		RequireKeys bool
 		// KeyLife is the time since the configuration was last confirmed as
 		// current after which API keys are no longer accepted.
 		KeyLife Duration
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -29,6 +29,9 @@
 	Configs struct {
 		feed
 		section *board.Section[Config]
+		// requireKeys is true if requests need a key also by a configuration that
+		// declares no list of accounts.
+		requireKeys bool
 		// await returns when the store may be read.
 		await func(context.Context)
 	}
@@ -44,6 +47,11 @@
 // may hold an older copy.
 func (c *Configs) SetAwait(await func(context.Context)) { c.await = await }
 
+// SetRequireKeys says whether requests always need a key. If not, they need one from
+// the first configuration on that declares a list of accounts. It must be called before
+// Run.
+func (c *Configs) SetRequireKeys(require bool) { c.requireKeys = require }
+
 // Section returns the board section that holds the configuration.
 func (c *Configs) Section() *board.Section[Config] { return c.section }
 
@@ -112,7 +120,12 @@
 			v.ConfirmedAt = max(v.ConfirmedAt, confirmedAt)
 			return v, true
 		}
-		_ = level.Info(c.log).Log("event", "ConfigInForce", "version", config.Version, "before", v.Version, "from", from)
+		if config.Keyless() && (c.requireKeys || v.Version > 0 && !v.Keyless()) {
+			// A writer that leaves empty lists out must not open the routes to everybody.
+			config = config.WithKeys()
+			_ = level.Warn(c.log).Log("event", "ConfigWithoutAccounts", "version", config.Version, "from", from)
+		}
+		_ = level.Info(c.log).Log("event", "ConfigInForce", "version", config.Version, "before", v.Version, "keys", !config.Keyless(), "from", from)
 		return Config{Config: config, Raw: raw, ConfirmedAt: max(v.ConfirmedAt, confirmedAt)}, true
 	})
 }
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -22,6 +22,20 @@
 	refreshTimeout = 250 * time.Millisecond
 )
 
+// The rules of admission, as logged.
+const (
+	// admittedPublic is for routes that need no key, and admittedKeyless for
+	// configurations that declare no accounts.
+	admittedPublic  admission = "Public"
+	admittedKeyless admission = "Keyless"
+	admittedByKey   admission = "Key"
+	refusedKey      admission = "UnknownKey"
+	refusedRoute    admission = "NoRoute"
+)
+
+// admission is the rule by which a request is admitted or refused.
+type admission string
+
 // stoppingError returns an error if the drain refuses new requests.
 func (q *request) stoppingError() error {
 	if q.RefusesNew() {
@@ -56,17 +70,24 @@
 		}
 		config = fresh
 		if route, ok = config.Match(q.r.Host, q.r.URL.Path); !ok {
+			q.admission = refusedRoute
 			return fault.Newf(fault.NotFound, "no route for host %q and path %q", q.r.Host, q.r.URL.Path)
 		}
 	}
 	q.version, q.route, q.configAge = config.Version, route, q.Configs.Age()
 	q.Metrics.GetOrCreateHistogram("shallotcourse_admission_config_age_seconds").Update(q.configAge.Seconds())
-	if !route.Public && !config.Keyless() {
+	switch {
+	case route.Public:
+		q.admission = admittedPublic
+	case config.Keyless():
+		q.admission = admittedKeyless
+	default:
 		account, ok := config.Account(q.headers.Key)
 		if !ok {
+			q.admission = refusedKey
 			return fault.New(fault.Unauthorized, "the API key is unknown")
 		}
-		q.account = account.Name
+		q.admission, q.account = admittedByKey, account.Name
 	}
 	name := route.Pick(q.headers.ID)
 	if q.service, ok = config.Service(name); !ok {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -102,6 +102,8 @@
 		version   uint64
 		configAge time.Duration
 		account   string
+		// admission is the rule by which the request was admitted or refused.
+		admission admission
 		// bodyRead is true once body holds the whole body.
 		bodyRead bool
 		body     []byte
@@ -251,7 +253,7 @@
 	q.Metrics.GetOrCreateCounter(`shallotcourse_requests_total{Service="` + q.service.Name + `",Outcome="` + outcome + `"}`).Inc()
 	q.Metrics.GetOrCreateHistogram(`shallotcourse_request_seconds{Service="` + q.service.Name + `"}`).Update(took.Seconds())
 	fields := []any{
-		"event", "Request", "request", q.headers.ID, "route", q.route.Name, "service", q.service.Name, "account", q.account,
+		"event", "Request", "request", q.headers.ID, "route", q.route.Name, "service", q.service.Name, "account", q.account, "admission", q.admission,
 		"config", q.version, "configAge", q.Configs.Age().Round(time.Millisecond), "admitAge", q.configAge.Round(time.Millisecond), "fleetAge", q.Fleets.Age().Round(time.Millisecond),
 		"sendAge", time.Duration(q.oldestList.Load()).Round(time.Millisecond), "status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
 		"prompt", promptText(q.headers.PromptParts),
--- a/internal/topo/config.go
+++ b/internal/topo/config.go
@@ -94,6 +94,13 @@
 // key.
 func (c Config) Keyless() bool { return c.keyless }
 
+// WithKeys returns the configuration with keys required: if it declares no list of
+// accounts, that counts as an empty list.
+func (c Config) WithKeys() Config {
+	c.keyless = false
+	return c
+}
+
 // Service returns a service by name.
 func (c Config) Service(name string) (Service, bool) {
 	s, ok := c.services[name]
