cross: requests are shared out over data centres by rate

Each gateway sent a request to the data centre that looked cheapest at the moment, by loads up to half a second old and fixed costs of 2 ms, so all gateways moved at once.

internal/cross decides the share of new requests that each data centre gets from its memory, its queue of prompts, the configured delays and the pipe. A request is picked for a data centre by the hash of its ID, and chain.Request has a preferred data centre. Services whose configuration names no delays are handled as before.

Measured: the tests of proxy, chain, topo, ledger and peers pass with the race detector.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -74,6 +74,9 @@
 		Tokens int
 		// DataCentre is the data centre of the gateway.
 		DataCentre string
+		// Prefer is the data centre whose chain is used if there is one; empty if
+		// data centres are compared by cost only.
+		Prefer string
 		// PrevDataCentre is the data centre of the target before the requested
 		// layers; empty if they begin the chain.
 		PrevDataCentre string
@@ -152,7 +155,8 @@
 
 // Choose returns the cheapest chain that covers the requested layers. If any
 // data centre holds all these layers, the chain stays within one, since prompts
-// would saturate the network between data centres. The failure is NoTarget if no
+// would saturate the network between data centres: the one that the request prefers,
+// or the cheapest if that has no chain. The failure is NoTarget if no
 // target holds some layer, TargetPause with the time to wait if some layer is held only
 // by targets that pause, TargetLimit if no chain can begin because of NotFirst,
 // and Overloaded if the targets that hold the layers have no memory or time left.
@@ -182,6 +186,10 @@
 		covered = true
 		f, lateHere := searchInTime(m, byDC[dc], req)
 		tooLate = tooLate || lateHere
+		if f != nil && dc == req.Prefer {
+			best = f
+			break
+		}
 		if f != nil && (best == nil || f.cost < best.cost) {
 			best = f
 		}
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -92,6 +92,13 @@
 		row(b.Service, strings.Join(b.DataCentres, ","), int(b.Requests), int(b.Best), fmt.Sprintf("%d-%d", b.Binding.From, b.Binding.To))
 	}
 	row()
+	row("SERVICE", "FROM", "TO", "SHARE", "WHY")
+	for _, service := range s.Shares {
+		for _, share := range service.Shares {
+			row(service.Service, service.From, share.DataCentre, fmt.Sprintf("%.2f", share.Part), share.Reason)
+		}
+	}
+	row()
 	row("PROMISE", "REQUIRED", "WORST CASE", "KEPT", "STEPS")
 	for _, p := range s.Promises {
 		row(p.Name, p.Bound, p.Sum, p.Kept, p.Steps)
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -11,6 +11,7 @@
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/plan"
+	"shallotcourse/internal/proxy"
 	"shallotcourse/internal/topo"
 )
 
@@ -36,6 +37,9 @@
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
+		// Shares holds the shares of new requests that this gateway sends to each
+		// data centre, by service; empty if it does not decide by shares.
+		Shares []proxy.ServiceShares
 		// Promises holds the times within which changes take effect.
 		Promises []promiseStatus
 		// Holds holds the parts of prompts that are not sent to targets for some
@@ -78,7 +82,7 @@
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		KeysRequired: !config.Keyless(), StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
-		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises),
+		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Shares: g.server.Shares(), Promises: promiseStatuses(g.times.Promises),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -211,6 +211,21 @@
 	delete(l.peerLoads, instance)
 }
 
+// ReportAges returns the time since the last load report of each other gateway that
+// still counts.
+func (l *Ledger) ReportAges() map[string]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	out := make(map[string]time.Duration, len(l.peerLoads))
+	for instance, p := range l.peerLoads {
+		if age := now.Sub(p.at); age <= peerLoadTTL {
+			out[instance] = age
+		}
+	}
+	return out
+}
+
 // ExpectedLoads returns the load of all gateways at each target, including the
 // requests that the others are expected to have opened since their last
 // reports: each as many as this gateway within the lag. Without these, all
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -72,6 +72,7 @@
 		tried = append(tried, t.ID)
 		q.sendCount++
 		q.pathLog += " " + t.ID
+		q.noteCrossing(t, crossedPlain)
 		pending++
 		go func() { attempts <- q.sendPlain(ctx, t) }()
 		return nil
@@ -197,7 +198,7 @@
 
 // pickPlainTarget returns the unused target with the lowest expected latency.
 func (q *request) pickPlainTarget(tried []string) (topo.Target, *fault.Error) {
-	loads := q.Ledger.TotalLoads()
+	loads, config := q.Ledger.TotalLoads(), q.Configs.Section().Value().Config
 	var best *topo.Target
 	bestScore := 0.0
 	limited := false
@@ -220,9 +221,7 @@
 			continue
 		}
 		score := q.latencies.expectedLatency(t.ID).Seconds() * (1 + float64(loads[t.ID].Running)/float64(max(1, t.Slots)))
-		if t.DataCentre != q.Settings.DataCentre {
-			score += 2 * time.Millisecond.Seconds()
-		}
+		score += q.plainDelay(config, t.DataCentre).Seconds()
 		if q.Ledger.Suspected(*t) {
 			// Suspected targets are used only if there is no other.
 			score += time.Hour.Seconds()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -61,6 +61,9 @@
 		// LoadLag returns the number of other gateways and the age of the load
 		// that the ledger holds for them.
 		LoadLag func() (others int, lag time.Duration)
+		// LoadAge returns the age of the loads that the gateways of a data centre
+		// have reported; nil if they are always new.
+		LoadAge func(dataCentre string) time.Duration
 		Dialect Dialect
 		Engines Engines
 		// Client sends requests to targets. It must not retry requests, reuse
@@ -78,6 +81,7 @@
 		reports     reportCache
 		buffers     responseBuffers
 		latencies   latencyStats
+		shares      shareCache
 		// abortCtx is cancelled to end the streams that are still open at the
 		// end of the drain.
 		abortCtx context.Context
@@ -118,7 +122,8 @@
 		// firstByte is the time of the first byte sent to the caller.
 		firstByte time.Time
 		// pathLog lists the targets and paths used, for the log.
-		pathLog string
+		pathLog  string
+		crossing crossing
 		// recorded is true once the outcome is logged and counted.
 		recorded bool
 	}
@@ -258,6 +263,7 @@
 		"sendAge", time.Duration(q.oldestList.Load()).Round(time.Millisecond), "status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
 		"prompt", promptText(q.headers.PromptParts),
 	}
+	fields = append(fields, q.crossFields()...)
 	if !q.firstByte.IsZero() {
 		q.Metrics.GetOrCreateHistogram(`shallotcourse_first_byte_seconds{Service="` + q.service.Name + `"}`).Update(q.firstByte.Sub(q.arrived).Seconds())
 		fields = append(fields, "first", q.firstByte.Sub(q.arrived).Round(time.Millisecond))
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -355,9 +355,9 @@
 // choosePath returns a path through all layers of the model. A forced path
 // ignores capacity.
 func (s *stream) choosePath(forced bool) ([]chain.Hop, error) {
-	m := s.service.Model
-	return chain.Choose(m, s.candidates(), chain.Request{
-		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost,
+	m, candidates := s.service.Model, s.candidates()
+	return chain.Choose(m, candidates, chain.Request{
+		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost, Prefer: s.preferredDataCentre(candidates, forced),
 		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
 		MaxPromptWait: time.Duration(queuedPromptShare * float64(s.route.Objective)),
 	})
--- a/internal/topo/config.go
+++ b/internal/topo/config.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,6 +22,9 @@
 	byHost map[string][]Route
 	// byKey holds the accounts by the hash of each of their keys.
 	byKey map[uint64]keyedAccount
+	// delays holds the longest delay that the services' models name between two data
+	// centres, in both directions.
+	delays map[[2]string]time.Duration
 	// keyless says that the configuration declares no list of accounts, so that
 	// requests need no key. With an empty list, no key is valid.
 	keyless bool
@@ -39,10 +43,11 @@
 func NewConfig(version uint64, limits Limits, routes []Route, services []Service, accounts []Account, keys map[string][]string) Config {
 	c := Config{
 		Version: version, Limits: limits, services: map[string]Service{}, byHost: map[string][]Route{},
-		byKey: map[uint64]keyedAccount{}, keyless: accounts == nil,
+		byKey: map[uint64]keyedAccount{}, delays: map[[2]string]time.Duration{}, keyless: accounts == nil,
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
+		c.addDelays(s.Model)
 	}
 	for _, r := range routes {
 		c.byHost[hostKey(r.Host)] = append(c.byHost[hostKey(r.Host)], r)
@@ -62,6 +67,25 @@
 	return c
 }
 
+func (c Config) addDelays(m *Model) {
+	if m == nil {
+		return
+	}
+	for _, d := range m.Delays {
+		for _, pair := range [][2]string{{d.From, d.To}, {d.To, d.From}} {
+			if named, ok := m.Delay(pair[0], pair[1]); ok {
+				c.delays[pair] = max(c.delays[pair], named)
+			}
+		}
+	}
+}
+
+// Delay returns the delay from one data centre to another, if a model names it.
+func (c Config) Delay(from, to string) (time.Duration, bool) {
+	d, ok := c.delays[[2]string{from, to}]
+	return d, ok
+}
+
 // Match returns the route with the longest prefix that matches a host, with or
 // without a port, and a path.
 func (c Config) Match(host, path string) (Route, bool) {
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -110,6 +110,19 @@
 		Cards map[string]Card
 		// UsualPrompt and UsualAnswer are mean token counts.
 		UsualPrompt, UsualAnswer int
+		// Delays holds the delays between data centres that the configuration
+		// names; empty if it names none.
+		Delays []Delay
+		// PipeBytes is the number of bytes per second that all transfers between
+		// data centres share; 0 if the configuration names none.
+		PipeBytes float64
+	}
+
+	// Delay is the time from one data centre to another, in either direction
+	// unless the opposite one is named too.
+	Delay struct {
+		From, To string
+		Delay    time.Duration
 	}
 
 	// Service is a set of interchangeable targets.
@@ -184,6 +197,21 @@
 // layers.
 func (m *Model) Contains(l Layers) bool { return 0 <= l.From && l.From <= l.To && l.To <= m.Layers }
 
+// Delay returns the named delay from one data centre to another, or that of the
+// opposite direction.
+func (m *Model) Delay(from, to string) (time.Duration, bool) {
+	found, ok := time.Duration(0), false
+	for _, d := range m.Delays {
+		switch {
+		case d.From == from && d.To == to:
+			return d.Delay, true
+		case d.From == to && d.To == from:
+			found, ok = d.Delay, true
+		}
+	}
+	return found, ok
+}
+
 // StepTime is the time of a step through all layers on a card of pace 1 while n
 // requests of usual size generate tokens.
 func (m *Model) StepTime(n float64) time.Duration {
