cross: steady shares, bounded by arrivals and measured delays

Now a part of what was sent is left out of the demand, and the gain of a request counts the refusal that it avoids, so gateways with other histories converge.

The bound of the pipe counted the requests in flight only; it now counts arrivals, also those that find no room. Delays are those measured when connections open, if these are longer than the configured ones. Where the pipe could not carry all requests, or crossing costs more than a refusal, requests do not cross beyond the shares.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -77,6 +77,9 @@
 		// Prefer is the data centre whose chain is used if there is one; empty if
 		// data centres are compared by cost only.
 		Prefer string
+		// Confined is true if only the data centre of the gateway and the preferred
+		// one may be used.
+		Confined bool
 		// PrevDataCentre is the data centre of the target before the requested
 		// layers; empty if they begin the chain.
 		PrevDataCentre string
@@ -184,6 +187,9 @@
 			continue
 		}
 		covered = true
+		if req.Confined && dc != req.DataCentre && dc != req.Prefer {
+			continue
+		}
 		f, lateHere := searchInTime(m, byDC[dc], req)
 		tooLate = tooLate || lateHere
 		if f != nil && dc == req.Prefer {
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -220,7 +220,8 @@
 			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
-		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag, LoadAge: g.peers.LoadAge,
+		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
+		LoadAge: g.peers.LoadAge, HomeGateways: g.peers.HomeGateways,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
--- a/internal/cross/cross.go
+++ b/internal/cross/cross.go
@@ -64,8 +64,12 @@
 		Home string
 		// DataCentres contains the home data centre, in any order.
 		DataCentres []Figures
-		// Delays holds the delay from the home data centre to each other one.
+		// Delays holds the delay from the home data centre to each other one: that of
+		// the configuration, or the one measured if it is longer.
 		Delays map[string]time.Duration
+		// Arrivals is the number of new requests per second of the home data centre,
+		// also of those that find no room; 0 if unknown.
+		Arrivals float64
 		// RequestBytes is the number of bytes of a request and its answer that
 		// cross, and PipeBytes what all transfers between data centres may have per
 		// second; 0 is no bound.
@@ -88,7 +92,12 @@
 
 	// Decision holds the shares, that of the home data centre first. It is empty if
 	// there is no other data centre to send to.
-	Decision struct{ Shares []Share }
+	Decision struct {
+		Shares []Share
+		// Confined is true if no request may cross beyond the shares, also if the
+		// home data centre has no room for it: the pipe could not carry it in time.
+		Confined bool
+	}
 )
 
 // Pick returns the data centre that a request goes to, by a hash of its ID: all
--- a/internal/cross/decide.go
+++ b/internal/cross/decide.go
@@ -10,6 +10,9 @@
 	// fills before it sends any away. Targets refuse from 0.92 on, and figures are
 	// up to half a second old.
 	homeFill = 0.8
+	// remembered is the part of the requests sent away that counts as demand of the
+	// home data centre. The rest makes it fill somewhat beyond homeFill.
+	remembered = 0.85
 	// sentShare is the share of the free capacity elsewhere that all senders
 	// together may take; the rest is for the callers there.
 	sentShare = 0.5
@@ -20,8 +23,8 @@
 	// second, so that the loads follow before the next change.
 	maxChange = 0.25
 	// startGain is the gain from which a data centre gets requests, until its gain is
-	// below endShare of that.
-	startGain = 10 * time.Millisecond
+	// below endShare of that. Measured delays vary by several milliseconds.
+	startGain = 30 * time.Millisecond
 	endShare  = 0.5
 	// waitShare is the share of Input.MaxWait that prompts may queue at home, and
 	// waitStep bounds the correction for longer and shorter queues, in parts of the
@@ -49,15 +52,13 @@
 	Decider struct {
 		at    time.Time
 		sites map[string]*site
-		// heldWait is the longest queue at home since its demand has exceeded its
-		// room. Sending shortens the queue and must not end itself by that.
-		heldWait time.Duration
 	}
 
 	// site is the state of one data centre.
 	site struct {
-		// figures are the smoothed ones.
+		// figures and delay are smoothed.
 		figures Figures
+		delay   time.Duration
 		// part is the current share, 0 for the home data centre.
 		part float64
 		// sent estimates the requests in flight that were sent there, and seen is
@@ -75,7 +76,9 @@
 		// demand is the number of requests in flight of the home's callers, and
 		// excess those among them that are to be elsewhere.
 		demand, excess float64
-		reason         Reason
+		// refused is the part of the requests in excess that would find no room.
+		refused float64
+		reason  Reason
 	}
 )
 
@@ -94,30 +97,30 @@
 		elapsed = 0
 	}
 	d.at = in.At
-	home := d.site(in.home(), elapsed)
+	home := d.site(in.home(), 0, elapsed)
 	sites := make([]*site, len(others))
 	for i, f := range others {
-		sites[i] = d.site(f, elapsed)
+		sites[i] = d.site(f, in.Delays[f.Name], elapsed)
 	}
-	p := d.pressure(in, home, sites)
+	p := pressureOf(in, home, sites)
 	for i, s := range sites {
-		d.judge(in, home, s, others[i], p)
+		judge(in, home, s, others[i], p)
 	}
 	part := partOfDemand(p, home, sites)
 	distribute(in, p, part, home, sites)
 	approach(sites, maxChange*elapsed.Seconds(), p.reason == HomeLacksLayers)
-	boundByPipe(in, p, part, home, sites)
+	out := decision(in.Home, p, sites, boundByPipe(in, p, part, home, sites))
 	for _, s := range sites {
 		s.follow(in, p.demand, elapsed)
 	}
-	return decision(in.Home, p, sites)
+	return out
 }
 
 // site returns the state of a data centre with its figures updated.
-func (d *Decider) site(f Figures, elapsed time.Duration) *site {
+func (d *Decider) site(f Figures, delay, elapsed time.Duration) *site {
 	s := d.sites[f.Name]
 	if s == nil {
-		s = &site{figures: f}
+		s = &site{figures: f, delay: delay}
 		d.sites[f.Name] = s
 	}
 	w := weight(elapsed, smoothing)
@@ -127,24 +130,26 @@
 	s.figures.Free = blend(old.Free, f.Free, w)
 	s.figures.Wait = time.Duration(blend(float64(old.Wait), float64(f.Wait), w))
 	s.figures.Read = time.Duration(blend(float64(old.Read), float64(f.Read), w))
+	s.delay = time.Duration(blend(float64(s.delay), float64(delay), w))
 	s.figures.Token = time.Duration(blend(float64(old.Token), float64(f.Token), w))
 	return s
 }
 
-// pressure returns the demand of the home data centre and what exceeds its room. What
-// was sent away counts as demand, so the result does not depend on the shares and steady
-// demand gives steady shares.
-func (d *Decider) pressure(in Input, home *site, sites []*site) pressure {
+// pressureOf returns the demand of the home data centre and what exceeds its room. What
+// was sent away counts as demand, so steady demand gives steady shares. A part of it does
+// not count, so that gateways with other histories come to the same shares.
+func pressureOf(in Input, home *site, sites []*site) pressure {
 	h := home.figures
 	p := pressure{demand: h.InFlight, reason: HomeHasRoom}
 	for _, s := range sites {
-		p.demand += s.seen
+		p.demand += remembered * s.seen
 	}
 	if !h.serves() {
 		p.excess, p.reason = p.demand, HomeLacksLayers
 		return p
 	}
 	room, cause := homeFill*(h.InFlight+h.Free), HomeFull
+	p.refused = max(0, min(1, (p.demand-room)/max(1, h.InFlight+h.Free-room)))
 	if limit := waitShare * float64(in.MaxWait); limit > 0 {
 		correction := waitStep * max(-1, min(1, 1-float64(h.Wait)/limit))
 		if byWait := h.InFlight * (1 + correction); byWait < room {
@@ -153,16 +158,13 @@
 	}
 	if p.excess = max(0, p.demand-room); p.excess > 0 {
 		p.reason = cause
-		d.heldWait = max(d.heldWait, h.Wait)
-	} else {
-		d.heldWait = 0
 	}
 	return p
 }
 
 // judge decides whether a data centre gets requests at all. now holds its figures before
 // smoothing.
-func (d *Decider) judge(in Input, home, s *site, now Figures, p pressure) {
+func judge(in Input, home, s *site, now Figures, p pressure) {
 	s.reason = p.reason
 	switch {
 	case !now.serves():
@@ -176,22 +178,27 @@
 		if s.active {
 			threshold = time.Duration(endShare * float64(startGain))
 		}
-		if s.active = p.reason == HomeLacksLayers || d.gain(in, home.figures, s.figures, p) > threshold; !s.active {
+		if s.active = p.reason == HomeLacksLayers || gain(in, home.figures, s, p) > threshold; !s.active {
 			s.reason = NoGain
 		}
 	}
 }
 
 // gain is the time that a request saves elsewhere: the queue at home and the refusals
-// there, less the delays of the request, the time of its bytes,
-// and what the targets there are slower.
-func (d *Decider) gain(in Input, h, f Figures, p pressure) time.Duration {
-	avoided := time.Duration(p.excess/p.demand*float64(in.Refusal)) + max(d.heldWait, h.Wait)
-	cost := Trips * in.Delays[f.Name]
+// there, less the cost of crossing, and what the targets there are slower.
+func gain(in Input, h Figures, s *site, p pressure) time.Duration {
+	f := s.figures
+	avoided := time.Duration(p.refused*float64(in.Refusal)) + h.Wait
+	return avoided - f.Wait - s.crossCost(in) + h.Read - f.Read + h.Token - f.Token
+}
+
+// crossCost is the time that the delays of a request to the data centre and its bytes take.
+func (s *site) crossCost(in Input) time.Duration {
+	cost := Trips * s.delay
 	if in.PipeBytes > 0 {
 		cost += time.Duration(in.RequestBytes / in.PipeBytes * float64(time.Second))
 	}
-	return avoided - f.Wait - cost + h.Read - f.Read + h.Token - f.Token
+	return cost
 }
 
 // partOfDemand is the part that the callers of the home data centre have of the demand
@@ -211,6 +218,10 @@
 // what may be sent there.
 func distribute(in Input, p pressure, part float64, home *site, sites []*site) {
 	sum := 0.0
+	if p.reason == HomeLacksLayers {
+		// None can stay, so the limits only give the proportions.
+		part = 1
+	}
 	for _, s := range sites {
 		s.want, s.limit = 0, 0
 		if s.active {
@@ -222,7 +233,6 @@
 		switch {
 		case !s.active || sum <= 0:
 		case p.reason == HomeLacksLayers:
-			// None can stay, so the limits only give the proportions.
 			s.want = s.limit / sum
 		case p.demand > 0:
 			s.want = s.limit * min(1, p.excess/sum) / p.demand
@@ -267,25 +277,30 @@
 }
 
 // boundByPipe reduces the parts so that what crosses stays below the part of the pipe
-// that the demand of the home data centre has of all.
-func boundByPipe(in Input, p pressure, part float64, home *site, sites []*site) {
-	if in.PipeBytes <= 0 || in.RequestBytes <= 0 {
-		return
+// that the demand of the home data centre has of all. It reports whether requests must
+// not cross beyond the parts: all of them would not fit the pipe, or to cross costs more
+// than a refusal.
+func boundByPipe(in Input, p pressure, part float64, home *site, sites []*site) (confined bool) {
+	if p.reason == HomeLacksLayers {
+		return false
 	}
+	confined = in.Refusal > 0
 	sum := 0.0
 	for _, s := range sites {
 		sum += s.part
+		confined = confined && s.crossCost(in) > in.Refusal
 	}
-	perSecond := p.demand / home.figures.length(in.AnswerTokens).Seconds()
-	allowed := pipeShare * part * in.PipeBytes / in.RequestBytes
-	if sum*perSecond <= allowed {
-		return
+	if in.PipeBytes <= 0 || in.RequestBytes <= 0 {
+		return confined
 	}
+	perSecond := max(in.Arrivals, p.demand/home.figures.length(in.AnswerTokens).Seconds())
+	allowed := pipeShare * part * in.PipeBytes / in.RequestBytes
 	for _, s := range sites {
-		if s.part > 0 {
+		if s.part > 0 && sum*perSecond > allowed {
 			s.part, s.reason = s.part*allowed/(sum*perSecond), PipeFull
 		}
 	}
+	return confined || perSecond > allowed
 }
 
 // follow updates the estimate of the requests that were sent to a data centre.
@@ -294,8 +309,8 @@
 	s.seen = blend(s.seen, s.sent, weight(elapsed, smoothing+figureLag))
 }
 
-func decision(home string, p pressure, sites []*site) Decision {
-	out := Decision{Shares: []Share{{DataCentre: home, Part: 1, Reason: p.reason}}}
+func decision(home string, p pressure, sites []*site, confined bool) Decision {
+	out := Decision{Confined: confined, Shares: []Share{{DataCentre: home, Part: 1, Reason: p.reason}}}
 	for _, s := range sites {
 		out.Shares[0].Part -= s.part
 		out.Shares = append(out.Shares, Share{DataCentre: s.figures.Name, Part: s.part, Reason: s.reason})
--- a/internal/proxy/crossing.go
+++ b/internal/proxy/crossing.go
@@ -14,6 +14,9 @@
 const (
 	// shareInterval is the least time between two decisions for a service.
 	shareInterval = 100 * time.Millisecond
+	// arrivalInterval is the time over which arrivals are counted. A gateway gets tens
+	// of requests per second, so that shorter counts vary much.
+	arrivalInterval = 2 * time.Second
 	// eventBytes and headBytes estimate the bytes of an event and of the heads of a
 	// request and its response, and promptTokenBytes those of a token of a prompt.
 	eventBytes, headBytes, promptTokenBytes = 150, 2000, 5
@@ -45,10 +48,17 @@
 		at       time.Time
 		decider  *cross.Decider
 		decision cross.Decision
+		// arrived counts the requests since countedAt, and perSecond is the rate
+		// before that.
+		arrived   int
+		countedAt time.Time
+		perSecond float64
 	}
 
 	// crossing is how a request came to a data centre.
 	crossing struct {
+		// counted is true once the request counts as arrived.
+		counted bool
 		// preferred is the data centre that the shares picked for the request; empty if
 		// they pick none.
 		preferred string
@@ -64,20 +74,22 @@
 	}
 )
 
-// preferredDataCentre returns the data centre that a new request should go to; "" if
-// data centres are to be compared by cost, as for requests that have been sent before.
-func (s *stream) preferredDataCentre(candidates []chain.Candidate, forced bool) string {
+// preferredDataCentre returns the data centre that a new request should go to, and
+// whether only this one and the own one may take it. It returns "" if data centres are to
+// be compared by cost, as for requests that have been sent before.
+func (s *stream) preferredDataCentre(candidates []chain.Candidate, forced bool) (prefer string, confined bool) {
 	if s.crossing.preferred = ""; forced || s.sendCount > 0 || s.headers.LastEvent != "" {
-		return ""
+		return "", false
 	}
-	d := s.crossDecision(s.service, candidates)
+	d := s.crossDecision(s.service, candidates, !s.crossing.counted)
+	s.crossing.counted = true
 	s.crossing.preferred = cross.Pick(d.Shares, s.headers.ID)
-	return s.crossing.preferred
+	return s.crossing.preferred, d.Confined
 }
 
 // crossDecision returns the shares of a service, which are decided anew at most every
-// shareInterval.
-func (s *Server) crossDecision(service topo.Service, candidates []chain.Candidate) cross.Decision {
+// shareInterval. arrived is true for the first call of each request.
+func (s *Server) crossDecision(service topo.Service, candidates []chain.Candidate, arrived bool) cross.Decision {
 	if service.Model == nil || len(service.Model.Delays) == 0 {
 		return cross.Decision{}
 	}
@@ -92,18 +104,32 @@
 		s.shares.services[service.Name] = kept
 	}
 	now := s.Clock.Now()
+	kept.count(arrived, now)
 	if kept.at.IsZero() || now.Sub(kept.at) >= shareInterval {
 		kept.at = now
-		kept.decision = kept.decider.Shares(s.crossInput(service, candidates, now))
+		kept.decision = kept.decider.Shares(s.crossInput(service, candidates, kept.perSecond, now))
 		s.exportShares(service.Name, kept.decision)
 	}
 	return kept.decision
 }
 
+// count counts a request that has arrived.
+func (k *serviceShares) count(arrived bool, now time.Time) {
+	if arrived {
+		k.arrived++
+	}
+	if elapsed := now.Sub(k.countedAt); elapsed >= arrivalInterval {
+		if !k.countedAt.IsZero() {
+			k.perSecond = float64(k.arrived) / elapsed.Seconds()
+		}
+		k.arrived, k.countedAt = 0, now
+	}
+}
+
 // crossInput builds the input of a decision from the targets of the service. It uses the
 // loads as reported: the expected ones depend on the requests that this gateway alone has
 // just sent.
-func (s *Server) crossInput(service topo.Service, candidates []chain.Candidate, now time.Time) cross.Input {
+func (s *Server) crossInput(service topo.Service, candidates []chain.Candidate, perSecond float64, now time.Time) cross.Input {
 	m, home := service.Model, s.Settings.DataCentre
 	loads := s.Ledger.TotalLoads()
 	candidates = slices.Clone(candidates)
@@ -116,6 +142,9 @@
 		RequestBytes: headBytes + promptTokenBytes*float64(m.UsualPrompt) + eventBytes*float64(m.UsualAnswer),
 		MaxWait:      time.Duration(queuedPromptShare * float64(objective)), Refusal: objective,
 	}
+	if in.Arrivals = perSecond; s.HomeGateways != nil {
+		in.Arrivals *= float64(s.HomeGateways())
+	}
 	rooms := chain.Rooms(m, candidates)
 	for dc, r := range rooms {
 		f := cross.Figures{
@@ -125,11 +154,11 @@
 			f.Age = s.LoadAge(dc)
 		}
 		in.DataCentres = append(in.DataCentres, f)
-		if delay, ok := m.Delay(home, dc); ok {
-			in.Delays[dc] = delay
-		} else {
-			in.Delays[dc] = plainCrossingCost / cross.Trips
+		delay, ok := m.Delay(home, dc)
+		if !ok {
+			delay = plainCrossingCost / cross.Trips
 		}
+		in.Delays[dc] = max(delay, s.dials.delay(home, dc, now))
 	}
 	if _, ok := rooms[home]; !ok {
 		in.DataCentres = append(in.DataCentres, cross.Figures{Name: home})
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -286,9 +286,12 @@
 func (q *request) roundTrip(ctx context.Context, path []topo.Target, send TargetHeaders) (*http.Response, *fault.Error) {
 	t := path[0]
 	var connected, reused atomic.Bool
+	dialStart := q.Clock.Now()
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
 		reused.Store(info.Reused)
+		now := q.Clock.Now()
+		q.dials.record(t.DataCentre, now.Sub(dialStart), now)
 	}}
 	check := q.checkSend(t, path)
 	req := q.outgoing(httptrace.WithClientTrace(check.context(ctx), trace), t, send)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -64,8 +64,11 @@
 		// LoadAge returns the age of the loads that the gateways of a data centre
 		// have reported; nil if they are always new.
 		LoadAge func(dataCentre string) time.Duration
-		Dialect Dialect
-		Engines Engines
+		// HomeGateways returns the number of gateways in this data centre, including
+		// this one; nil if it is alone.
+		HomeGateways func() int
+		Dialect      Dialect
+		Engines      Engines
 		// Client sends requests to targets. It must not retry requests, reuse
 		// connections or decompress bodies, and opens connections with CheckSends.
 		Client *http.Client
@@ -82,6 +85,7 @@
 		buffers     responseBuffers
 		latencies   latencyStats
 		shares      shareCache
+		dials       dialTimes
 		// abortCtx is cancelled to end the streams that are still open at the
 		// end of the drain.
 		abortCtx context.Context
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -356,8 +356,9 @@
 // ignores capacity.
 func (s *stream) choosePath(forced bool) ([]chain.Hop, error) {
 	m, candidates := s.service.Model, s.candidates()
+	prefer, confined := s.preferredDataCentre(candidates, forced)
 	return chain.Choose(m, candidates, chain.Request{
-		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost, Prefer: s.preferredDataCentre(candidates, forced),
+		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost, Prefer: prefer, Confined: confined,
 		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
 		MaxPromptWait: time.Duration(queuedPromptShare * float64(s.route.Objective)),
 	})
