--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -51,6 +51,7 @@
 			case "choose":
 				req := chain.Request{
 					Tokens: l.Int("tokens"), DataCentre: l.Text("dc"), PrevDataCentre: l.Text("after"), Cross: 100 * time.Millisecond,
+					Prefer: l.Text("prefer"), Confined: l.Bool("confined"),
 					Layers: topo.Layers{To: model.Layers}, Forced: l.Bool("forced"), Excluded: map[string]bool{l.Text("used"): true},
 				}
 				if r := l.Ints("layers"); r != nil {
@@ -79,6 +80,30 @@
 	return strings.Join(parts, " ")
 }
 
+// Guards against room that is counted where it cannot be used: at layers that other
+// layers' memory does not match, at targets that take nothing, and without all layers.
+func TestRooms(t *testing.T) {
+	is := is.New(t)
+	target := func(id, dc string, from, to int, used float64) chain.Candidate {
+		return chain.Candidate{
+			Target: topo.Target{ID: id, Address: id, DataCentre: dc, Card: "Fast", Held: topo.Layers{From: from, To: to}}, Load: chain.Load{TokenLayers: used, Running: 1},
+		}
+	}
+	draining, paused := target("e", "y", 0, 5, 0), target("f", "y", 0, 5, 0)
+	draining.State, paused.PausedFor = topo.Draining, time.Second
+	rooms := chain.Rooms(model, []chain.Candidate{
+		target("a", "x", 0, 5, 0), target("b", "x", 5, 10, 4500), target("c", "x", 5, 10, 4600), target("d", "y", 5, 10, 0), draining, paused,
+	})
+	x, y := rooms["x"], rooms["y"]
+	is.Equal(x.Ready, 3)
+	is.True(x.Complete)
+	is.Equal(x.InFlight, 9100.0/20/10)
+	is.Equal(x.Free, (0.92*5000-4500)/20/5) // b has room for one request and c for none
+	is.Equal(y.Ready, 1)
+	is.True(!y.Complete)
+	is.Equal(y.Free, 0.0)
+}
+
 // Guards against estimates that miss a growing queue of prompts: the more
 // requests generate tokens, the less of each step is left for prompts.
 func TestThroughputFallsShortOfPrompts(t *testing.T) {
--- a/internal/proxy/crossing.go
+++ b/internal/proxy/crossing.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -17,6 +18,8 @@
 	// arrivalInterval is the time over which arrivals are counted. A gateway gets tens
 	// of requests per second, so that shorter counts vary much.
 	arrivalInterval = 2 * time.Second
+	// defaultObjective stands for the objective of routes that have none.
+	defaultObjective = time.Second
 	// eventBytes and headBytes estimate the bytes of an event and of the heads of a
 	// request and its response, and promptTokenBytes those of a token of a prompt.
 	eventBytes, headBytes, promptTokenBytes = 150, 2000, 5
@@ -140,7 +143,7 @@
 	in := cross.Input{
 		At: now, Home: home, Delays: map[string]time.Duration{}, PipeBytes: m.PipeBytes, AnswerTokens: m.UsualAnswer,
 		RequestBytes: headBytes + promptTokenBytes*float64(m.UsualPrompt) + eventBytes*float64(m.UsualAnswer),
-		MaxWait:      time.Duration(queuedPromptShare * float64(objective)), Refusal: objective,
+		MaxWait:      time.Duration(queuedPromptShare * float64(objective)), Refusal: cmp.Or(objective, defaultObjective),
 	}
 	if in.Arrivals = perSecond; s.HomeGateways != nil {
 		in.Arrivals *= float64(s.HomeGateways())
