cross: the property covers gateways that start anew

Nothing failed when all of what was sent away counted as demand, which keeps a gateway that has restarted from the share of the others. The property now restarts a gateway and compares the shares at the end.

--- a/internal/cross/cross_test.go
+++ b/internal/cross/cross_test.go
@@ -132,8 +132,8 @@
 	return strings.Join(parts, ", ")
 }
 
-// Guards against shares that oscillate under steady demand, and against more bytes over
-// the pipe than it carries.
+// Guards against shares that oscillate under steady demand, against gateways that decide
+// otherwise by the same loads, and against more bytes over the pipe than it carries.
 func TestSteadyDemand(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
@@ -146,11 +146,14 @@
 			})
 		}
 		w.pipe = rapid.SampledFrom([]float64{4e6, 16e6, 2e8}).Draw(t, "pipe")
-		w.realPipe, w.regular = w.pipe, true
+		w.realPipe, w.regular, w.restart = w.pipe, true, 10*time.Second
 		r := w.run("shares", 40*time.Second, 1)
 		if r.swing() > maxSwing {
 			t.Fatalf("the share changes by %.2f", r.swing())
 		}
+		if r.spread() > maxSwing {
+			t.Fatalf("gateways with the same loads differ by %.2f", r.spread())
+		}
 		if r.busiest > w.pipe {
 			t.Fatalf("%.0f bytes per second over a pipe of %.0f", r.busiest, w.pipe)
 		}
--- a/internal/cross/world_test.go
+++ b/internal/cross/world_test.go
@@ -37,6 +37,8 @@
 		maxWait, objective time.Duration
 		// regular is true if requests arrive at equal intervals instead of at random.
 		regular bool
+		// restart is when one gateway of each site starts anew; 0 is never.
+		restart time.Duration
 	}
 
 	worldSite struct {
@@ -117,6 +119,9 @@
 			r.window = 0
 		}
 		for i, s := range w.sites {
+			if r.restart > 0 && r.now == r.restart {
+				r.gateways[s.name][1].decider = cross.New()
+			}
 			s.inFlight -= s.ends[r.now]
 			delete(s.ends, r.now)
 			s.history = append(s.history, s.figures(r.now))
@@ -156,13 +161,27 @@
 	g.known, g.decision = in.DataCentres, g.decider.Shares(in)
 }
 
-func (r *worldRun) sentAway(s *worldSite) float64 {
-	if shares := r.gateways[s.name][0].decision.Shares; shares != nil {
+func (r *worldRun) sentAway(s *worldSite) float64 { return r.gateways[s.name][0].sentAway() }
+
+// sentAway returns the part of the requests that the gateway sends away.
+func (g *worldGateway) sentAway() float64 {
+	if shares := g.decision.Shares; shares != nil {
 		return 1 - shares[0].Part
 	}
 	return 0
 }
 
+// spread is the largest difference between the parts that gateways of one site send away.
+func (r *worldRun) spread() float64 {
+	out := 0.0
+	for _, gateways := range r.gateways {
+		for _, g := range gateways {
+			out = max(out, g.sentAway()-gateways[0].sentAway(), gateways[0].sentAway()-g.sentAway())
+		}
+	}
+	return out
+}
+
 // order returns the data centres that a gateway tries for a request, by its rule.
 func (r *worldRun) order(home *worldSite, g *worldGateway) []cross.Figures {
 	cost := func(f cross.Figures) float64 {
