sched: less urgent requests leave room in targets' memory for more urgent ones

Cause: the priorities of routes and accounts were decoded but used by no decision.

Change: internal/sched ranks the requests of services with unequal priorities. A rank may fill the memory of targets only up to a share that leaves what the measured arrivals of more urgent ranks need within 1.5 s, at most 0.4 of it, and none once the rank is served less than 0.35 of the mean of the others. The bound on queued prompts follows the most urgent rank's objective and the same share. Request-Priority is sent to targets for these services. Services with one priority are served as before.

Result: unit and property tests of sched, chain, topo, platform and proxy pass with the race detector.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -16,9 +16,9 @@
 const (
 	// MaxHops is the largest number of hops that targets accept in a chain.
 	MaxHops = 32
-	// maxFill is the share of a target's memory for requests that new requests
+	// MaxFill is the share of a target's memory for requests that new requests
 	// may fill; the rest is kept for answers that grow beyond their estimate.
-	maxFill = 0.92
+	MaxFill = 0.92
 	// fillWeight is the extra cost of a target with full memory, as a multiple of
 	// its step time, so that load spreads before targets are full.
 	fillWeight = 2.0
@@ -86,6 +86,9 @@
 		// MaxPromptWait is the longest time that the prompts queued before this one
 		// may take; 0 is no bound.
 		MaxPromptWait time.Duration
+		// MaxFill is the share of a target's memory that may be in use with this
+		// request; 0 is the constant MaxFill.
+		MaxFill float64
 		// Forced ignores the limits of memory, slots and time, for requests that
 		// have already started.
 		Forced bool
@@ -245,6 +248,24 @@
 // begins reports whether the requested layers begin a chain.
 func (r Request) begins() bool { return r.PrevDataCentre == "" }
 
+func (r Request) maxFill() float64 {
+	if r.MaxFill > 0 {
+		return r.MaxFill
+	}
+	return MaxFill
+}
+
+// Capacity returns the memory of some targets for requests, in tokens times layers.
+func Capacity(m *topo.Model, candidates []Candidate) float64 {
+	sum := 0.0
+	for i := range candidates {
+		if c := &candidates[i]; c.Held.Len() > 0 && m.Runs(c.Target) {
+			sum += max(0, m.FreeMegabytes(c.Card, c.Held.Len())/m.TokenMegabytes)
+		}
+	}
+	return sum
+}
+
 func (c *Candidate) holds(layer int) bool { return c.Held.From <= layer && layer < c.Held.To }
 
 // loadScore is the sort key of targets with the same card and layers, the least
@@ -468,7 +489,7 @@
 	if t.capacity > 0 {
 		fill = (t.used + float64(req.Tokens*n)) / t.capacity
 	}
-	if !req.Forced && fill > maxFill {
+	if !req.Forced && fill > req.maxFill() {
 		return 0, false
 	}
 	fill = min(fill, 4)
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -30,6 +30,7 @@
 	"shallotcourse/internal/plan"
 	"shallotcourse/internal/plat"
 	"shallotcourse/internal/proxy"
+	"shallotcourse/internal/sched"
 	"shallotcourse/internal/spool"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
@@ -87,6 +88,7 @@
 	ledger   *ledger.Ledger
 	prompts  *blame.Tracker
 	limits   *limit.TargetLimiter
+	sched    *sched.Scheduler
 	peers    *peers.Peers
 	members  *peers.Members
 	planner  *plan.Planner
@@ -183,6 +185,7 @@
 	g.fleets.SetTimes(g.times.Targets)
 	g.noteBounds()
 	g.ledger = ledger.New(d.clock)
+	g.sched = sched.New(d.clock)
 	g.prompts = blame.New(blame.Options{Clock: d.clock, Log: d.logger, Instance: settings.Instance})
 	client := targetClient()
 	engines := platform.Engines{Client: client, Answered: func(t topo.Target, status int, a proxy.ResponseHeaders) {
@@ -220,7 +223,7 @@
 			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
-		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), LoadLag: g.peers.LoadLag,
+		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), Sched: g.sched, LoadLag: g.peers.LoadLag,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -75,6 +75,8 @@
 		}
 	}
 	q.version, q.route, q.configAge = config.Version, route, q.Configs.Age()
+	q.priority = route.Priority
+	q.updateRanks()
 	q.Metrics.GetOrCreateHistogram("shallotcourse_admission_config_age_seconds").Update(q.configAge.Seconds())
 	switch {
 	case route.Public:
@@ -88,6 +90,9 @@
 			return fault.New(fault.Unauthorized, "the API key is unknown")
 		}
 		q.admission, q.account = admittedByKey, account.Name
+		if account.Priority != nil {
+			q.priority = *account.Priority
+		}
 	}
 	name := route.Pick(q.headers.ID)
 	if q.service, ok = config.Service(name); !ok {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -52,6 +52,10 @@
 		// Hops is the path through the model's layers; empty for plain
 		// services.
 		Hops []Hop
+		// Ranked is true if the service has unequal priorities. Priority, 0 to 9, is
+		// sent only then.
+		Ranked   bool
+		Priority int
 	}
 
 	// ResponseHeaders holds the values of the headers of a target's response.
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -17,6 +17,7 @@
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
+	"shallotcourse/internal/sched"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
@@ -58,6 +59,9 @@
 		Limits   *limit.TargetLimiter
 		Retries  *limit.RetryLimiter
 		Returns  *limit.RetryPacer
+		// Sched ranks the requests of services with unequal priorities. By default, it
+		// belongs to this Server alone.
+		Sched *sched.Scheduler
 		// LoadLag returns the number of other gateways and the age of the load
 		// that the ledger holds for them.
 		LoadLag func() (others int, lag time.Duration)
@@ -78,6 +82,9 @@
 		reports     reportCache
 		buffers     responseBuffers
 		latencies   latencyStats
+		// rankedVersion is the version of the configuration whose ranks Sched has; 0
+		// before the first.
+		rankedVersion atomic.Uint64
 		// abortCtx is cancelled to end the streams that are still open at the
 		// end of the drain.
 		abortCtx context.Context
@@ -102,6 +109,8 @@
 		version   uint64
 		configAge time.Duration
 		account   string
+		// priority is that of the account, or else of the route.
+		priority int
 		// admission is the rule by which the request was admitted or refused.
 		admission admission
 		// bodyRead is true once body holds the whole body.
@@ -127,6 +136,9 @@
 // New returns a Server with the given dependencies.
 func New(o Options) *Server {
 	s := &Server{Options: o, abortCalls: make(chan struct{})}
+	if s.Sched == nil {
+		s.Sched = sched.New(o.Clock)
+	}
 	s.abortCtx, s.abort = context.WithCancel(context.Background())
 	s.reports.init()
 	s.latencies.init()
@@ -201,6 +213,7 @@
 	h := q.r.Header.Clone()
 	removeHopByHopHeaders(h)
 	send.Target, send.Account, send.Remaining = t.ID, q.account, max(time.Millisecond, q.remaining())
+	send.Ranked, send.Priority = q.Sched.Ranked(q.service.Name), sched.Clamp(q.priority)
 	q.Dialect.WriteRequest(h, send)
 	if h.Get("User-Agent") == "" {
 		// An empty value prevents the client from adding its own User-Agent.
@@ -256,7 +269,7 @@
 		"event", "Request", "request", q.headers.ID, "route", q.route.Name, "service", q.service.Name, "account", q.account, "admission", q.admission,
 		"config", q.version, "configAge", q.Configs.Age().Round(time.Millisecond), "admitAge", q.configAge.Round(time.Millisecond), "fleetAge", q.Fleets.Age().Round(time.Millisecond),
 		"sendAge", time.Duration(q.oldestList.Load()).Round(time.Millisecond), "status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
-		"prompt", promptText(q.headers.PromptParts),
+		"prompt", promptText(q.headers.PromptParts), "priority", q.priority,
 	}
 	if !q.firstByte.IsZero() {
 		q.Metrics.GetOrCreateHistogram(`shallotcourse_first_byte_seconds{Service="` + q.service.Name + `"}`).Update(q.firstByte.Sub(q.arrived).Seconds())
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -24,9 +24,6 @@
 	// capacityWaitShare is the part of the route's objective that a request may
 	// wait for free capacity.
 	capacityWaitShare = 0.4
-	// queuedPromptShare is the part of the objective that targets may spend on
-	// the prompts queued before a request; the rest is for the request itself.
-	queuedPromptShare = 0.7
 	// repathSilence is the silence allowed after a change of path, during which
 	// the new targets process the tokens so far.
 	repathSilence = 600 * time.Millisecond
@@ -137,6 +134,7 @@
 		request: q, excluded: map[string]bool{}, youngLosses: map[string]bool{}, lastEvent: q.headers.LastEvent, control: http.NewResponseController(q.w),
 		tokens: expectedTokens(q.headers, q.service.Model),
 	}
+	s.Sched.Arrived(q.service.Name, s.need())
 	defer s.endStandby("the request has ended")
 	var last *fault.Error
 	for {
@@ -185,6 +183,9 @@
 			return nil, s.heldError(h)
 		}
 		if r, err := s.startRun(hops); err == nil {
+			if s.sendCount == 1 {
+				s.Sched.Started(s.service.Name, s.need())
+			}
 			return r, nil
 		}
 	}
@@ -355,11 +356,12 @@
 // choosePath returns a path through all layers of the model. A forced path
 // ignores capacity.
 func (s *stream) choosePath(forced bool) ([]chain.Hop, error) {
-	m := s.service.Model
-	return chain.Choose(m, s.candidates(), chain.Request{
+	m, candidates := s.service.Model, s.candidates()
+	limits := s.limits(candidates)
+	return chain.Choose(m, candidates, chain.Request{
 		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost,
 		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
-		MaxPromptWait: time.Duration(queuedPromptShare * float64(s.route.Objective)),
+		MaxPromptWait: limits.MaxPromptWait, MaxFill: limits.MaxFill,
 	})
 }
 
--- a/internal/topo/config.go
+++ b/internal/topo/config.go
@@ -1,6 +1,7 @@
 package topo
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -90,6 +91,17 @@
 	return k.account, ok && k.key == key
 }
 
+// Accounts returns the accounts that have a key, in the order of their names.
+func (c Config) Accounts() []Account {
+	byName := map[string]Account{}
+	for _, k := range c.byKey {
+		byName[k.account.Name] = k.account
+	}
+	out := slices.Collect(maps.Values(byName))
+	slices.SortFunc(out, func(a, b Account) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Keyless reports whether no list of accounts is declared, so that requests need no
 // key.
 func (c Config) Keyless() bool { return c.keyless }
