sched: requests wait for room by rank and age

Cause: every waiting request looked for room every 20 ms, and less urgent ones, whose objective is longer, did so for longer. They won most of the room that became free.

Change: for services with unequal priorities, only those look for room before which no more urgent request waits, and no earlier one of the rank that needs as little room. A request ages by one rank in twice its objective, and a rank that is served too little counts as the most urgent. A request is refused at once if the queued prompts, or those that wait before it, take longer than its wait; Retry-After grows with the rank. The request's log line has priority and waited.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -259,11 +259,12 @@
 func Capacity(m *topo.Model, candidates []Candidate) float64 {
 	sum := 0.0
 	for i := range candidates {
-		if c := &candidates[i]; c.Held.Len() > 0 && m.Runs(c.Target) {
-			sum += max(0, m.FreeMegabytes(c.Card, c.Held.Len())/m.TokenMegabytes)
+		c := &candidates[i]
+		if card, ok := m.Cards[c.Card]; ok && c.Held.Len() > 0 && m.Contains(c.Held) {
+			sum += max(0, card.Megabytes-float64(c.Held.Len())*m.LayerMegabytes)
 		}
 	}
-	return sum
+	return sum / m.TokenMegabytes
 }
 
 func (c *Candidate) holds(layer int) bool { return c.Held.From <= layer && layer < c.Held.To }
@@ -290,6 +291,24 @@
 	return nil, tooLate
 }
 
+// ShortestPromptWait returns the shortest time that the queued prompts take at any of
+// the targets that may run some of the layers; 0 if there is none.
+func ShortestPromptWait(m *topo.Model, candidates []Candidate, l topo.Layers) time.Duration {
+	shortest := time.Duration(-1)
+	for i := range candidates {
+		c := &candidates[i]
+		n := topo.Layers{From: max(l.From, c.Held.From), To: min(l.To, c.Held.To)}.Len()
+		if n == 0 || c.State != topo.Ready || c.PausedFor > 0 || !m.Runs(c.Target) {
+			continue
+		}
+		stage := Stage{Card: c.Card, Layers: n, SlowFactor: c.SlowFactor}
+		if wait := time.Duration(float64(c.Load.Unread) * float64(stage.ReadToken(m, 0))); shortest < 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return max(0, shortest)
+}
+
 // longestPromptWait returns the hop at which the prompts queued before a new one
 // take longest, and that time.
 func longestPromptWait(m *topo.Model, hops []Hop, cs []*Candidate) (Hop, time.Duration) {
--- a/internal/limit/pacer.go
+++ b/internal/limit/pacer.go
@@ -29,7 +29,8 @@
 	}
 
 	servicePacer struct {
-		hints RetryHints
+		// hints holds the hints of each rank of requests, the most urgent first.
+		hints []RetryHints
 		// second is the Unix time of the newest count in served, a ring buffer of
 		// the requests served in each second.
 		second int64
@@ -52,8 +53,9 @@
 }
 
 // NextHint returns the time after which a refused caller should return. It is
-// at least minimum, but bounded by maxRetryAfter.
-func (r *RetryPacer) NextHint(service string, minimum time.Duration) time.Duration {
+// at least minimum, but bounded by maxRetryAfter. Callers of a rank, 0 for the most
+// urgent, return after those of more urgent ranks; a service without ranks has only 0.
+func (r *RetryPacer) NextHint(service string, rank int, minimum time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(service)
@@ -61,8 +63,17 @@
 	for _, n := range s.served {
 		served += n
 	}
+	for len(s.hints) <= rank {
+		s.hints = append(s.hints, RetryHints{})
+	}
+	hints := s.hints[rank]
+	for _, h := range s.hints[:rank] {
+		if h.nextSlot.After(hints.nextSlot) {
+			hints = h
+		}
+	}
 	var after time.Duration
-	s.hints, after = s.hints.Next(r.clock.Now(), minimum, returnRateShare*float64(served)/servedWindowSeconds, rand.Float64())
+	s.hints[rank], after = hints.Next(r.clock.Now(), minimum, returnRateShare*float64(served)/servedWindowSeconds, rand.Float64())
 	return after
 }
 
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -92,15 +92,16 @@
 }
 
 func (q *request) baseRetryAfter(e *fault.Error) time.Duration {
-	if e.Code == fault.TargetPause {
-		return q.Returns.NextHint(q.service.Name, max(minRetryAfter, e.RetryAfter))
+	rank := q.Sched.Rank(q.service.Name, q.priority)
+	if e.Code == fault.TargetPause || e.Code == fault.Overloaded {
+		return q.Returns.NextHint(q.service.Name, rank, max(time.Duration(1+rank)*minRetryAfter, e.RetryAfter))
 	}
 	if e.RetryAfter > 0 {
 		return e.RetryAfter
 	}
 	switch e.Code {
-	case fault.Overloaded, fault.LimitReached, fault.TargetLimit:
-		return q.Returns.NextHint(q.service.Name, minRetryAfter)
+	case fault.LimitReached, fault.TargetLimit:
+		return q.Returns.NextHint(q.service.Name, rank, time.Duration(1+rank)*minRetryAfter)
 	case fault.NoTarget:
 		return minRepairRetryAfter + rand.N(maxRepairRetryAfter-minRepairRetryAfter)
 	case fault.Outdated, fault.Unavailable:
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -111,6 +111,8 @@
 		account   string
 		// priority is that of the account, or else of the route.
 		priority int
+		// waited is the time for which the request has waited for room at targets.
+		waited time.Duration
 		// admission is the rule by which the request was admitted or refused.
 		admission admission
 		// bodyRead is true once body holds the whole body.
@@ -269,7 +271,7 @@
 		"event", "Request", "request", q.headers.ID, "route", q.route.Name, "service", q.service.Name, "account", q.account, "admission", q.admission,
 		"config", q.version, "configAge", q.Configs.Age().Round(time.Millisecond), "admitAge", q.configAge.Round(time.Millisecond), "fleetAge", q.Fleets.Age().Round(time.Millisecond),
 		"sendAge", time.Duration(q.oldestList.Load()).Round(time.Millisecond), "status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
-		"prompt", promptText(q.headers.PromptParts), "priority", q.priority,
+		"prompt", promptText(q.headers.PromptParts), "priority", q.priority, "waited", q.waited.Round(time.Millisecond),
 	}
 	if !q.firstByte.IsZero() {
 		q.Metrics.GetOrCreateHistogram(`shallotcourse_first_byte_seconds{Service="` + q.service.Name + `"}`).Update(q.firstByte.Sub(q.arrived).Seconds())
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -18,12 +18,6 @@
 )
 
 const (
-	// capacityPollInterval is the interval at which a waiting request checks
-	// for free capacity or for a free retry.
-	capacityPollInterval = 20 * time.Millisecond
-	// capacityWaitShare is the part of the route's objective that a request may
-	// wait for free capacity.
-	capacityWaitShare = 0.4
 	// repathSilence is the silence allowed after a change of path, during which
 	// the new targets process the tokens so far.
 	repathSilence = 600 * time.Millisecond
@@ -365,46 +359,6 @@
 	})
 }
 
-// findPath returns a path with free capacity for the request, and counts it
-// against the limit of the first target. It waits for capacity up to
-// capacityWaitShare of the objective, but does not wait for layers that no target
-// holds.
-func (s *stream) findPath() ([]chain.Hop, *fault.Error) {
-	until := s.arrived.Add(time.Duration(capacityWaitShare * float64(s.route.Objective)))
-	wait := limitWait{request: s.request, until: until}
-	if s.begun {
-		wait.until = s.Clock.Now().Add(s.retryWait())
-	}
-	defer wait.end()
-	for {
-		hops, err := s.choosePath(s.begun)
-		if err == nil {
-			if s.Limits.Take(hops[0].Target) {
-				return hops, nil
-			}
-			// Another request has taken the place.
-			continue
-		}
-		f := fault.As(err)
-		switch {
-		case f.Code == fault.TargetPause:
-			if f := s.awaitPause(f, wait.until); f != nil {
-				return nil, f
-			}
-		case f.Code == fault.TargetLimit:
-			if f := wait.sleep(f); f != nil {
-				return nil, f
-			}
-		case f.Code != fault.Overloaded || !s.Clock.Now().Before(until):
-			return nil, f
-		default:
-			if err := timer.Sleep(s.r.Context(), s.Clock, capacityPollInterval); err != nil {
-				return nil, fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
-			}
-		}
-	}
-}
-
 // run relays the events of a run until the stream ends, or goes on with the standby.
 func (s *stream) run(r *streamRun) *fault.Error {
 	defer s.endOf(r)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -73,12 +73,17 @@
 	// concurrent use.
 	Scheduler struct {
 		clock timer.Service
+		start time.Time
 
 		mu sync.Mutex
 		// version is that of the configuration that services come from.
 		version uint64
 		// services holds only the services with at least two ranks.
 		services map[string]*service
+		// waiting holds the requests that wait, in any order, by service.
+		waiting map[string][]*Waiter
+		// waiters is the number of requests that have ever waited.
+		waiters uint64
 	}
 
 	// service is the state of one service.
@@ -101,7 +106,7 @@
 
 // New returns a Scheduler without ranks.
 func New(clock timer.Service) *Scheduler {
-	return &Scheduler{clock: clock, services: map[string]*service{}}
+	return &Scheduler{clock: clock, start: clock.Now(), services: map[string]*service{}, waiting: map[string][]*Waiter{}}
 }
 
 // Base returns the limits of requests whose service has no ranks.
@@ -222,11 +227,6 @@
 	return l
 }
 
-// less returns the limits without a share of each.
-func (l Limits) less(share float64) Limits {
-	return Limits{MaxPromptWait: time.Duration((1 - share) * float64(l.MaxPromptWait)), MaxFill: (1 - share) * l.MaxFill}
-}
-
 // reserves returns the share of the room that each rank leaves to more urgent ones: what
 // their measured arrivals need within reserveTime. It never falls from one rank to the
 // next, and is 0 for a rank that is served too little and for those before it.
