--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -97,6 +97,12 @@
 		row(p.Name, p.Bound, p.Sum, p.Kept, p.Steps)
 	}
 	row()
+	row("RANKED SERVICE", "PRIORITY", "MAX FILL", "MAX PROMPT WAIT", "PER SECOND", "SERVED", "WAITING", "BELOW FLOOR")
+	for _, r := range s.Ranks {
+		row(r.Service, r.Priority, fmt.Sprintf("%.2f", r.Limits.MaxFill), r.Limits.MaxPromptWait.Round(time.Millisecond), fmt.Sprintf("%.1f", r.PerSecond),
+			fmt.Sprintf("%.2f", r.Served), r.Waiting, r.BelowFloor)
+	}
+	row()
 	row("HELD PROMPT PARTS", "LEFT", "SINCE", "ROUNDS", "EVIDENCE")
 	for _, h := range s.Holds {
 		row(strings.Join(h.Parts, ","), h.Left.Round(time.Second), h.Age.Round(time.Second).String()+" ago", h.Rounds, h.EvidenceText())
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -11,6 +11,7 @@
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/plan"
+	"shallotcourse/internal/sched"
 	"shallotcourse/internal/topo"
 )
 
@@ -47,6 +48,8 @@
 		Leaving []limit.TargetLimit
 		// Paused holds the targets that want nothing from this gateway for some time.
 		Paused []limit.Pause
+		// Ranks holds the ranks of the services with unequal priorities.
+		Ranks []sched.RankStatus
 		// PlannerTerm is the newest lease term received from a planner on
 		// another gateway, 0 if there is none, and PlannerEra the era of the store
 		// that it belongs to; PlannerSilent is the time since it was last
@@ -78,7 +81,7 @@
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		KeysRequired: !config.Keyless(), StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
-		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises),
+		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises), Ranks: g.server.RankStatus(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/proxy/ranks.go
+++ b/internal/proxy/ranks.go
@@ -32,3 +32,21 @@
 	others, _ := s.LoadLag()
 	return s.Sched.Room(s.service.Name, s.need(), sched.Fleet{Gateways: others + 1, Capacity: chain.Capacity(s.service.Model, candidates)})
 }
+
+// RankStatus returns the ranks of the services with unequal priorities.
+func (s *Server) RankStatus() []sched.RankStatus {
+	s.updateRanks()
+	others, _ := s.LoadLag()
+	config, fleet := s.Configs.Section().Value(), s.Fleets.Section().Value()
+	return s.Sched.Status(func(name string) sched.Fleet {
+		service, _ := config.Service(name)
+		if service.Model == nil {
+			return sched.Fleet{Gateways: others + 1}
+		}
+		var candidates []chain.Candidate
+		for _, t := range fleet.ServiceTargets(name) {
+			candidates = append(candidates, chain.Candidate{Target: t})
+		}
+		return sched.Fleet{Gateways: others + 1, Capacity: chain.Capacity(service.Model, candidates)}
+	})
+}
--- a/internal/sched/queue_test.go
+++ b/internal/sched/queue_test.go
@@ -15,7 +15,9 @@
 )
 
 // ranks are the classes of a service with three ranks.
-var ranks = map[string][]sched.Class{"s": {{0, 500 * time.Millisecond}, {1, 500 * time.Millisecond}, {2, time.Second}}}
+var ranks = map[string][]sched.Class{"s": {
+	{Priority: 0, Objective: 500 * time.Millisecond}, {Priority: 1, Objective: 500 * time.Millisecond}, {Priority: 2, Objective: time.Second},
+}}
 
 // Guards against a less urgent or later request that takes the room which another one
 // waits for, against a wait that needs more room and keeps smaller ones of its rank from
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -21,9 +21,10 @@
 	// promptShare is the part of the objective that targets may spend on the prompts
 	// queued before a request; the rest is for the request itself.
 	promptShare = 0.7
-	// reserveTime is the length of time whose urgent arrivals have room kept for them.
-	// It covers the lag of the shared loads, half a second, and a burst's first second.
-	reserveTime = 1500 * time.Millisecond
+	// reserveTime is the length of time whose urgent arrivals have room kept for them. It
+	// is the lag of the shared loads: later arrivals find the room that others give back.
+	// With 1.5 s, the least urgent rank lost over a third of its requests at usual load.
+	reserveTime = 500 * time.Millisecond
 	// maxReserve bounds the reserve, as a share of the room that new requests may fill.
 	maxReserve = 0.4
 	// floorShare is the share of the mean service of the other ranks below which a rank
