--- a/internal/sched/ranks.go
+++ b/internal/sched/ranks.go
@@ -2,7 +2,8 @@
 
 import "shallotcourse/internal/topo"
 
-// Classes returns the classes of requests that a configuration allows, by service. The
+// Classes returns the classes of requests that a configuration allows, by service with a
+// model; the targets of others have no memory to share and know no priorities. The
 // priority of an account takes precedence over that of the route, on routes that need a
 // key.
 func Classes(c topo.Config) map[string][]Class {
@@ -16,7 +17,9 @@
 			}
 		}
 		for _, share := range r.Shares {
-			out[share.Service] = append(out[share.Service], classes...)
+			if service, ok := c.Service(share.Service); ok && service.Model != nil {
+				out[share.Service] = append(out[share.Service], classes...)
+			}
 		}
 	}
 	return out
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -13,21 +13,25 @@
 	"shallotcourse/internal/topo"
 )
 
-// Guards against ranks where all requests of a service are equally urgent, and against
-// an account's priority that counts on routes that need no key.
+// Guards against ranks where all requests of a service are equally urgent or where it has
+// no model, and against an account's priority that counts on routes that need no key.
 func TestClasses(t *testing.T) {
 	is := is.New(t)
 	one, nine := 1, 12
 	route := func(name string, priority int, public bool) topo.Route {
 		return topo.Route{Name: name, Host: name, Prefix: "/", Priority: priority, Public: public, Objective: time.Second, Shares: []topo.Share{{Service: name}}}
 	}
-	config := topo.NewConfig(1, topo.Limits{}, []topo.Route{route("open", 1, true), route("same", 1, false), route("keyed", 3, false)}, nil,
+	model := &topo.Model{}
+	config := topo.NewConfig(1, topo.Limits{},
+		[]topo.Route{route("open", 1, true), route("same", 1, false), route("keyed", 3, false), route("plain", 3, false)},
+		[]topo.Service{{Name: "open", Model: model}, {Name: "same", Model: model}, {Name: "keyed", Model: model}, {Name: "plain"}},
 		[]topo.Account{{Name: "a", Priority: &one}, {Name: "b", Priority: &nine}, {Name: "c"}}, map[string][]string{"a": {"ka"}, "c": {"kc"}})
 	s := sched.New(timer.NewManual(time.Unix(1000, 0)))
 	s.Configure(1, sched.Classes(config))
 	is.True(!s.Ranked("open"))
 	is.True(!s.Ranked("same")) // account b has no key
 	is.True(s.Ranked("keyed"))
+	is.True(!s.Ranked("plain"))
 	fast := sched.Request{Class: sched.Class{Priority: 0, Objective: time.Second}}
 	is.Equal(s.Room("open", fast, sched.Fleet{Gateways: 1}), sched.Base(time.Second))
 	is.Equal(sched.Clamp(nine), 9)
