--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SHELL := /bin/bash
 GO ?= go
 
-.PHONY: all build run check fmt fmt-check lint vet test fuzz models faults soak slopes cost known-red tools
+.PHONY: all build run check fmt fmt-check lint vet test fuzz models faults crowd soak slopes cost known-red tools
 
 all: build
 
@@ -12,7 +12,7 @@
 run: build
 	scripts/run.sh
 
-check: tools fmt-check vet lint test fuzz models known-red
+check: tools fmt-check vet lint test fuzz models crowd known-red
 
 tools:
 	@command -v $(GO) >/dev/null || { echo "missing: go (install Go 1.26 or later)"; exit 1; }
@@ -30,12 +30,15 @@
 vet:
 	$(GO) vet ./...
 	$(GO) vet -tags faults ./...
+	$(GO) vet -tags crowd ./test/crowd
 
 lint:
 	$(GO) tool staticcheck -tags faults ./...
+	$(GO) tool staticcheck -tags crowd ./test/crowd
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 
-# Tests that fail for a known reason, as listed in KNOWN-RED.txt; make test skips them.
+# Tests that fail for a known reason, as listed in KNOWN-RED.txt; make test and make crowd skip
+# them.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt | paste -sd '|')
 
 test:
@@ -54,6 +57,10 @@
 models:
 	scripts/models.sh
 
+# Crowds of misbehaving callers at the real processes, one test after the other.
+crowd:
+	$(GO) test -tags crowd -count=1 -timeout 10m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./test/crowd
+
 # Tests of the real processes under injected faults; bounded in time, the seeds are logged.
 faults: build
 	$(GO) test -tags faults -count=1 -timeout 20m -v ./test/faults/...
