--- a/internal/chain/room.go
+++ b/internal/chain/room.go
@@ -89,7 +89,7 @@
 	free := 0.0
 	if m.TokenMegabytes > 0 && usual > 0 {
 		capacity := m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes
-		free = max(0, maxFill*capacity-c.Load.TokenLayers) / usual / held
+		free = max(0, MaxFill*capacity-c.Load.TokenLayers) / usual / held
 	}
 	token := layerTime(m, c)
 	for i := c.Held.From; i < c.Held.To; i++ {
--- a/internal/proxy/crossing.go
+++ b/internal/proxy/crossing.go
@@ -9,6 +9,7 @@
 
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/cross"
+	"shallotcourse/internal/sched"
 	"shallotcourse/internal/topo"
 )
 
@@ -143,7 +144,7 @@
 	in := cross.Input{
 		At: now, Home: home, Delays: map[string]time.Duration{}, PipeBytes: m.PipeBytes, AnswerTokens: m.UsualAnswer,
 		RequestBytes: headBytes + promptTokenBytes*float64(m.UsualPrompt) + eventBytes*float64(m.UsualAnswer),
-		MaxWait:      time.Duration(queuedPromptShare * float64(objective)), Refusal: cmp.Or(objective, defaultObjective),
+		MaxWait:      sched.Base(objective).MaxPromptWait, Refusal: cmp.Or(objective, defaultObjective),
 	}
 	if in.Arrivals = perSecond; s.HomeGateways != nil {
 		in.Arrivals *= float64(s.HomeGateways())
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -46,6 +46,7 @@
 	s.Server = New(Options{
 		Clock: clock, Log: logger, Metrics: metrics.NewSet(), Configs: follow.NewConfigs(nil, clock, bootClock, logger), Fleets: fleets,
 		Ledger: ledger.New(clock), Limits: limit.NewTargetLimiter(clock, limit.Gateway{}, nil), Settings: Settings{DataCentre: "x"},
+		Retries: limit.NewRetryLimiter(clock, limit.RetryBounds{Window: time.Second}, func() int { return 1 }),
 		LoadLag: func() (int, time.Duration) { return 0, 0 },
 	})
 	return s
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -18,15 +18,6 @@
 )
 
 const (
-	// capacityPollInterval is the interval at which a waiting request checks
-	// for free capacity or for a free retry.
-	capacityPollInterval = 20 * time.Millisecond
-	// capacityWaitShare is the part of the route's objective that a request may
-	// wait for free capacity.
-	capacityWaitShare = 0.4
-	// queuedPromptShare is the part of the objective that targets may spend on
-	// the prompts queued before a request; the rest is for the request itself.
-	queuedPromptShare = 0.7
 	// repathSilence is the silence allowed after a change of path, during which
 	// the new targets process the tokens so far.
 	repathSilence = 600 * time.Millisecond
@@ -137,6 +128,7 @@
 		request: q, excluded: map[string]bool{}, youngLosses: map[string]bool{}, lastEvent: q.headers.LastEvent, control: http.NewResponseController(q.w),
 		tokens: expectedTokens(q.headers, q.service.Model),
 	}
+	s.Sched.Arrived(q.service.Name, s.need())
 	defer s.endStandby("the request has ended")
 	var last *fault.Error
 	for {
@@ -185,6 +177,9 @@
 			return nil, s.heldError(h)
 		}
 		if r, err := s.startRun(hops); err == nil {
+			if s.sendCount == 1 {
+				s.Sched.Started(s.service.Name, s.need())
+			}
 			return r, nil
 		}
 	}
@@ -336,7 +331,8 @@
 // leave, and suspected and excluded ones. A target that pauses is never used, and
 // only tells how long.
 func (s *stream) candidates() []chain.Candidate {
-	loads := s.Ledger.ExpectedLoads(s.LoadLag())
+	others, lag := s.LoadLag()
+	loads := s.Ledger.ExpectedLoads(s.Retries.OthersPerOwn(s.service.Name, others), lag)
 	targets := s.Fleets.Section().Value().ServiceTargets(s.service.Name)
 	suspected := s.Ledger.SuspectedAmong(targets)
 	out := make([]chain.Candidate, 0, len(targets))
@@ -356,54 +352,15 @@
 // ignores capacity.
 func (s *stream) choosePath(forced bool) ([]chain.Hop, error) {
 	m, candidates := s.service.Model, s.candidates()
+	limits := s.limits(candidates)
 	prefer, confined := s.preferredDataCentre(candidates, forced)
 	return chain.Choose(m, candidates, chain.Request{
 		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost, Prefer: prefer, Confined: confined,
 		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
-		MaxPromptWait: time.Duration(queuedPromptShare * float64(s.route.Objective)),
+		MaxPromptWait: limits.MaxPromptWait, MaxFill: limits.MaxFill,
 	})
 }
 
-// findPath returns a path with free capacity for the request, and counts it
-// against the limit of the first target. It waits for capacity up to
-// capacityWaitShare of the objective, but does not wait for layers that no target
-// holds.
-func (s *stream) findPath() ([]chain.Hop, *fault.Error) {
-	until := s.arrived.Add(time.Duration(capacityWaitShare * float64(s.route.Objective)))
-	wait := limitWait{request: s.request, until: until}
-	if s.begun {
-		wait.until = s.Clock.Now().Add(s.retryWait())
-	}
-	defer wait.end()
-	for {
-		hops, err := s.choosePath(s.begun)
-		if err == nil {
-			if s.Limits.Take(hops[0].Target) {
-				return hops, nil
-			}
-			// Another request has taken the place.
-			continue
-		}
-		f := fault.As(err)
-		switch {
-		case f.Code == fault.TargetPause:
-			if f := s.awaitPause(f, wait.until); f != nil {
-				return nil, f
-			}
-		case f.Code == fault.TargetLimit:
-			if f := wait.sleep(f); f != nil {
-				return nil, f
-			}
-		case f.Code != fault.Overloaded || !s.Clock.Now().Before(until):
-			return nil, f
-		default:
-			if err := timer.Sleep(s.r.Context(), s.Clock, capacityPollInterval); err != nil {
-				return nil, fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
-			}
-		}
-	}
-}
-
 // run relays the events of a run until the stream ends, or goes on with the standby.
 func (s *stream) run(r *streamRun) *fault.Error {
 	defer s.endOf(r)
