cross: costs and closed data centres in place of shares

Cause: with a share of the new requests for each data centre, the home was filled to 0.8 before anything left, and a request went to the data centre of its hash although another was cheaper.

Change: cross computes for each other data centre the time that delays and bytes cost, spread over the tokens of an answer, plus a surcharge that grows as the gateway's equal part of the pipe fills, and why it is closed: NoTargets, PipeFull, Slow, OldFigures, each with a lower bound for opening. chain.Choose adds the cost to the first hop and uses closed data centres last; with a full or slow pipe it does not use them while the home holds all layers. Forced requests, resumes, retries and services without delays go by entryCrossingCost as before. Shares, Pick, Prefer, HomeGateways and the unused fields of rooms are gone.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -33,7 +33,7 @@
 	// leaves out another overloaded target.
 	maxSearches = 4
 	// entryCrossingCost is the extra cost of a first target in another data centre
-	// than the gateway. It is small because only the request and its events cross.
+	// than the gateway where no other is known. It is small because only the request and its events cross.
 	entryCrossingCost = 2 * time.Millisecond
 )
 
@@ -74,11 +74,11 @@
 		Tokens int
 		// DataCentre is the data centre of the gateway.
 		DataCentre string
-		// Prefer is the data centre whose chain is used if there is one; empty if
-		// data centres are compared by cost only.
-		Prefer string
-		// Confined is true if only the data centre of the gateway and the preferred
-		// one may be used.
+		// Crossings holds what it costs to begin in another data centre; for those
+		// that are missing it is entryCrossingCost.
+		Crossings map[string]Crossing
+		// Confined is true if closed data centres may not be used even if no other
+		// can run the request.
 		Confined bool
 		// PrevDataCentre is the data centre of the target before the requested
 		// layers; empty if they begin the chain.
@@ -100,6 +100,15 @@
 		Forced bool
 	}
 
+	// Crossing is what it costs to begin a chain in another data centre.
+	Crossing struct {
+		// Cost is added to the time of a token.
+		Cost time.Duration
+		// Closed is true if the data centre is used only if no other can run the
+		// request.
+		Closed bool
+	}
+
 	// costedChain is a chain with its cost.
 	costedChain struct {
 		hops []Hop
@@ -161,8 +170,8 @@
 
 // Choose returns the cheapest chain that covers the requested layers. If any
 // data centre holds all these layers, the chain stays within one, since prompts
-// would saturate the network between data centres: the one that the request prefers,
-// or the cheapest if that has no chain. The failure is NoTarget if no
+// would saturate the network between data centres; closed ones are used only if
+// the others have no chain. The failure is NoTarget if no
 // target holds some layer, TargetPause with the time to wait if some layer is held only
 // by targets that pause, TargetLimit if no chain can begin because of NotFirst,
 // and Overloaded if the targets that hold the layers have no memory or time left.
@@ -185,20 +194,16 @@
 	}
 	var best *costedChain
 	covered, tooLate := false, false
-	for _, dc := range slices.Sorted(maps.Keys(byDC)) {
+	for _, dc := range req.openFirst(byDC) {
 		if firstUncovered(byDC[dc], req.Layers).Len() > 0 {
 			continue
 		}
 		covered = true
-		if req.Confined && dc != req.DataCentre && dc != req.Prefer {
-			continue
+		if req.Crossings[dc].Closed && (best != nil || req.Confined) {
+			break
 		}
 		f, lateHere := searchInTime(m, byDC[dc], req)
 		tooLate = tooLate || lateHere
-		if f != nil && dc == req.Prefer {
-			best = f
-			break
-		}
 		if f != nil && (best == nil || f.cost < best.cost) {
 			best = f
 		}
@@ -217,6 +222,21 @@
 	return nil, fault.New(fault.Overloaded, "no chain of targets has enough free memory and slots")
 }
 
+// openFirst returns the names of data centres in their order, those that are closed last.
+func (r Request) openFirst(byDC map[string][]*Candidate) []string {
+	return slices.SortedFunc(maps.Keys(byDC), func(a, b string) int {
+		return cmp.Or(compareBool(r.Crossings[a].Closed, r.Crossings[b].Closed), cmp.Compare(a, b))
+	})
+}
+
+// entryCost is the extra cost of a first target in another data centre.
+func (r Request) entryCost(dc string) time.Duration {
+	if c, ok := r.Crossings[dc]; ok {
+		return c.Cost
+	}
+	return entryCrossingCost
+}
+
 // limitPerKind keeps the least loaded maxPerKind of the targets with the same card,
 // layers and data centre. It returns the targets kept and removes the others from
 // byDC too.
@@ -510,7 +530,7 @@
 	case from >= 0 && s.dataCentre[from] != s.dataCentre[to], from < 0 && req.PrevDataCentre != "" && req.PrevDataCentre != dc:
 		return hopDelay + req.Cross
 	case from < 0 && req.PrevDataCentre == "" && req.DataCentre != dc:
-		return hopDelay + entryCrossingCost
+		return hopDelay + req.entryCost(dc)
 	}
 	return hopDelay
 }
--- a/internal/chain/room.go
+++ b/internal/chain/room.go
@@ -1,10 +1,6 @@
 package chain
 
-import (
-	"time"
-
-	"shallotcourse/internal/topo"
-)
+import "shallotcourse/internal/topo"
 
 // Room describes what the targets of one data centre can take beside their load.
 type Room struct {
@@ -12,14 +8,15 @@
 	Ready int
 	// Complete is true if they hold all layers.
 	Complete bool
-	// InFlight and Free count requests of usual size: those in the targets' memory,
-	// and those that the layers with least free memory have room for.
-	InFlight, Free float64
-	// Wait is the time that the prompts queued at the targets take, at the layer where
-	// that is longest; Read is the time of one more prompt of usual length, and Token
-	// that of a token, through all layers. They are means over the targets that hold
-	// a layer.
-	Wait, Read, Token time.Duration
+	// Free is the number of requests of usual size that the layers with least free
+	// memory have room for.
+	Free float64
+}
+
+// layerRoom is the sum over the targets that hold one layer.
+type layerRoom struct {
+	free    float64
+	holders int
 }
 
 // Rooms returns the room in each data centre of the candidates.
@@ -36,21 +33,11 @@
 	return out
 }
 
-// layerRoom is the sum over the targets that hold one layer.
-type layerRoom struct {
-	free, wait, read, token float64
-	holders                 int
-}
-
 func roomOf(m *topo.Model, cs []*Candidate) Room {
 	var out Room
 	layers := make([]layerRoom, m.Layers)
-	usual := float64(m.UsualPrompt + m.UsualAnswer)
 	slots, bounded := 0, true
 	for _, c := range cs {
-		if usual > 0 && m.Layers > 0 {
-			out.InFlight += c.Load.TokenLayers / usual / float64(m.Layers)
-		}
 		if !c.usable(m, Request{}) || c.PausedFor > 0 {
 			continue
 		}
@@ -59,7 +46,11 @@
 			slots += max(0, c.Slots-c.Load.First)
 			bounded = bounded && c.Slots > 0
 		}
-		c.addRoom(m, usual, layers)
+		free := c.freeRequests(m)
+		for i := c.Held.From; i < c.Held.To; i++ {
+			layers[i].holders++
+			layers[i].free += free
+		}
 	}
 	out.Complete = out.Ready > 0
 	for i, l := range layers {
@@ -67,13 +58,9 @@
 			out.Complete, out.Free = false, 0
 			return out
 		}
-		n := float64(l.holders)
 		if i == 0 || l.free < out.Free {
 			out.Free = l.free
 		}
-		out.Wait = max(out.Wait, time.Duration(l.wait/n))
-		out.Read += time.Duration(l.read / n)
-		out.Token += time.Duration(l.token / n)
 	}
 	if bounded {
 		out.Free = min(out.Free, float64(slots))
@@ -81,23 +68,12 @@
 	return out
 }
 
-// addRoom adds a target's terms to the layers that it holds.
-func (c *Candidate) addRoom(m *topo.Model, usual float64, layers []layerRoom) {
-	held := float64(c.Held.Len())
-	stage := Stage{Card: c.Card, Layers: c.Held.Len(), SlowFactor: c.SlowFactor}
-	readToken := float64(stage.ReadToken(m, float64(c.Load.Running)*held/float64(m.Layers)))
-	free := 0.0
-	if m.TokenMegabytes > 0 && usual > 0 {
-		capacity := m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes
-		free = max(0, MaxFill*capacity-c.Load.TokenLayers) / usual / held
-	}
-	token := layerTime(m, c)
-	for i := c.Held.From; i < c.Held.To; i++ {
-		l := &layers[i]
-		l.holders++
-		l.free += free
-		l.wait += float64(c.Load.Unread) * readToken
-		l.read += readToken / held * float64(m.UsualPrompt)
-		l.token += token
+// freeRequests is the number of requests of usual size that the target has memory for.
+func (c *Candidate) freeRequests(m *topo.Model) float64 {
+	usual, held := float64(m.UsualPrompt+m.UsualAnswer), float64(c.Held.Len())
+	if m.TokenMegabytes <= 0 || usual <= 0 {
+		return 0
 	}
+	capacity := m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes
+	return max(0, MaxFill*capacity-c.Load.TokenLayers) / usual / held
 }
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -224,7 +224,7 @@
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
 		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), Sched: g.sched, LoadLag: g.peers.LoadLag,
-		LoadAge: g.peers.LoadAge, HomeGateways: g.peers.HomeGateways,
+		LoadAge: g.peers.LoadAge,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -92,10 +92,10 @@
 		row(b.Service, strings.Join(b.DataCentres, ","), int(b.Requests), int(b.Best), fmt.Sprintf("%d-%d", b.Binding.From, b.Binding.To))
 	}
 	row()
-	row("SERVICE", "FROM", "TO", "SHARE", "WHY")
-	for _, service := range s.Shares {
-		for _, share := range service.Shares {
-			row(service.Service, service.From, share.DataCentre, fmt.Sprintf("%.2f", share.Part), share.Reason)
+	row("SERVICE", "FROM", "TO", "CROSSING COST", "CLOSED")
+	for _, service := range s.Crossings {
+		for _, c := range service.Costs {
+			row(service.Service, service.From, c.DataCentre, c.PerToken.Round(time.Microsecond), c.Closed)
 		}
 	}
 	row()
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -38,9 +38,9 @@
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
-		// Shares holds the shares of new requests that this gateway sends to each
-		// data centre, by service; empty if it does not decide by shares.
-		Shares []proxy.ServiceShares
+		// Crossings holds what it costs to send new requests to other data centres, by
+		// service; empty where the configuration names no delays.
+		Crossings []proxy.ServiceCrossings
 		// Promises holds the times within which changes take effect.
 		Promises []promiseStatus
 		// Holds holds the parts of prompts that are not sent to targets for some
@@ -86,7 +86,7 @@
 		KeysRequired: !config.Keyless(), StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
 		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
 		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises), Ranks: g.server.RankStatus(),
-		Shares: g.server.Shares(),
+		Crossings: g.server.Crossings(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/cross/cross.go
+++ b/internal/cross/cross.go
@@ -1,153 +1,188 @@
-// Package cross decides which share of the new requests of a data centre is sent to
-// which data centre, and why. It needs no network: the same inputs in the same order
-// always give the same shares, so the gateways of a data centre that know the same loads
-// decide alike.
+// Package cross computes what it costs to send a new request to another data centre, and
+// says which data centres get nothing new. It needs no network and no clock: the same
+// inputs in the same order always give the same result.
 package cross
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// Trips is the number of times that a request pays the delay to another data centre until
-// its first token: two to open a connection, one for the request and one for the token.
-const Trips = 4
+const (
+	// Trips is the number of times that a request pays the delay to another data centre
+	// until its first token: two to open a connection, one for the request and one for
+	// the token.
+	Trips = 4
+	// pipeShare is the share of the pipe that may be used; the rest is for loads and
+	// for bursts shorter than meterTime. A data centre that is closed because of the
+	// pipe opens again below openPipeShare.
+	pipeShare     = 0.8
+	openPipeShare = 0.7
+	// surcharge scales the extra cost of a pipe in use: it is 0.1 ms at half of
+	// pipeShare, 2 ms at 0.8 of it and 16 ms at 0.95, where a token takes 10 to 40 ms.
+	surcharge = time.Millisecond
+	// maxAge is the age from which the figures of a data centre count as old: several
+	// reports of loads were lost. It opens again below openAge.
+	maxAge  = 1500 * time.Millisecond
+	openAge = time.Second
+	// slowShare is the share of the objective that a request may lose on its way to
+	// another data centre, and openSlowShare that at which one opens again: a quarter
+	// made the part that leaves change by 0.13 in the simulation of a slow pipe.
+	slowShare     = 0.5
+	openSlowShare = 0.35
+	// meterTime is the time constant of the mean of what crosses. A gateway gets tens
+	// of requests per second, so that shorter means vary much.
+	meterTime = time.Second
+)
 
-// The reasons of shares.
+// The reasons of closed data centres.
 const (
-	// HomeHasRoom is the reason of the home data centre while it has room for all
-	// of its requests, and of the others then.
-	HomeHasRoom Reason = "HomeHasRoom"
-	// HomeFull, HomeWaits and HomeLacksLayers say what sends requests away: the
-	// memory of the home data centre, its queue of prompts, or layers that it lacks.
-	HomeFull        Reason = "HomeFull"
-	HomeWaits       Reason = "HomeWaits"
-	HomeLacksLayers Reason = "HomeLacksLayers"
-	// The others say why a data centre gets nothing, or not more.
 	NoTargets  Reason = "NoTargets"
 	OldFigures Reason = "OldFigures"
-	NoRoom     Reason = "NoRoom"
-	NoGain     Reason = "NoGain"
+	Slow       Reason = "Slow"
 	PipeFull   Reason = "PipeFull"
 )
 
 type (
-	// Reason is why a data centre has its share.
+	// Reason is why a data centre is closed; it is empty if it is open.
 	Reason string
 
-	// Figures describes what the targets of one data centre can take.
+	// Figures describes the targets of one data centre.
 	Figures struct {
 		Name string
 		// Ready is the number of targets that take requests.
 		Ready int
 		// Complete is true if these targets hold all layers.
 		Complete bool
-		// InFlight and Free count requests of usual size: those that the targets
-		// hold, and those that their memory has room for beside them.
-		InFlight, Free float64
-		// Wait is the time that the prompts queued at the targets take, and Read the
-		// time of one more prompt.
-		Wait, Read time.Duration
-		// Token is the time of a token of an answer.
-		Token time.Duration
 		// Age is the age of the loads behind these figures.
 		Age time.Duration
 	}
 
-	// Input is what a decision for one service depends on.
+	// Input is what the costs for one service depend on.
 	Input struct {
-		At time.Time
-		// Home is the data centre whose new requests are shared out.
 		Home string
-		// DataCentres contains the home data centre, in any order.
+		// DataCentres may contain the home data centre.
 		DataCentres []Figures
 		// Delays holds the delay from the home data centre to each other one: that of
-		// the configuration, or the one measured if it is longer.
+		// the configuration, or the one measured if it is longer. Data centres that
+		// are missing have no cost.
 		Delays map[string]time.Duration
-		// Arrivals is the number of new requests per second of the home data centre,
-		// also of those that find no room; 0 if unknown.
-		Arrivals float64
-		// RequestBytes is the number of bytes of a request and its answer that
-		// cross, and PipeBytes what all transfers between data centres may have per
-		// second; 0 is no bound.
-		RequestBytes, PipeBytes float64
-		// AnswerTokens is the usual length of an answer.
+		// RequestBytes is the number of bytes of a request and its answer, and
+		// AnswerTokens the usual length of an answer.
+		RequestBytes float64
 		AnswerTokens int
-		// MaxWait is the queue of prompts from which targets get no more requests.
-		MaxWait time.Duration
-		// Refusal is the cost of a request that finds no room.
-		Refusal time.Duration
+		// PipeBytes is what all transfers between data centres may have per second; 0
+		// is no bound. UsedBytes is what the requests of this gateway take of it.
+		PipeBytes, UsedBytes float64
+		// Gateways is the number of gateways that share the pipe.
+		Gateways int
+		// Objective is the time to the first token that callers expect; 0 if unknown.
+		Objective time.Duration
 	}
 
-	// Share is the part of the new requests that one data centre gets.
-	Share struct {
+	// Cost is the cost of crossing to one data centre.
+	Cost struct {
 		DataCentre string
-		// Part is between 0 and 1; the parts of a decision add up to 1.
-		Part   float64
-		Reason Reason
+		// PerToken is the cost spread over the tokens of a usual answer.
+		PerToken time.Duration
+		// Closed is why nothing new may go there unless no other data centre can run
+		// it; empty if it may.
+		Closed Reason
 	}
 
-	// Decision holds the shares, that of the home data centre first. It is empty if
-	// there is no other data centre to send to.
-	Decision struct {
-		Shares []Share
-		// Confined is true if no request may cross beyond the shares, also if the
-		// home data centre has no room for it: the pipe could not carry it in time.
-		Confined bool
+	// Decider remembers which data centres are closed for one service and home data
+	// centre. It is not safe for concurrent use.
+	Decider struct{ closed map[string]Reason }
+
+	// Meter is the mean number of bytes per second that cross. The zero value has
+	// counted nothing. It is not safe for concurrent use.
+	Meter struct {
+		at   time.Time
+		rate float64
 	}
 )
 
-// Pick returns the data centre that a request goes to, by a hash of its ID: all
-// gateways with the same shares pick the same for it. It returns "" if there are no
-// shares.
-func Pick(shares []Share, request string) string {
-	if len(shares) == 0 {
-		return ""
-	}
-	// The prefix keeps the hash apart from the one that picks the service.
-	point := float64(xxhash.Sum64String("cross/"+request)>>11) / (1 << 53)
-	for _, s := range shares {
-		if point -= s.Part; point < 0 {
-			return s.DataCentre
+// New returns a decider to which all data centres are open.
+func New() *Decider { return &Decider{closed: map[string]Reason{}} }
+
+// Costs returns the costs of crossing to the other data centres, in the order of their names.
+func (d *Decider) Costs(in Input) []Cost {
+	var out []Cost
+	for _, f := range in.DataCentres {
+		delay, ok := in.Delays[f.Name]
+		if f.Name == in.Home || !ok {
+			continue
 		}
+		closed := in.closes(f, delay, d.closed[f.Name])
+		d.closed[f.Name] = closed
+		out = append(out, Cost{DataCentre: f.Name, PerToken: in.perToken(delay), Closed: closed})
 	}
-	return shares[0].DataCentre
+	slices.SortFunc(out, func(a, b Cost) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return out
 }
 
-// Reason returns the reason of a data centre's share, or "" if it has none.
-func (d Decision) Reason(dataCentre string) Reason {
-	for _, s := range d.Shares {
-		if s.DataCentre == dataCentre {
-			return s.Reason
+// Forbids reports whether a request may not go there even if no other data centre that is
+// complete has room for it: the pipe could not carry it in time.
+func (r Reason) Forbids() bool { return r == PipeFull || r == Slow }
+
+// closes returns why a data centre is closed. A condition that has closed it ends at a
+// lower bound than it begins at. Those that forbid requests take precedence.
+func (in Input) closes(f Figures, delay time.Duration, was Reason) Reason {
+	bound := func(why Reason, begin, end float64) float64 {
+		if was == why {
+			return end
 		}
+		return begin
+	}
+	onTheWay := in.onTheWay(delay).Seconds()
+	switch {
+	case f.Ready == 0 || !f.Complete:
+		return NoTargets
+	case in.Objective > 0 && onTheWay > bound(Slow, slowShare, openSlowShare)*in.Objective.Seconds():
+		return Slow
+	case in.pipeUse() >= bound(PipeFull, pipeShare, openPipeShare):
+		return PipeFull
+	case f.Age.Seconds() > bound(OldFigures, maxAge.Seconds(), openAge.Seconds()):
+		return OldFigures
 	}
 	return ""
 }
 
-// home returns the figures of the home data centre, and others those of the rest in the
-// order of their names.
-func (in Input) home() Figures {
-	for _, f := range in.DataCentres {
-		if f.Name == in.Home {
-			return f
-		}
+// onTheWay is the time that a request loses by the delay and the time of its bytes.
+func (in Input) onTheWay(delay time.Duration) time.Duration {
+	out := Trips * delay
+	if in.PipeBytes > 0 {
+		out += time.Duration(in.RequestBytes / in.PipeBytes * float64(time.Second))
 	}
-	return Figures{Name: in.Home}
+	return out
 }
 
-func (in Input) others() []Figures {
-	out := slices.DeleteFunc(slices.Clone(in.DataCentres), func(f Figures) bool { return f.Name == in.Home })
-	slices.SortFunc(out, func(a, b Figures) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+// pipeUse is the used share of this gateway's part of the pipe. What all send is known
+// only from loads up to half a second old, by which a full pipe would be found too late.
+// The parts are equal, so that they never add up to more than the pipe.
+func (in Input) pipeUse() float64 {
+	if in.PipeBytes <= 0 {
+		return 0
+	}
+	return in.UsedBytes * float64(max(1, in.Gateways)) / in.PipeBytes
+}
+
+// perToken is the time on the way spread over an answer, and a surcharge that grows
+// steeply towards the use at which data centres close.
+func (in Input) perToken(delay time.Duration) time.Duration {
+	out := in.onTheWay(delay) / time.Duration(max(1, in.AnswerTokens))
+	use := min(in.pipeUse()/pipeShare, 0.99)
+	return out + time.Duration(float64(surcharge)*math.Pow(use, 4)/(1-use))
 }
 
-// serves reports whether the data centre can run whole requests.
-func (f Figures) serves() bool { return f.Ready > 0 && f.Complete }
+// Add counts bytes that cross from now on.
+func (m *Meter) Add(now time.Time, bytes float64) {
+	m.rate, m.at = m.Rate(now)+bytes/meterTime.Seconds(), now
+}
 
-// length is the usual time from the arrival to the end of a request.
-func (f Figures) length(answerTokens int) time.Duration {
-	return max(minLength, f.Wait+f.Read+time.Duration(answerTokens)*f.Token)
+// Rate returns the mean number of bytes per second.
+func (m *Meter) Rate(now time.Time) float64 {
+	return m.rate * math.Exp(-max(0, now.Sub(m.at)).Seconds()/meterTime.Seconds())
 }
--- a/internal/peers/ages.go
+++ b/internal/peers/ages.go
@@ -29,15 +29,3 @@
 	}
 	return newest
 }
-
-// HomeGateways returns the number of gateways in the data centre of this one.
-func (p *Peers) HomeGateways() int {
-	members, _ := p.Members.List()
-	n := 1
-	for _, m := range members {
-		if m.DataCentre == p.Self.DataCentre {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/proxy/crossing.go
+++ b/internal/proxy/crossing.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -9,18 +8,13 @@
 
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/cross"
-	"shallotcourse/internal/sched"
 	"shallotcourse/internal/topo"
 )
 
 const (
-	// shareInterval is the least time between two decisions for a service.
-	shareInterval = 100 * time.Millisecond
-	// arrivalInterval is the time over which arrivals are counted. A gateway gets tens
-	// of requests per second, so that shorter counts vary much.
-	arrivalInterval = 2 * time.Second
-	// defaultObjective stands for the objective of routes that have none.
-	defaultObjective = time.Second
+	// crossInterval is the time for which the figures of data centres are kept, about
+	// that between two reports of loads.
+	crossInterval = 100 * time.Millisecond
 	// eventBytes and headBytes estimate the bytes of an event and of the heads of a
 	// request and its response, and promptTokenBytes those of a token of a prompt.
 	eventBytes, headBytes, promptTokenBytes = 150, 2000, 5
@@ -29,145 +23,163 @@
 	plainCrossingCost = 2 * time.Millisecond
 )
 
-// The reasons of requests that cross without a share: those that go elsewhere because
-// their data centre has no room, that cross by the cost of their path, that continue
-// elsewhere, and that go to a plain service.
+// The reasons of requests that cross: their path is the cheapest, the data centre of the
+// gateway has no memory left or lacks layers, no other than a closed data centre can run
+// them, they have been sent before, or they go to a plain service.
 const (
-	crossedNoRoom   cross.Reason = "NoRoom"
-	crossedByCost   cross.Reason = "Cost"
-	crossedAgain    cross.Reason = "Retry"
-	crossedPlain    cross.Reason = "Latency"
-	crossedNotAtAll cross.Reason = ""
+	crossedCheaper   crossReason = "Cheaper"
+	crossedHomeFull  crossReason = "HomeFull"
+	crossedHomeLacks crossReason = "HomeLacksLayers"
+	crossedClosed    crossReason = "Closed"
+	crossedAgain     crossReason = "Retry"
+	crossedPlain     crossReason = "Latency"
+	crossedNotAtAll  crossReason = ""
 )
 
 type (
-	// shareCache keeps the shares of each service until the next decision.
-	shareCache struct {
+	// crossReason is why a request crosses; empty if it stays.
+	crossReason string
+
+	// crossCache keeps the figures of each service until they are computed anew.
+	crossCache struct {
 		mu       sync.Mutex
-		services map[string]*serviceShares
+		services map[string]*serviceCrossings
+		// meter counts what the requests of all services take of the pipe.
+		meter cross.Meter
 	}
 
-	// serviceShares holds the decider and the last decision of one service.
-	serviceShares struct {
-		at       time.Time
-		decider  *cross.Decider
-		decision cross.Decision
-		// arrived counts the requests since countedAt, and perSecond is the rate
-		// before that.
-		arrived   int
-		countedAt time.Time
-		perSecond float64
+	// serviceCrossings holds the decider, the figures and the last costs of one service.
+	serviceCrossings struct {
+		at      time.Time
+		decider *cross.Decider
+		input   cross.Input
+		home    chain.Room
+		costs   []cross.Cost
 	}
 
 	// crossing is how a request came to a data centre.
 	crossing struct {
-		// counted is true once the request counts as arrived.
-		counted bool
-		// preferred is the data centre that the shares picked for the request; empty if
-		// they pick none.
-		preferred string
-		// reason is why the last send crossed; empty if it stayed.
-		reason cross.Reason
+		// costs and home hold the costs and the room at home that the last path was
+		// chosen by; costs is nil if it was chosen by fixed costs.
+		costs map[string]chain.Crossing
+		home  chain.Room
+		// reason is why the last send crossed.
+		reason crossReason
 	}
 
-	// ServiceShares is the decision on one service, as shown to operators.
-	ServiceShares struct {
+	// ServiceCrossings is what it costs to cross for one service, as shown to operators.
+	ServiceCrossings struct {
 		Service string
 		From    string
-		Shares  []cross.Share
+		Costs   []cross.Cost
 	}
 )
 
-// preferredDataCentre returns the data centre that a new request should go to, and
-// whether only this one and the own one may take it. It returns "" if data centres are to
-// be compared by cost, as for requests that have been sent before.
-func (s *stream) preferredDataCentre(candidates []chain.Candidate, forced bool) (prefer string, confined bool) {
-	if s.crossing.preferred = ""; forced || s.sendCount > 0 || s.headers.LastEvent != "" {
-		return "", false
+// crossings returns the costs of crossing by data centre for a new request, and whether
+// closed data centres may not be used at all. It returns nil for requests that have been
+// sent before and where the configuration names no delays.
+func (s *stream) crossings(candidates []chain.Candidate, forced bool) (costs map[string]chain.Crossing, confined bool) {
+	s.crossing = crossing{reason: s.crossing.reason}
+	if forced || s.sendCount > 0 || s.headers.LastEvent != "" || len(s.service.Model.Delays) == 0 {
+		return nil, false
+	}
+	costs = map[string]chain.Crossing{}
+	list, home := s.crossCostsOf(s.service, candidates)
+	for _, c := range list {
+		costs[c.DataCentre] = chain.Crossing{Cost: c.PerToken, Closed: c.Closed != ""}
+		confined = confined || c.Closed.Forbids() && home.Complete
 	}
-	d := s.crossDecision(s.service, candidates, !s.crossing.counted)
-	s.crossing.counted = true
-	s.crossing.preferred = cross.Pick(d.Shares, s.headers.ID)
-	return s.crossing.preferred, d.Confined
+	s.crossing.costs, s.crossing.home = costs, home
+	return costs, confined
 }
 
-// crossDecision returns the shares of a service, which are decided anew at most every
-// shareInterval. arrived is true for the first call of each request.
-func (s *Server) crossDecision(service topo.Service, candidates []chain.Candidate, arrived bool) cross.Decision {
-	if service.Model == nil || len(service.Model.Delays) == 0 {
-		return cross.Decision{}
+// crossCostsOf returns the costs of crossing for a service, by figures that are at most
+// crossInterval old and by what crosses now, and the room at home.
+func (s *Server) crossCostsOf(service topo.Service, candidates []chain.Candidate) ([]cross.Cost, chain.Room) {
+	c, now := &s.crossCosts, s.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.services == nil {
+		c.services = map[string]*serviceCrossings{}
 	}
-	s.shares.mu.Lock()
-	defer s.shares.mu.Unlock()
-	if s.shares.services == nil {
-		s.shares.services = map[string]*serviceShares{}
-	}
-	kept := s.shares.services[service.Name]
+	kept := c.services[service.Name]
 	if kept == nil {
-		kept = &serviceShares{decider: cross.New()}
-		s.shares.services[service.Name] = kept
+		kept = &serviceCrossings{decider: cross.New()}
+		c.services[service.Name] = kept
 	}
-	now := s.Clock.Now()
-	kept.count(arrived, now)
-	if kept.at.IsZero() || now.Sub(kept.at) >= shareInterval {
+	renew := kept.at.IsZero() || now.Sub(kept.at) >= crossInterval
+	if renew {
 		kept.at = now
-		kept.decision = kept.decider.Shares(s.crossInput(service, candidates, kept.perSecond, now))
-		s.exportShares(service.Name, kept.decision)
+		kept.input, kept.home = s.crossInput(service, candidates, now)
 	}
-	return kept.decision
-}
-
-// count counts a request that has arrived.
-func (k *serviceShares) count(arrived bool, now time.Time) {
-	if arrived {
-		k.arrived++
-	}
-	if elapsed := now.Sub(k.countedAt); elapsed >= arrivalInterval {
-		if !k.countedAt.IsZero() {
-			k.perSecond = float64(k.arrived) / elapsed.Seconds()
-		}
-		k.arrived, k.countedAt = 0, now
+	kept.input.UsedBytes = c.meter.Rate(now)
+	kept.costs = kept.decider.Costs(kept.input)
+	if renew {
+		s.exportCrossings(service.Name, kept.costs)
 	}
+	return kept.costs, kept.home
 }
 
-// crossInput builds the input of a decision from the targets of the service. It uses the
+// crossInput builds the input of the costs from the targets of a service. It uses the
 // loads as reported: the expected ones depend on the requests that this gateway alone has
 // just sent.
-func (s *Server) crossInput(service topo.Service, candidates []chain.Candidate, perSecond float64, now time.Time) cross.Input {
+func (s *Server) crossInput(service topo.Service, candidates []chain.Candidate, now time.Time) (cross.Input, chain.Room) {
 	m, home := service.Model, s.Settings.DataCentre
 	loads := s.Ledger.TotalLoads()
 	candidates = slices.Clone(candidates)
 	for i := range candidates {
 		candidates[i].Load = loads[candidates[i].ID]
 	}
-	objective := s.shortestObjective(service.Name)
+	others, _ := s.LoadLag()
 	in := cross.Input{
-		At: now, Home: home, Delays: map[string]time.Duration{}, PipeBytes: m.PipeBytes, AnswerTokens: m.UsualAnswer,
-		RequestBytes: headBytes + promptTokenBytes*float64(m.UsualPrompt) + eventBytes*float64(m.UsualAnswer),
-		MaxWait:      sched.Base(objective).MaxPromptWait, Refusal: cmp.Or(objective, defaultObjective),
-	}
-	if in.Arrivals = perSecond; s.HomeGateways != nil {
-		in.Arrivals *= float64(s.HomeGateways())
+		Home: home, Delays: map[string]time.Duration{}, PipeBytes: m.PipeBytes, Gateways: others + 1, AnswerTokens: m.UsualAnswer,
+		RequestBytes: requestBytes(m), Objective: s.shortestObjective(service.Name),
 	}
 	rooms := chain.Rooms(m, candidates)
-	for dc, r := range rooms {
-		f := cross.Figures{
-			Name: dc, Ready: r.Ready, Complete: r.Complete, InFlight: r.InFlight, Free: r.Free, Wait: r.Wait, Read: r.Read, Token: r.Token,
+	for _, dc := range s.dataCentres(service.Name) {
+		delay, ok := m.Delay(home, dc)
+		if dc == home || !ok {
+			continue
 		}
+		f := cross.Figures{Name: dc, Ready: rooms[dc].Ready, Complete: rooms[dc].Complete}
 		if s.LoadAge != nil {
 			f.Age = s.LoadAge(dc)
 		}
 		in.DataCentres = append(in.DataCentres, f)
-		delay, ok := m.Delay(home, dc)
-		if !ok {
-			delay = plainCrossingCost / cross.Trips
-		}
 		in.Delays[dc] = max(delay, s.dials.delay(home, dc, now))
 	}
-	if _, ok := rooms[home]; !ok {
-		in.DataCentres = append(in.DataCentres, cross.Figures{Name: home})
+	return in, rooms[home]
+}
+
+// dataCentres returns the data centres in which the service has targets.
+func (s *Server) dataCentres(service string) []string {
+	var out []string
+	for _, t := range s.Fleets.Section().Value().ServiceTargets(service) {
+		out = append(out, t.DataCentre)
 	}
-	return in
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// requestBytes estimates what a whole request and its answer take of the pipe.
+func requestBytes(m *topo.Model) float64 {
+	return headBytes + promptTokenBytes*float64(m.UsualPrompt) + eventBytes*float64(m.UsualAnswer)
+}
+
+// pipeBytes estimates what a request takes of the pipe on its path: the request and its
+// answer if it begins in another data centre than home, and each token at each hop
+// between data centres.
+func pipeBytes(m *topo.Model, home string, hops []chain.Hop) float64 {
+	out := 0.0
+	for i, h := range hops {
+		switch {
+		case i == 0 && h.Target.DataCentre != home:
+			out += requestBytes(m)
+		case i > 0 && h.Target.DataCentre != hops[i-1].Target.DataCentre:
+			out += float64(m.UsualPrompt+m.UsualAnswer) * float64(m.ActivationBytes)
+		}
+	}
+	return out
 }
 
 // shortestObjective returns the shortest objective of the routes to a service, by which
@@ -183,11 +195,16 @@
 	return shortest
 }
 
-// exportShares sets the gauges of the shares.
-func (s *Server) exportShares(service string, d cross.Decision) {
-	for _, share := range d.Shares {
-		labels := `{Service="` + service + `",From="` + s.Settings.DataCentre + `",To="` + labelValue(share.DataCentre) + `"}`
-		s.Metrics.GetOrCreateGauge("shallotcourse_cross_share"+labels, nil).Set(share.Part)
+// exportCrossings sets the gauges of the costs.
+func (s *Server) exportCrossings(service string, costs []cross.Cost) {
+	for _, c := range costs {
+		labels := `{Service="` + service + `",From="` + s.Settings.DataCentre + `",To="` + labelValue(c.DataCentre) + `"}`
+		s.Metrics.GetOrCreateGauge("shallotcourse_cross_cost_seconds"+labels, nil).Set(c.PerToken.Seconds())
+		closed := 0.0
+		if c.Closed != "" {
+			closed = 1
+		}
+		s.Metrics.GetOrCreateGauge("shallotcourse_cross_closed"+labels, nil).Set(closed)
 	}
 }
 
@@ -197,47 +214,47 @@
 	return strings.NewReplacer(`"`, "_", `\`, "_", "\n", "_").Replace(name)
 }
 
-// Shares returns the shares in force, in the order of the services' names.
-func (s *Server) Shares() []ServiceShares {
-	s.shares.mu.Lock()
-	defer s.shares.mu.Unlock()
-	var out []ServiceShares
-	for name, kept := range s.shares.services {
-		if len(kept.decision.Shares) > 0 {
-			out = append(out, ServiceShares{Service: name, From: s.Settings.DataCentre, Shares: kept.decision.Shares})
+// Crossings returns the costs in force, in the order of the services' names.
+func (s *Server) Crossings() []ServiceCrossings {
+	s.crossCosts.mu.Lock()
+	defer s.crossCosts.mu.Unlock()
+	var out []ServiceCrossings
+	for name, kept := range s.crossCosts.services {
+		if len(kept.costs) > 0 {
+			out = append(out, ServiceCrossings{Service: name, From: s.Settings.DataCentre, Costs: kept.costs})
 		}
 	}
-	slices.SortFunc(out, func(a, b ServiceShares) int { return strings.Compare(a.Service, b.Service) })
+	slices.SortFunc(out, func(a, b ServiceCrossings) int { return strings.Compare(a.Service, b.Service) })
 	return out
 }
 
-// noteStreamCrossing records whether a send of the stream goes to another data centre.
-func (s *stream) noteStreamCrossing(first topo.Target) {
-	preferred := s.crossing.preferred
+// noteStreamCrossing records whether a send of the stream goes to another data centre,
+// and what it takes of the pipe.
+func (s *stream) noteStreamCrossing(hops []chain.Hop) {
+	if bytes := pipeBytes(s.service.Model, s.Settings.DataCentre, hops); bytes > 0 {
+		s.crossCosts.mu.Lock()
+		s.crossCosts.meter.Add(s.Clock.Now(), bytes)
+		s.crossCosts.mu.Unlock()
+	}
+	first, c := hops[0].Target, s.crossing
 	switch {
 	case s.sendCount > 1 || s.headers.LastEvent != "":
 		s.noteCrossing(first, crossedAgain)
-	case preferred == "":
-		s.noteCrossing(first, crossedByCost)
-	case preferred != first.DataCentre:
-		s.noteCrossing(first, crossedNoRoom)
+	case c.costs == nil:
+		s.noteCrossing(first, crossedCheaper)
+	case c.costs[first.DataCentre].Closed:
+		s.noteCrossing(first, crossedClosed)
+	case !c.home.Complete:
+		s.noteCrossing(first, crossedHomeLacks)
+	case c.home.Free < 1:
+		s.noteCrossing(first, crossedHomeFull)
 	default:
-		s.noteCrossing(first, s.shareReason(s.service.Name, preferred))
-	}
-}
-
-// shareReason returns the reason of the share that a data centre has.
-func (s *Server) shareReason(service, dataCentre string) cross.Reason {
-	s.shares.mu.Lock()
-	defer s.shares.mu.Unlock()
-	if kept := s.shares.services[service]; kept != nil {
-		return kept.decision.Reason(dataCentre)
+		s.noteCrossing(first, crossedCheaper)
 	}
-	return crossedByCost
 }
 
 // noteCrossing records and counts a send that goes to another data centre.
-func (q *request) noteCrossing(t topo.Target, why cross.Reason) {
+func (q *request) noteCrossing(t topo.Target, why crossReason) {
 	if q.crossing.reason = crossedNotAtAll; t.DataCentre == q.Settings.DataCentre {
 		return
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -68,11 +68,8 @@
 		// LoadAge returns the age of the loads that the gateways of a data centre
 		// have reported; nil if they are always new.
 		LoadAge func(dataCentre string) time.Duration
-		// HomeGateways returns the number of gateways in this data centre, including
-		// this one; nil if it is alone.
-		HomeGateways func() int
-		Dialect      Dialect
-		Engines      Engines
+		Dialect Dialect
+		Engines Engines
 		// Client sends requests to targets. It must not retry requests, reuse
 		// connections or decompress bodies, and opens connections with CheckSends.
 		Client *http.Client
@@ -88,7 +85,7 @@
 		reports     reportCache
 		buffers     responseBuffers
 		latencies   latencyStats
-		shares      shareCache
+		crossCosts  crossCache
 		dials       dialTimes
 		// rankedVersion is the version of the configuration whose ranks Sched has; 0
 		// before the first.
--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -45,7 +45,7 @@
 		s.possibleRunners = append(s.possibleRunners, hops[0].Target)
 	}
 	s.pathLog += " " + pathText(hops)
-	s.noteStreamCrossing(hops[0].Target)
+	s.noteStreamCrossing(hops)
 	return &streamRun{
 		hops: hops, again: again, upstream: s.startUpstream(hops), sentAt: s.Clock.Now(),
 		ticket: s.Ledger.Open(s.tokens, promptTokens(s.headers, s.service.Model), hops),
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -353,9 +353,9 @@
 func (s *stream) choosePath(forced bool) ([]chain.Hop, error) {
 	m, candidates := s.service.Model, s.candidates()
 	limits := s.limits(candidates)
-	prefer, confined := s.preferredDataCentre(candidates, forced)
+	crossings, confined := s.crossings(candidates, forced)
 	return chain.Choose(m, candidates, chain.Request{
-		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost, Prefer: prefer, Confined: confined,
+		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost, Crossings: crossings, Confined: confined,
 		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
 		MaxPromptWait: limits.MaxPromptWait, MaxFill: limits.MaxFill,
 	})
