--- a/internal/cmds/gateway_test.go
+++ b/internal/cmds/gateway_test.go
@@ -224,7 +224,7 @@
 		return to-from == 8 && target.Held.Len() == 8
 	})
 	status := g.showStatus(t)
-	for _, want := range []string{"/register/", "once", "plain:1", "e1", "0-8", "hole", "ready", "BINDING", "RANKED SERVICE"} {
+	for _, want := range []string{"/register/", "once", "plain:1", "e1", "0-8", "hole", "ready", "BINDING", "CROSSING COST", "RANKED SERVICE"} {
 		is.True(strings.Contains(status, want)) // want
 	}
 	root := NewRoot()
