proxy: BenchmarkChoosePath has a retry limiter

The choice of a path asks the retry limiter for the requests of the other gateways since. The benchmark set none and panicked with a nil pointer. It has one now and runs again.

--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -42,6 +42,7 @@
 			s := New(Options{
 				Clock: clock, Log: logger, Metrics: metrics.NewSet(), Fleets: fleets, Ledger: work,
 				Limits:  limit.NewTargetLimiter(clock, limit.Gateway{}, nil),
+				Retries: limit.NewRetryLimiter(clock, limit.RetryBounds{Window: time.Second}, func() int { return 1 }),
 				LoadLag: func() (int, time.Duration) { return 30, 200 * time.Millisecond }, Settings: Settings{DataCentre: "dc1"},
 			})
 			q := &request{Server: s, r: httptest.NewRequest("GET", "/", nil), service: topo.Service{Name: "llm", Model: model}}
