proxy, cmds: gateway explain shows where a request would go and why

On-call engineers could see the state of a gateway (gateway status), but not what it makes of it for one request: which target or chain, or which refusal, and why the other targets are not used.

gateway explain ADDRESS asks GET /explain on OpsListen. Server.Explain runs the code of a real request on a shadow of the server: with copies of the scheduler and of the targets' limits, metrics and a log of its own, and without client, engines and retry hints, so that it can neither send nor count nor take a place. The parts that both need are functions now: admitBy, roomWait.path and goOn, limitWait.goOn, pausedBeyond, hintOf, plainExclusion, plainCost, streamExclusion, chainRequest, chain.considered. Tracker.Peek answers as Check without beginning a try of a hold. OthersPerOwn no longer creates the window of a service without requests, which then appeared in the counts sent to others.

Each of these changes of Explain made TestExplainChangesNothing fail: the scheduler, the limits or the metrics of the server itself, Check for Peek, and the old OthersPerOwn.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -187,7 +187,7 @@
 	matching := t.matchingHolds(prompt)
 	for _, h := range matching {
 		h.lastAsked = now
-		if !h.mayTry(now) || !t.owns(holdKey(h.parts)) {
+		if !t.mayTryHere(h, now) {
 			out := h.report(now)
 			return &out
 		}
@@ -199,6 +199,27 @@
 	return nil
 }
 
+// Peek returns the hold that Check would return now, or nil. It records nothing and
+// begins no try.
+func (t *Tracker) Peek(prompt []string) *Hold {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	for _, h := range t.matchingHolds(prompt) {
+		if !t.mayTryHere(h, now) {
+			out := h.report(now)
+			return &out
+		}
+	}
+	return nil
+}
+
+// mayTryHere reports whether this gateway may send a request that tries a hold. The
+// caller holds the lock.
+func (t *Tracker) mayTryHere(h *hold, now time.Time) bool {
+	return h.mayTry(now) && t.owns(holdKey(h.parts))
+}
+
 // Held returns the hold on a request that has been sent, or nil. A request that
 // tries a hold is not held.
 func (t *Tracker) Held(prompt []string) *Hold {
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -160,16 +160,8 @@
 // by targets that pause, TargetLimit if no chain can begin because of NotFirst,
 // and Overloaded if the targets that hold the layers have no memory or time left.
 func Choose(m *topo.Model, candidates []Candidate, req Request) ([]Hop, error) {
-	usable := make([]*Candidate, 0, len(candidates))
 	byDC := map[string][]*Candidate{}
-	for i := range candidates {
-		c := &candidates[i]
-		if c.usable(m, req) && c.PausedFor <= 0 {
-			usable = append(usable, c)
-			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
-		}
-	}
-	usable = limitPerKind(usable, byDC)
+	usable := considered(m, candidates, req, byDC)
 	if hole := firstUncovered(usable, req.Layers); hole.Len() > 0 {
 		if wait, ok := pauseOver(m, candidates, req); ok {
 			return nil, fault.Newf(fault.TargetPause, "the targets that hold layers %d to %d want nothing at present", hole.From, hole.To).WithRetryAfter(wait)
@@ -203,6 +195,20 @@
 	return nil, fault.New(fault.Overloaded, "no chain of targets has enough free memory and slots")
 }
 
+// considered returns the candidates that the search for a chain considers, and adds them
+// to byDC by their data centre.
+func considered(m *topo.Model, candidates []Candidate, req Request, byDC map[string][]*Candidate) []*Candidate {
+	usable := make([]*Candidate, 0, len(candidates))
+	for i := range candidates {
+		c := &candidates[i]
+		if c.usable(m, req) && c.PausedFor <= 0 {
+			usable = append(usable, c)
+			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
+		}
+	}
+	return limitPerKind(usable, byDC)
+}
+
 // limitPerKind keeps the least loaded maxPerKind of the targets with the same card,
 // layers and data centre. It returns the targets kept and removes the others from
 // byDC too.
@@ -301,8 +307,7 @@
 		if n == 0 || c.State != topo.Ready || c.PausedFor > 0 || !m.Runs(c.Target) {
 			continue
 		}
-		stage := Stage{Card: c.Card, Layers: n, SlowFactor: c.SlowFactor}
-		if wait := time.Duration(float64(c.Load.Unread) * float64(stage.ReadToken(m, 0))); shortest < 0 || wait < shortest {
+		if wait := c.promptWait(m, n, 0); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
@@ -319,9 +324,7 @@
 	worst, longest := hops[0], time.Duration(0)
 	for _, h := range hops {
 		c := byID[h.Target.ID]
-		stage := Stage{Card: c.Card, Layers: h.Layers.Len(), SlowFactor: c.SlowFactor}
-		writers := float64(c.Load.Running) / float64(len(hops))
-		if wait := time.Duration(float64(c.Load.Unread) * float64(stage.ReadToken(m, writers))); wait > longest {
+		if wait := c.promptWait(m, h.Layers.Len(), float64(c.Load.Running)/float64(len(hops))); wait > longest {
 			worst, longest = h, wait
 		}
 	}
@@ -393,9 +396,7 @@
 	s := &chainSearch{req: req, targets: make([]searchTarget, len(cs)), bounds: rangeBounds(cs, req.Layers), dataCentre: make([]int, len(cs)), sameAddress: make([]int, len(cs))}
 	numbers, addresses := map[string]int{}, make(map[string]int, len(cs))
 	for i, c := range cs {
-		s.targets[i] = searchTarget{
-			Candidate: c, used: c.Load.TokenLayers, capacity: m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes, layerTime: layerTime(m, c),
-		}
+		s.targets[i] = newSearchTarget(m, c)
 		n, known := numbers[c.DataCentre]
 		if !known {
 			n = len(numbers)
@@ -436,7 +437,7 @@
 		if t.Held.From > at || t.Held.To <= at || s.contains(p, c) {
 			continue
 		}
-		if p.last < 0 && (t.NotFirst && s.req.begins() || !s.req.Forced && t.Slots > 0 && t.Load.First >= t.Slots) {
+		if p.last < 0 && !t.mayBeFirst(&s.req) {
 			continue
 		}
 		cost := p.cost + s.crossingCost(p.last, c)
@@ -495,8 +496,8 @@
 	switch {
 	case from >= 0 && s.dataCentre[from] != s.dataCentre[to], from < 0 && req.PrevDataCentre != "" && req.PrevDataCentre != dc:
 		return hopDelay + req.Cross
-	case from < 0 && req.PrevDataCentre == "" && req.DataCentre != dc:
-		return hopDelay + entryCrossingCost
+	case from < 0 && req.begins():
+		return hopDelay + req.entryCost(dc)
 	}
 	return hopDelay
 }
@@ -504,10 +505,7 @@
 // hopTime is the time of one token in n layers of a target, weighted by how
 // full its memory is. It returns false if the request does not fit.
 func (t *searchTarget) hopTime(n int, req Request) (time.Duration, bool) {
-	fill := 1.0
-	if t.capacity > 0 {
-		fill = (t.used + float64(req.Tokens*n)) / t.capacity
-	}
+	fill := t.fill(n, req.Tokens)
 	if !req.Forced && fill > req.maxFill() {
 		return 0, false
 	}
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -130,7 +130,7 @@
 	c.Flags().StringVar(&drain, "drain", "", "Bounds.Drain, in place of the one in the file")
 	c.Flags().StringVar(&configApply, "config-apply", "", "Bounds.ConfigApply, in place of the one in the file")
 	c.Flags().StringVar(&contracts, "contracts", "", "the platform's contracts in force, separated by commas; those on client accounts set RequireKeys")
-	c.AddCommand(gatewayStatusCommand())
+	c.AddCommand(gatewayStatusCommand(), gatewayExplainCommand())
 	return c
 }
 
@@ -270,6 +270,7 @@
 	operators := mux.NewRouter()
 	g.registerOperations(operators, g.ready)
 	operators.HandleFunc("/status", g.status).Methods(http.MethodGet)
+	operators.HandleFunc("/explain", g.explain).Methods(http.MethodGet)
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
--- a/internal/limit/retry.go
+++ b/internal/limit/retry.go
@@ -172,7 +172,11 @@
 func (r *RetryLimiter) OthersPerOwn(service string, others int) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own := r.window(service).count()
+	var own RetryCount
+	if r.services[service] != nil {
+		// A service without requests gets no window, since asking changes no counts.
+		own = r.window(service).count()
+	}
 	known := r.combined(service, own)
 	if len(r.peers) == 0 {
 		return float64(others)
@@ -229,7 +233,10 @@
 // combined sums up the counts of all gateways and removes those older than the
 // window.
 func (r *RetryLimiter) combined(service string, own RetryCount) combinedCounts {
-	known := combinedCounts{sum: own, gateways: 1, ownTotal: r.services[service].totalRetries}
+	known := combinedCounts{sum: own, gateways: 1}
+	if w := r.services[service]; w != nil {
+		known.ownTotal = w.totalRetries
+	}
 	now := r.clock.Now()
 	for incarnation, p := range r.peers {
 		if now.Sub(p.countedAt) > r.bounds.Window {
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -44,18 +44,33 @@
 	return nil
 }
 
-// admit matches the request to a route, checks its key, chooses its service,
-// sets its deadline and reads its body. It first waits until the target list
-// has been read (Read is 0 before) and the configuration is young enough.
+// admit admits the request by its key and reads its body.
 func (q *request) admit() error {
-	if err := q.stoppingError(); err != nil {
+	limits, err := q.admitBy(func(c topo.Config) (topo.Account, bool) { return c.Account(q.headers.Key) })
+	if err != nil {
+		return err
+	}
+	if err := q.readBody(limits.BodyBytes); err != nil {
 		return err
 	}
+	// The body may have taken until now. What is sent this late could not be
+	// answered before the process ends.
+	return q.stoppingError()
+}
+
+// admitBy matches the request to a route, looks its account up where it needs one,
+// chooses its service and sets its deadline. It first waits until the target list
+// has been read (Read is 0 before) and the configuration is young enough. It returns
+// the limits of the configuration that admits the request.
+func (q *request) admitBy(accountOf func(topo.Config) (topo.Account, bool)) (topo.Limits, error) {
+	if err := q.stoppingError(); err != nil {
+		return topo.Limits{}, err
+	}
 	if err := q.waitFor(func() bool { return q.Fleets.Section().Value().Read > 0 }); err != nil {
-		return fault.New(fault.Unavailable, "the target list has not been read yet").WithCause(err)
+		return topo.Limits{}, fault.New(fault.Unavailable, "the target list has not been read yet").WithCause(err)
 	}
 	if err := q.waitFor(q.Configs.Usable); err != nil {
-		return q.staleConfigError(err)
+		return topo.Limits{}, q.staleConfigError(err)
 	}
 	config := q.Configs.Section().Value()
 	q.version = config.Version
@@ -66,12 +81,12 @@
 		// refused or its key checked only with a confirmed one.
 		fresh, err := q.confirmedConfig()
 		if err != nil {
-			return err
+			return topo.Limits{}, err
 		}
 		config = fresh
 		if route, ok = config.Match(q.r.Host, q.r.URL.Path); !ok {
 			q.admission = refusedRoute
-			return fault.Newf(fault.NotFound, "no route for host %q and path %q", q.r.Host, q.r.URL.Path)
+			return topo.Limits{}, fault.Newf(fault.NotFound, "no route for host %q and path %q", q.r.Host, q.r.URL.Path)
 		}
 	}
 	q.version, q.route, q.configAge = config.Version, route, q.Configs.Age()
@@ -84,10 +99,10 @@
 	case config.Keyless():
 		q.admission = admittedKeyless
 	default:
-		account, ok := config.Account(q.headers.Key)
+		account, ok := accountOf(config.Config)
 		if !ok {
 			q.admission = refusedKey
-			return fault.New(fault.Unauthorized, "the API key is unknown")
+			return topo.Limits{}, fault.New(fault.Unauthorized, "the API key is unknown")
 		}
 		q.admission, q.account = admittedByKey, account.Name
 		if account.Priority != nil {
@@ -106,12 +121,7 @@
 		timeout = defaultTimeout
 	}
 	q.deadline = q.arrived.Add(timeout)
-	if err := q.readBody(config.Limits.BodyBytes); err != nil {
-		return err
-	}
-	// The body may have taken until now. What is sent this late could not be
-	// answered before the process ends.
-	return q.stoppingError()
+	return config.Limits, nil
 }
 
 // confirmedConfig returns the configuration once its confirmation is recent
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -75,15 +75,24 @@
 // awaitPause waits until a pause is over that keeps a request from being sent. It
 // returns the failure at once if that is later than until.
 func (q *request) awaitPause(failure *fault.Error, until time.Time) *fault.Error {
+	if f := q.pausedBeyond(failure, until); f != nil {
+		return f
+	}
+	if err := timer.Sleep(q.r.Context(), q.Clock, failure.RetryAfter); err != nil {
+		return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
+	}
+	return nil
+}
+
+// pausedBeyond returns the failure if a pause that keeps a request from being sent ends
+// later than until; nil otherwise.
+func (q *request) pausedBeyond(failure *fault.Error, until time.Time) *fault.Error {
 	if q.Clock.Now().Add(failure.RetryAfter).After(until) {
 		q.Metrics.GetOrCreateCounter("shallotcourse_pause_refusals_total").Inc()
 		_ = level.Info(q.Log).Log("event", "PauseRefused", "request", q.headers.ID, "service", q.service.Name, "left",
 			failure.RetryAfter.Round(time.Millisecond), "paused", pausesText(q.Limits.Paused()))
 		return failure
 	}
-	if err := timer.Sleep(q.r.Context(), q.Clock, failure.RetryAfter); err != nil {
-		return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
-	}
 	return nil
 }
 
@@ -119,6 +128,18 @@
 // sleep waits for a short time, after which some target may take a request. It
 // returns the failure if that is certain not to happen in time.
 func (w *limitWait) sleep(failure *fault.Error) *fault.Error {
+	if f := w.goOn(failure); f != nil {
+		return f
+	}
+	if err := timer.Sleep(w.r.Context(), w.Clock, capacityPollInterval); err != nil {
+		return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
+	}
+	return nil
+}
+
+// goOn returns nil if the request goes on waiting, or the failure if no target is certain
+// to take it in time.
+func (w *limitWait) goOn(failure *fault.Error) *fault.Error {
 	targets := w.Fleets.Section().Value().ServiceTargets(w.service.Name)
 	if w.leave == nil {
 		leave, ok := w.Limits.Wait(w.service.Name, targets, w.until)
@@ -130,9 +151,6 @@
 	if !w.Clock.Now().Before(w.until) {
 		return w.refusedByLimit(failure, targets)
 	}
-	if err := timer.Sleep(w.r.Context(), w.Clock, capacityPollInterval); err != nil {
-		return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
-	}
 	return nil
 }
 
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -137,7 +137,7 @@
 // or pause, and one is likely to take the request within capacityWaitShare of the
 // objective, or while the target list is being refreshed.
 func (q *request) sendFirst(send func() *fault.Error) *fault.Error {
-	wait := limitWait{request: q, until: q.arrived.Add(time.Duration(capacityWaitShare * float64(q.route.Objective)))}
+	wait := limitWait{request: q, until: q.plainWaitEnd()}
 	defer wait.end()
 	for {
 		err := send()
@@ -157,6 +157,12 @@
 	}
 }
 
+// plainWaitEnd returns the time until which a request of a plain service may wait for a
+// target.
+func (q *request) plainWaitEnd() time.Time {
+	return q.arrived.Add(time.Duration(capacityWaitShare * float64(q.route.Objective)))
+}
+
 // interruption returns the error for a request whose deadline has passed or
 // whose caller has disconnected.
 func (q *request) interruption(last *fault.Error) *fault.Error {
@@ -205,30 +211,17 @@
 	targets := q.Fleets.Section().Value().ServiceTargets(q.service.Name)
 	for i := range targets {
 		t := &targets[i]
-		if t.State != topo.Ready {
-			continue
-		}
 		standing := q.Limits.Standing(*t)
-		if p := standing.PausedFor; p > 0 && !standing.Leaving && (pause == 0 || p < pause) {
-			pause = p
-		}
-		if !standing.TakesWork() || slices.Contains(tried, t.ID) {
-			continue
-		}
-		if standing.Full {
+		switch reason := plainExclusion(*t, standing, slices.Contains(tried, t.ID)); reason {
+		case "":
+			if score := q.plainCost(*t, loads[t.ID]).total(); best == nil || score < bestScore {
+				best, bestScore = t, score
+			}
+		case ExcludedLimited:
 			limited = true
-			continue
-		}
-		score := q.latencies.expectedLatency(t.ID).Seconds() * (1 + float64(loads[t.ID].Running)/float64(max(1, t.Slots)))
-		if t.DataCentre != q.Settings.DataCentre {
-			score += 2 * time.Millisecond.Seconds()
 		}
-		if q.Ledger.Suspected(*t) {
-			// Suspected targets are used only if there is no other.
-			score += time.Hour.Seconds()
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
+		if p := standing.PausedFor; t.State == topo.Ready && p > 0 && !standing.Leaving && (pause == 0 || p < pause) {
+			pause = p
 		}
 	}
 	switch {
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -29,6 +29,24 @@
 	abandonedBodyTime = 500 * time.Millisecond
 )
 
+const (
+	// HintNone is for failures that a retry does not mend.
+	HintNone HintKind = "None"
+	// HintPaced hints let refused callers return one after another, by rank.
+	HintPaced HintKind = "Paced"
+	// HintNamed hints are times that are known, such as the end of a hold.
+	HintNamed HintKind = "Named"
+	// HintRepair hints last until layers are likely to be loaded.
+	HintRepair HintKind = "Repair"
+	// HintRefresh hints last until the store is likely to have been read.
+	HintRefresh HintKind = "Refresh"
+	// HintElsewhere hints are short, since another gateway can take the request.
+	HintElsewhere HintKind = "Elsewhere"
+)
+
+// HintKind is how the Retry-After of a refusal is chosen.
+type HintKind string
+
 // refuse sends an error of the gateway itself to the caller and logs it. A
 // status that implies that the request has not run is sent only if that is
 // certain. If the caller has left, it aborts the connection and does not return.
@@ -92,23 +110,39 @@
 }
 
 func (q *request) baseRetryAfter(e *fault.Error) time.Duration {
-	rank := q.Sched.Rank(q.service.Name, q.priority)
-	if e.Code == fault.TargetPause || e.Code == fault.Overloaded {
+	switch hintOf(e) {
+	case HintPaced:
+		rank := q.Sched.Rank(q.service.Name, q.priority)
 		return q.Returns.NextHint(q.service.Name, rank, max(time.Duration(1+rank)*minRetryAfter, e.RetryAfter))
+	case HintNamed:
+		return e.RetryAfter
+	case HintRepair:
+		return minRepairRetryAfter + rand.N(maxRepairRetryAfter-minRepairRetryAfter)
+	case HintRefresh:
+		return minRetryAfter + rand.N(maxUnavailableRetryAfter-minRetryAfter)
+	case HintElsewhere:
+		return time.Duration(1+rand.IntN(100)) * time.Millisecond
+	}
+	return 0
+}
+
+// hintOf returns the kind of the retry hint of a refusal.
+func hintOf(e *fault.Error) HintKind {
+	if e.Code == fault.TargetPause || e.Code == fault.Overloaded {
+		return HintPaced
 	}
 	if e.RetryAfter > 0 {
-		return e.RetryAfter
+		return HintNamed
 	}
 	switch e.Code {
 	case fault.LimitReached, fault.TargetLimit:
-		return q.Returns.NextHint(q.service.Name, rank, time.Duration(1+rank)*minRetryAfter)
+		return HintPaced
 	case fault.NoTarget:
-		return minRepairRetryAfter + rand.N(maxRepairRetryAfter-minRepairRetryAfter)
+		return HintRepair
 	case fault.Outdated, fault.Unavailable:
-		return minRetryAfter + rand.N(maxUnavailableRetryAfter-minRetryAfter)
+		return HintRefresh
 	case fault.Leaving:
-		// Another gateway can take the request at once.
-		return time.Duration(1+rand.IntN(100)) * time.Millisecond
+		return HintElsewhere
 	}
-	return 0
+	return HintNone
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -81,7 +81,7 @@
 		acceptUntil atomic.Pointer[time.Time]
 		reports     reportCache
 		buffers     responseBuffers
-		latencies   latencyStats
+		latencies   *latencyStats
 		// rankedVersion is the version of the configuration whose ranks Sched has; 0
 		// before the first.
 		rankedVersion atomic.Uint64
@@ -137,13 +137,12 @@
 
 // New returns a Server with the given dependencies.
 func New(o Options) *Server {
-	s := &Server{Options: o, abortCalls: make(chan struct{})}
+	s := &Server{Options: o, latencies: newLatencyStats(), abortCalls: make(chan struct{})}
 	if s.Sched == nil {
 		s.Sched = sched.New(o.Clock)
 	}
 	s.abortCtx, s.abort = context.WithCancel(context.Background())
 	s.reports.init()
-	s.latencies.init()
 	o.Metrics.NewGauge("shallotcourse_response_buffer_bytes", func() float64 { return float64(s.buffers.bytes.Load()) })
 	o.Metrics.NewGauge("shallotcourse_requests_open", func() float64 { return float64(s.openRequests.Load()) })
 	return s
@@ -197,14 +196,18 @@
 		return
 	}
 	s.Retries.CountRequest(q.service.Name)
-	switch {
-	case q.route.Semantics == topo.Stream && q.service.Model != nil:
+	if q.isStream() {
 		q.serveStream()
-	default:
+	} else {
 		q.servePlain()
 	}
 }
 
+// isStream reports whether the request is answered by a model's event stream.
+func (q *request) isStream() bool {
+	return q.route.Semantics == topo.Stream && q.service.Model != nil
+}
+
 // remaining returns the time until the request's deadline.
 func (q *request) remaining() time.Duration { return q.deadline.Sub(q.Clock.Now()) }
 
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -32,8 +32,8 @@
 	}
 )
 
-func (p *latencyStats) init() {
-	p.services, p.targets = map[string]time.Duration{}, map[string]targetStats{}
+func newLatencyStats() *latencyStats {
+	return &latencyStats{services: map[string]time.Duration{}, targets: map[string]targetStats{}}
 }
 
 // serviceLatency returns the mean latency of a service.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -121,14 +121,20 @@
 func (brokenResponse) isResponseHead() {}
 func (refusedRequest) isResponseHead() {}
 
-// serveStream answers a request to a model. If a target fails, it resumes the
-// stream at another one.
-func (q *request) serveStream() {
+// newStream returns the state of a new stream, and counts its arrival.
+func newStream(q *request) *stream {
 	s := &stream{
 		request: q, excluded: map[string]bool{}, youngLosses: map[string]bool{}, lastEvent: q.headers.LastEvent, control: http.NewResponseController(q.w),
 		tokens: expectedTokens(q.headers, q.service.Model),
 	}
 	s.Sched.Arrived(q.service.Name, s.need())
+	return s
+}
+
+// serveStream answers a request to a model. If a target fails, it resumes the
+// stream at another one.
+func (q *request) serveStream() {
+	s := newStream(q)
 	defer s.endStandby("the request has ended")
 	var last *fault.Error
 	for {
@@ -331,15 +337,13 @@
 // leave, and suspected and excluded ones. A target that pauses is never used, and
 // only tells how long.
 func (s *stream) candidates() []chain.Candidate {
-	others, lag := s.LoadLag()
-	loads := s.Ledger.ExpectedLoads(s.Retries.OthersPerOwn(s.service.Name, others), lag)
 	targets := s.Fleets.Section().Value().ServiceTargets(s.service.Name)
-	suspected := s.Ledger.SuspectedAmong(targets)
+	loads, suspected := s.expectedLoads(), s.Ledger.SuspectedAmong(targets)
 	out := make([]chain.Candidate, 0, len(targets))
 	mayAdd := len(s.possibleRunners) == 0 || s.mayAddRunner()
 	for _, t := range targets {
 		standing := s.Limits.Standing(t)
-		if standing.Leaving || standing.PausedFor <= 0 && (s.excluded[t.ID] || suspected[t.ID]) {
+		if streamExclusion(standing, s.excluded[t.ID], suspected[t.ID]) != "" {
 			continue
 		}
 		notFirst := standing.Full || !mayAdd && !s.hasRunAt(t)
@@ -351,13 +355,8 @@
 // choosePath returns a path through all layers of the model. A forced path
 // ignores capacity.
 func (s *stream) choosePath(forced bool) ([]chain.Hop, error) {
-	m, candidates := s.service.Model, s.candidates()
-	limits := s.limits(candidates)
-	return chain.Choose(m, candidates, chain.Request{
-		Tokens: s.tokens, DataCentre: s.Settings.DataCentre, Cross: s.Settings.CrossCost,
-		Layers: topo.Layers{From: 0, To: m.Layers}, Forced: forced,
-		MaxPromptWait: limits.MaxPromptWait, MaxFill: limits.MaxFill,
-	})
+	candidates := s.candidates()
+	return chain.Choose(s.service.Model, candidates, s.chainRequest(candidates, forced))
 }
 
 // run relays the events of a run until the stream ends, or goes on with the standby.
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -60,34 +60,27 @@
 	wait := limitWait{request: s.request, until: room.until}
 	if s.begun {
 		wait.until = s.Clock.Now().Add(s.retryWait())
-	} else if s.Clock.Now().Before(room.until) {
-		room.place = s.Sched.Wait(s.service.Name, s.need(), s.arrived)
+	} else {
+		room.enter()
 	}
 	defer room.end()
 	defer wait.end()
 	for {
-		if !room.place.Turn() {
-			if f := room.sleep(fault.New(fault.Overloaded, "more urgent requests wait for the targets' memory and slots"), refusedTurn); f != nil {
-				return nil, f
-			}
-			continue
-		}
-		hops, err := s.choosePath(s.begun)
-		if err == nil {
+		hops, f, reason := room.path()
+		if f == nil {
 			if s.Limits.Take(hops[0].Target) {
 				return hops, nil
 			}
 			// Another request has taken the place.
 			continue
 		}
-		f := fault.As(err)
 		switch f.Code {
 		case fault.TargetPause:
 			f = s.awaitPause(f, wait.until)
 		case fault.TargetLimit:
 			f = wait.sleep(f)
 		case fault.Overloaded:
-			f = room.sleep(f, refusedWaited)
+			f = room.sleep(f, reason)
 		}
 		if f != nil {
 			return nil, f
@@ -95,9 +88,41 @@
 	}
 }
 
+// enter takes a place in the queue of the service, if the request may wait.
+func (w *roomWait) enter() {
+	if w.Clock.Now().Before(w.until) {
+		w.place = w.Sched.Wait(w.service.Name, w.need(), w.arrived)
+	}
+}
+
+// path returns a path with free capacity if it is the request's turn. Otherwise it returns
+// the failure, and the reason that is counted if that ends the wait.
+func (w *roomWait) path() ([]chain.Hop, *fault.Error, string) {
+	if !w.place.Turn() {
+		return nil, fault.New(fault.Overloaded, "more urgent requests wait for the targets' memory and slots"), refusedTurn
+	}
+	hops, err := w.choosePath(w.begun)
+	if err != nil {
+		return nil, fault.As(err), refusedWaited
+	}
+	return hops, nil, ""
+}
+
 // sleep waits until the request may look for room again. It returns the failure if the
 // time is over or if no room is to be expected in it.
 func (w *roomWait) sleep(failure *fault.Error, reason string) *fault.Error {
+	if f := w.goOn(failure, reason); f != nil {
+		return f
+	}
+	if err := awaitOr(w.r.Context(), func(done func()) func() { return w.Clock.After(capacityPollInterval, done) }, w.place.Woken()); err != nil {
+		return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
+	}
+	return nil
+}
+
+// goOn returns nil if the request goes on waiting, or the failure if the time is over or
+// if no room is to be expected in it.
+func (w *roomWait) goOn(failure *fault.Error, reason string) *fault.Error {
 	now := w.Clock.Now()
 	if !now.Before(w.until) {
 		return w.refused(failure, reason)
@@ -109,9 +134,6 @@
 			return w.refused(failure.WithRetryAfter(after), refusedHopeless)
 		}
 	}
-	if err := awaitOr(w.r.Context(), func(done func()) func() { return w.Clock.After(capacityPollInterval, done) }, w.place.Woken()); err != nil {
-		return fault.New(fault.Canceled, "the caller disconnected").WithCause(err)
-	}
 	return nil
 }
 
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -140,14 +140,21 @@
 	if perSecond == 0 {
 		return 0
 	}
+	return time.Duration(float64(1+w.placesBefore()) / float64(perSecond) * float64(time.Second))
+}
+
+// placesBefore returns the number of requests that wait before this one. The caller
+// holds the lock.
+func (w *Waiter) placesBefore() int {
+	s := w.scheduler
 	now := s.age()
-	places, rank := 1, w.agedRank(now)
+	places, rank := 0, w.agedRank(now)
 	for _, o := range s.waiting[w.service] {
 		if r := o.agedRank(now); r < rank || r == rank && o.before(w) {
 			places++
 		}
 	}
-	return time.Duration(float64(places) / float64(perSecond) * float64(time.Second))
+	return places
 }
 
 // age returns the time since the start.
