--- a/internal/conf/gateway.go
+++ b/internal/conf/gateway.go
@@ -40,6 +40,10 @@
 		// KeyLife is the time since the configuration was last confirmed as
 		// current after which API keys are no longer accepted.
 		KeyLife Duration
+		// CrossByDelays is true if new requests go to another data centre by what the
+		// configured delays and the connection in use cost, and not to data centres that
+		// are closed; otherwise by fixed costs.
+		CrossByDelays bool
 		// StallLimit is how long targets keep the work of a chain after another
 		// target of the chain was lost.
 		StallLimit Duration
--- a/internal/proxy/crossing.go
+++ b/internal/proxy/crossing.go
@@ -80,7 +80,7 @@
 // sent before and where the configuration names no delays.
 func (s *stream) crossings(candidates []chain.Candidate, forced bool) (costs map[string]chain.Crossing, confined bool) {
 	s.crossing = crossing{reason: s.crossing.reason}
-	if forced || s.sendCount > 0 || s.headers.LastEvent != "" || len(s.service.Model.Delays) == 0 {
+	if !s.Settings.CrossByDelays || forced || s.sendCount > 0 || s.headers.LastEvent != "" || len(s.service.Model.Delays) == 0 {
 		return nil, false
 	}
 	costs = map[string]chain.Crossing{}
@@ -273,11 +273,11 @@
 
 // plainDelay returns the extra cost of a plain target in another data centre, by the
 // delay that the configuration names if it names one.
-func (s *Server) plainDelay(config topo.Config, dataCentre string) time.Duration {
+func (s *Server) plainDelay(dataCentre string) time.Duration {
 	if dataCentre == s.Settings.DataCentre {
 		return 0
 	}
-	if d, ok := config.Delay(s.Settings.DataCentre, dataCentre); ok {
+	if d, ok := s.Configs.Section().Value().Delay(s.Settings.DataCentre, dataCentre); ok && s.Settings.CrossByDelays {
 		return cross.Trips * d
 	}
 	return plainCrossingCost
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -48,7 +48,7 @@
 	fleets.ApplySync(topo.Version{Number: 1}, list, time.Second, "g")
 	s.Server = New(Options{
 		Clock: clock, Log: logger, Metrics: metrics.NewSet(), Configs: follow.NewConfigs(nil, clock, bootClock, logger), Fleets: fleets,
-		Ledger: ledger.New(clock), Limits: limit.NewTargetLimiter(clock, limit.Gateway{}, nil), Settings: Settings{DataCentre: "x"},
+		Ledger: ledger.New(clock), Limits: limit.NewTargetLimiter(clock, limit.Gateway{}, nil), Settings: Settings{DataCentre: "x", CrossByDelays: true},
 		LoadLag: func() (int, time.Duration) { return 0, 0 },
 		LoadAge: func(string) time.Duration { return s.age },
 		Retries: limit.NewRetryLimiter(clock, limit.RetryBounds{Window: time.Second}, func() int { return 1 }),
