cmds: bounds on connections and on the rest of unread bodies

Nothing bounded the number of connections on any listener, and net/http reads up to 256 kB of a body that a handler has left before it sends the response or closes the connection, without a deadline. A body that stopped short held its connection, goroutine and descriptor for ever: on paths without a route, on the readiness and link listeners, and after a panic.

At the bound, the connection that has been idle or half-read for longest is closed; without one, the new connection is. The rest of an unread body has 500 ms on every listener. A write of which the caller accepts no byte for 15 s fails, unless the handler has set a deadline.

--- a/internal/cmds/agent.go
+++ b/internal/cmds/agent.go
@@ -150,10 +150,16 @@
 func (a *agentDaemon) listen() error {
 	operators := mux.NewRouter()
 	a.registerOperations(operators, a.ready)
-	if err := a.serve("operations", a.settings.OpsListen, agentHeaderBytes, operators); err != nil {
+	descriptors := descriptorLimit()
+	operations := listenerSettings{
+		name: "operations", address: a.settings.OpsListen, headerBytes: agentHeaderBytes, limits: operatorLimits(descriptors), handler: operators,
+	}
+	if err := a.serve(operations); err != nil {
 		return err
 	}
-	return a.serve("links", a.settings.LinkListen, agentHeaderBytes, linkRouter(a.links))
+	return a.serve(listenerSettings{
+		name: "links", address: a.settings.LinkListen, headerBytes: agentHeaderBytes, limits: linkLimits(descriptors), handler: linkRouter(a.links),
+	})
 }
 
 func (a *agentDaemon) ready() error {
--- /dev/null
+++ b/internal/cmds/callerconn.go
@@ -0,0 +1,218 @@
+package cmds
+
+import (
+	"container/list"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// lingerTimeout and lingerBytes bound what is read and dropped from a caller
+	// that still sends when its connection is closed.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 4 << 20
+	// writeStallTimeout is the time after which a connection is closed that accepts
+	// no byte of a write, unless the handler has set a deadline.
+	writeStallTimeout = 15 * time.Second
+	// writePieceBytes is the most that is written at once, so that progress is seen
+	// during long writes.
+	writePieceBytes = 64 << 10
+)
+
+const (
+	// idle connections have read no byte of the next request.
+	idle connPhase = iota
+	// receiving connections have read a part of a request.
+	receiving
+	// busy connections have read a whole request and not written its response.
+	busy
+	// hijacked connections no longer belong to the server.
+	hijacked
+	// lingering connections drop what their callers still send.
+	lingering
+	// closed connections have no descriptor. They change to no other phase.
+	closed
+)
+
+type (
+	connPhase int
+
+	// callerConn is a connection of a connSet.
+	callerConn struct {
+		*net.TCPConn
+		set *connSet
+
+		// These fields are guarded by set.mu.
+		phase connPhase
+		// place is the element of set.evictable; nil in other phases.
+		place *list.Element
+		// handling is true from the start of a request's handler until the
+		// connection is idle again. Only the request's body is read meanwhile.
+		handling bool
+		// reused is true once a request has ended.
+		reused bool
+		// ending is true while the read of an idle connection is interrupted.
+		ending  bool
+		closing bool
+
+		// deadlineSet is true while a write deadline of the server or of a handler is
+		// in force, and responding from the first write of a response on.
+		deadlineSet, responding atomic.Bool
+	}
+)
+
+func (p connPhase) evictable() bool { return p == idle || p == receiving || p == lingering }
+
+// endIfIdle interrupts the read of an idle connection. The interrupted Read
+// decides whether a request has arrived meanwhile. The server may have changed
+// the deadline since the last call, so it is set again.
+func (c *callerConn) endIfIdle() {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	if c.phase == idle {
+		c.ending = true
+		_ = c.SetReadDeadline(c.set.clock.Now())
+	}
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if !c.noteRead(n, err) {
+			return n, err
+		}
+	}
+}
+
+// noteRead records the result of a read and reports whether it is to be repeated,
+// because it was interrupted although data had arrived.
+func (c *callerConn) noteRead(n int, err error) (again bool) {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	again = c.ending && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.unread() > 0
+	// The server awaits the first bytes of a further request with the deadline of
+	// idle connections.
+	first := n > 0 && c.phase == idle && c.reused
+	if c.phase == idle && (n > 0 || again) {
+		c.set.enter(c, receiving)
+	}
+	if first || c.ending && (n > 0 || again) {
+		c.ending = false
+		_ = c.SetReadDeadline(c.set.clock.Now().Add(c.set.limits.Head))
+	}
+	return again
+}
+
+// unread returns the number of bytes that have arrived and are not read.
+func (c *callerConn) unread() int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return n
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(t time.Time) error {
+	c.noteWriteDeadline(t)
+	return c.TCPConn.SetDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	c.noteWriteDeadline(t)
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+func (c *callerConn) noteWriteDeadline(t time.Time) {
+	c.deadlineSet.Store(!t.IsZero())
+	// The server removes the deadline after each response.
+	c.responding.Store(false)
+}
+
+// Write implements net.Conn. Without a deadline of the server or of a handler, it
+// fails once the caller has accepted no byte for writeStallTimeout, or at the end
+// of the listener's time for a response.
+func (c *callerConn) Write(b []byte) (int, error) {
+	total := 0
+	for {
+		piece := b[total:min(len(b), total+writePieceBytes)]
+		n, err := c.writePiece(piece)
+		total += n
+		if err != nil || total == len(b) {
+			return total, err
+		}
+	}
+}
+
+// writePiece writes a part of b. A deadline that passes after a byte has been
+// accepted is no error, unless it is that of a whole response.
+func (c *callerConn) writePiece(b []byte) (int, error) {
+	if c.deadlineSet.Load() || c.isHijacked() {
+		return c.TCPConn.Write(b)
+	}
+	whole := c.set.limits.Respond
+	if first := !c.responding.Swap(true); whole > 0 && first {
+		_ = c.TCPConn.SetWriteDeadline(c.set.clock.Now().Add(whole))
+	}
+	if whole == 0 {
+		_ = c.TCPConn.SetWriteDeadline(c.set.clock.Now().Add(writeStallTimeout))
+	}
+	n, err := c.TCPConn.Write(b)
+	if whole == 0 && n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom, so that all data passes through Write.
+func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
+func (c *callerConn) isHijacked() bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	return c.phase == hijacked
+}
+
+// Close implements net.Conn. Closing a connection with unread bytes resets it,
+// which may destroy an answer on its way, so they are read first.
+func (c *callerConn) Close() error {
+	if c.beginLinger() {
+		go c.linger()
+		return nil
+	}
+	defer c.set.remove(c)
+	return c.TCPConn.Close()
+}
+
+// beginLinger reports whether the connection has bytes to read before it closes.
+func (c *callerConn) beginLinger() bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	if c.closing || c.phase == hijacked || c.phase == closed || c.unread() == 0 {
+		c.closing = true
+		return false
+	}
+	c.closing = true
+	c.set.enter(c, lingering)
+	return true
+}
+
+func (c *callerConn) linger() {
+	defer c.set.remove(c)
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(c.set.clock.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+	_ = c.TCPConn.Close()
+}
--- a/internal/cmds/conns.go
+++ b/internal/cmds/conns.go
@@ -1,17 +1,13 @@
 package cmds
 
 import (
+	"container/list"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"shallotcourse/internal/timer"
 )
 
@@ -21,10 +17,9 @@
 	lateRequestPeriod = 200 * time.Millisecond
 	// connPollInterval is the interval at which a stop looks at the connections.
 	connPollInterval = 5 * time.Millisecond
-	// lingerTimeout and lingerBytes bound what is read and dropped from a caller
-	// that still sends when its connection is closed.
-	lingerTimeout = 500 * time.Millisecond
-	lingerBytes   = 4 << 20
+	// maxEvictionTries bounds the connections that are examined to make room for
+	// one new connection.
+	maxEvictionTries = 64
 )
 
 type (
@@ -33,24 +28,20 @@
 	// them, and ends only connections on which no request has begun to arrive.
 	connSet struct {
 		clock timer.Service
+		// limits and crowd are set before the first connection.
+		limits connLimits
+		crowd  *crowd
 
-		mu    sync.Mutex
-		conns map[*callerConn]struct{}
-	}
-
-	// callerConn is a connection of a connSet.
-	callerConn struct {
-		*net.TCPConn
-		set *connSet
-
+		// mu also guards the state of the connections.
 		mu sync.Mutex
-		// awaiting is true while no byte of the next request has been read.
-		awaiting bool
-		// ending is true while the read of an awaiting connection is interrupted.
-		ending bool
-		// hijacked is true once the connection no longer belongs to the server.
-		hijacked bool
-		closing  bool
+		// conns holds the connections that a stop waits for.
+		conns map[*callerConn]struct{}
+		// open is the number of connections that hold a descriptor. It includes
+		// hijacked ones.
+		open int
+		// evictable holds the connections in a phase that may be evicted, in order
+		// of the time at which they entered it.
+		evictable list.List
 	}
 
 	// connKey is the context key of a request's callerConn.
@@ -58,21 +49,99 @@
 )
 
 func newConnSet(clock timer.Service) *connSet {
-	return &connSet{clock: clock, conns: map[*callerConn]struct{}{}}
+	return &connSet{
+		clock: clock, limits: connLimits{Head: headerTimeout}, crowd: newCrowd(clock, nil), conns: map[*callerConn]struct{}{},
+	}
 }
 
-// add returns the connection to serve in place of c.
+// add returns the connection to serve in place of c. At the bound it evicts the
+// connection that has been idle or half-read for longest; if there is none, it
+// closes c and returns nil.
 func (s *connSet) add(c *net.TCPConn) *callerConn {
-	out := &callerConn{TCPConn: c, set: s, awaiting: true}
+	if s.full() && !s.evictLongest() {
+		_ = c.Close()
+		s.crowd.noteRefused(s.limits.Reason)
+		return nil
+	}
+	out := &callerConn{TCPConn: c, set: s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[out] = struct{}{}
+	s.open++
+	s.enter(out, idle)
 	return out
 }
 
+// full reports whether a connection must be evicted before one is added.
+func (s *connSet) full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.Connections > 0 && s.open >= s.limits.Connections
+}
+
+func (s *connSet) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
+// enter changes the phase of a connection. The caller holds the lock.
+func (s *connSet) enter(c *callerConn, p connPhase) {
+	if c.phase == closed {
+		return
+	}
+	c.phase = p
+	if c.place != nil {
+		s.evictable.Remove(c.place)
+		c.place = nil
+	}
+	if p.evictable() {
+		c.place = s.evictable.PushBack(c)
+	}
+	if p == closed {
+		s.open--
+	}
+}
+
+// longest returns the connection that has been idle or half-read for longest. An
+// idle connection with unread bytes is passed over, since a request has arrived
+// on it. The caller holds the lock.
+func (s *connSet) longest() *callerConn {
+	e := s.evictable.Front()
+	for range maxEvictionTries {
+		if e == nil {
+			return nil
+		}
+		if c := e.Value.(*callerConn); c.phase != idle || c.unread() == 0 {
+			return c
+		}
+		e = e.Next()
+	}
+	return nil
+}
+
+// evictLongest closes the connection that has been idle or half-read for longest,
+// and reports whether there is one.
+func (s *connSet) evictLongest() bool {
+	s.mu.Lock()
+	c := s.longest()
+	if c != nil {
+		s.enter(c, closed)
+	}
+	s.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	_ = c.TCPConn.Close()
+	s.crowd.noteEvicted(s.limits.Reason)
+	return true
+}
+
+// remove removes a connection whose server has ended.
 func (s *connSet) remove(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.enter(c, closed)
 	delete(s.conns, c)
 }
 
@@ -92,14 +161,14 @@
 	if !ok {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.awaiting = true
+		c.endRequest()
 	case http.StateHijacked:
-		c.hijacked, c.awaiting = true, false
-		s.remove(c)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.enter(c, hijacked)
+		delete(s.conns, c)
 	}
 }
 
@@ -108,16 +177,6 @@
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
-// noteRequest marks the connection of a request as in use. A request that was
-// read together with the one before it has not done so by a read of its own.
-func (s *connSet) noteRequest(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.awaiting = false
-	}
-}
-
 // end waits until all connections have closed, or ctx ends. Connections that
 // still await a request after lateRequestPeriod are ended.
 func (s *connSet) end(ctx context.Context) {
@@ -129,7 +188,7 @@
 		}
 		if !s.clock.Now().Before(late) {
 			for _, c := range open {
-				c.endIfAwaiting()
+				c.endIfIdle()
 			}
 		}
 		if timer.Sleep(ctx, s.clock, connPollInterval) != nil {
@@ -137,78 +196,3 @@
 		}
 	}
 }
-
-// endIfAwaiting interrupts the read of a connection that awaits a request. The
-// interrupted Read decides whether one has arrived meanwhile. The server may
-// have changed the deadline since the last call, so it is set again.
-func (c *callerConn) endIfAwaiting() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.awaiting {
-		c.ending = true
-		_ = c.SetReadDeadline(c.set.clock.Now())
-	}
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.TCPConn.Read(b)
-		if !c.noteRead(n, err) {
-			return n, err
-		}
-	}
-}
-
-// noteRead records the result of a read and reports whether it is to be repeated,
-// because it was interrupted although data had arrived.
-func (c *callerConn) noteRead(n int, err error) (again bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	again = c.ending && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.unread() > 0
-	if n > 0 {
-		c.awaiting = false
-	}
-	if c.ending && (n > 0 || again) {
-		c.ending, c.awaiting = false, false
-		_ = c.SetReadDeadline(c.set.clock.Now().Add(headerTimeout))
-	}
-	return again
-}
-
-// unread returns the number of bytes that have arrived and are not read.
-func (c *callerConn) unread() int {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return n
-}
-
-// Close implements net.Conn. Closing a connection with unread bytes resets it,
-// which may destroy an answer on its way, so they are read first.
-func (c *callerConn) Close() error {
-	c.mu.Lock()
-	if c.closing || c.hijacked {
-		c.mu.Unlock()
-		return c.TCPConn.Close()
-	}
-	c.closing = true
-	c.mu.Unlock()
-	if c.unread() == 0 {
-		defer c.set.remove(c)
-		return c.TCPConn.Close()
-	}
-	go c.linger()
-	return nil
-}
-
-func (c *callerConn) linger() {
-	defer c.set.remove(c)
-	_ = c.CloseWrite()
-	_ = c.SetReadDeadline(c.set.clock.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
-	_ = c.TCPConn.Close()
-}
--- a/internal/cmds/conns_test.go
+++ b/internal/cmds/conns_test.go
@@ -18,7 +18,8 @@
 func startDaemon(t *testing.T, h http.Handler) (*daemon, string) {
 	t.Helper()
 	d := newDaemon("test", conf.Log{Format: "logfmt", Level: "error"}, io.Discard)
-	if err := d.serve("test", "127.0.0.1:0", 1<<16, h); err != nil {
+	limits := connLimits{Head: headerTimeout}
+	if err := d.serve(listenerSettings{name: "test", address: "127.0.0.1:0", headerBytes: 1 << 16, limits: limits, handler: h}); err != nil {
 		t.Fatal(err)
 	}
 	return d, d.listeners[0].Addr().String()
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -44,6 +44,8 @@
 		logger      log.Logger
 		metrics     *metrics.Set
 		incarnation string
+		// crowd counts the evicted and refused connections of all listeners.
+		crowd *crowd
 
 		// stopping is set when the listeners are about to close.
 		stopping  atomic.Bool
@@ -55,6 +57,15 @@
 		listenerFailed chan error
 	}
 
+	// listenerSettings holds the parameters of daemon.serve.
+	listenerSettings struct {
+		// name says in the log who the listener is for.
+		name, address string
+		headerBytes   int64
+		limits        connLimits
+		handler       http.Handler
+	}
+
 	// linkDownCounter counts closed links by the error code of the reason.
 	linkDownCounter struct{ set *metrics.Set }
 
@@ -72,9 +83,15 @@
 		listenerFailed: make(chan error, 8),
 	}
 	d.logger = log.With(newLogger(settings, w, d.clock), "instance", instance)
+	d.crowd = newCrowd(d.clock, d.logCrowd)
 	return d
 }
 
+// logCrowd logs the connections that were evicted and refused since its last call.
+func (d *daemon) logCrowd(c crowdCounts) {
+	_ = level.Warn(d.logger).Log("event", "CallersEvicted", "evicted", countsText(c.Evicted), "refused", countsText(c.Refused))
+}
+
 func newLogger(settings conf.Log, w io.Writer, clock timer.Service) log.Logger {
 	w = log.NewSyncWriter(w)
 	logger := log.NewLogfmtLogger(w)
@@ -107,39 +124,29 @@
 
 // serve listens on an address and serves requests there until the daemon shuts
 // down.
-func (d *daemon) serve(name, address string, headerBytes int64, h http.Handler) error {
-	l, err := listenTCP(address, d.clock)
+func (d *daemon) serve(s listenerSettings) error {
+	l, err := listenTCP(s.address, d.clock)
 	if err != nil {
-		return fault.Newf(fault.BadInput, "cannot listen on %s for %s", address, name).WithCause(err)
+		return fault.Newf(fault.BadInput, "cannot listen on %s for %s", s.address, s.name).WithCause(err)
 	}
+	l.conns.limits, l.conns.crowd = s.limits, d.crowd
 	server := &http.Server{
-		Handler: d.trackRequests(l.conns, h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: int(headerBytes),
+		Handler: d.trackRequests(s.handler), ReadHeaderTimeout: s.limits.Head, ReadTimeout: s.limits.Receive,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: int(s.headerBytes),
 		ConnState: l.conns.noteState, ConnContext: l.conns.withConn,
 	}
 	d.mu.Lock()
 	d.servers, d.listeners = append(d.servers, server), append(d.listeners, l)
 	d.mu.Unlock()
-	_ = level.Info(d.logger).Log("msg", "listening", "for", name, "address", l.Addr().String())
+	_ = level.Info(d.logger).Log("msg", "listening", "for", s.name, "address", l.Addr().String())
 	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
-			d.listenerFailed <- fault.Newf(fault.Internal, "listener for %s failed", name).WithCause(err)
+			d.listenerFailed <- fault.Newf(fault.Internal, "listener for %s failed", s.name).WithCause(err)
 		}
 	}()
 	return nil
 }
 
-// trackRequests marks the connections of requests as in use, and asks callers to
-// close them while the daemon stops.
-func (d *daemon) trackRequests(conns *connSet, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conns.noteRequest(r)
-		if d.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // wait returns nil when ctx is done, or the error of the first listener that
 // fails.
 func (d *daemon) wait(ctx context.Context) error {
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -135,14 +135,19 @@
 		Store: e.store, Sync: e.sync, Operators: operatorsOf(e.settings.OperatorKeyHashes), Self: e.hello(),
 		Clock: e.clock, Log: e.logger, Stopping: e.stopping,
 	}))
-	headerBytes := e.settings.Limits.HeaderBytes
-	if err := e.serve("links", e.settings.LinkListen, headerBytes, linkRouter(e.links)); err != nil {
-		return err
-	}
-	if err := e.serve("operators", e.settings.OperatorListen, headerBytes, operators); err != nil {
-		return err
+	descriptors, callerBounds := descriptorLimit(), callerLimits(0, descriptorLimit())
+	callerBounds.Receive = e.settings.Limits.Request.Duration
+	for _, l := range []listenerSettings{
+		{name: "links", address: e.settings.LinkListen, limits: linkLimits(descriptors), handler: linkRouter(e.links)},
+		{name: "operators", address: e.settings.OperatorListen, limits: operatorLimits(descriptors), handler: operators},
+		{name: "callers", address: e.settings.Listen, limits: callerBounds, handler: callers},
+	} {
+		l.headerBytes = e.settings.Limits.HeaderBytes
+		if err := e.serve(l); err != nil {
+			return err
+		}
 	}
-	return e.serve("callers", e.settings.Listen, headerBytes, callers)
+	return nil
 }
 
 // closeWhenStopping asks callers to close their connections while the entry
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -267,16 +267,15 @@
 	operators := mux.NewRouter()
 	g.registerOperations(operators, g.ready)
 	operators.HandleFunc("/status", g.status).Methods(http.MethodGet)
-	for _, l := range []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"links", g.settings.LinkListen, linkRouter(g.links)},
-		{"operators", g.settings.OpsListen, operators},
-		{"checks", g.settings.ReadyListen, checks},
-		{"callers", g.settings.Listen, g.server},
+	descriptors := descriptorLimit()
+	for _, l := range []listenerSettings{
+		{name: "links", address: g.settings.LinkListen, limits: linkLimits(descriptors), handler: linkRouter(g.links)},
+		{name: "operators", address: g.settings.OpsListen, limits: operatorLimits(descriptors), handler: operators},
+		{name: "checks", address: g.settings.ReadyListen, limits: checkLimits(descriptors), handler: checks},
+		{name: "callers", address: g.settings.Listen, limits: callerLimits(0, descriptors), handler: g.server},
 	} {
-		if err := g.serve(l.name, l.address, gatewayHeaderBytes, l.handler); err != nil {
+		l.headerBytes = gatewayHeaderBytes
+		if err := g.serve(l); err != nil {
 			return err
 		}
 	}
--- a/internal/cmds/listen.go
+++ b/internal/cmds/listen.go
@@ -59,7 +59,10 @@
 		c, err := l.AcceptTCP()
 		switch {
 		case err == nil:
-			return l.conns.add(c), nil
+			if conn := l.conns.add(c); conn != nil {
+				return conn, nil
+			}
+			continue
 		case errors.Is(err, os.ErrDeadlineExceeded) && (!stopping && l.isStopping() || l.queued()):
 			// Stop has interrupted the call, or the deadline passed before the
 			// call looked at the queue.
