budget: a bound on the memory that callers claim

Callers can make a process hold bodies without a bound on their sum.

Adds Budget and Claim: claims grow block by block, claims that stand still with the most memory give way, an eighth is kept for claims of at most 64 kB, and an account above half of the bound may not grow while others wait.

--- /dev/null
+++ b/internal/budget/claim.go
@@ -0,0 +1,291 @@
+package budget
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"shallotcourse/internal/fault"
+	"shallotcourse/internal/timer"
+)
+
+type (
+	// Claim is what one connection holds of a Budget. All methods may be called at
+	// any time by any goroutine; on a nil Claim they count nothing.
+	Claim struct {
+		budget *Budget
+		// id is the order of opening.
+		id    uint64
+		evict func()
+
+		// The fields below are guarded by budget.mu.
+
+		// held is not negative, and 0 once the claim is closed.
+		held  int64
+		phase Phase
+		// progress is when the caller last sent or took bytes. While the claim
+		// waits, the time stands still at waitedFrom, since the caller is not at
+		// fault then.
+		progress, waitedFrom time.Time
+		// waiting is the number of its waiters.
+		waiting int
+		// account is nil if the account is not known.
+		account     *account
+		accountName string
+		// leaving is true once the claim has given way. It gets no more memory.
+		leaving bool
+		closed  bool
+	}
+
+	// rank is the place of a claim in the order of giving way.
+	rank struct {
+		// overHalf is true if the claim's account holds more than half of the bound.
+		overHalf bool
+		// stalled is what the claim holds, times the seconds without progress.
+		stalled   float64
+		anonymous bool
+		held      int64
+		id        uint64
+	}
+)
+
+// Grow claims n more bytes, before they are read. If there is no room, other claims
+// give way, and Grow waits a short time for their memory. It returns an Overloaded
+// failure with outcome NotRun if there is no room then, or if the claim itself has
+// given way. If the context has ended, it does not wait.
+func (c *Claim) Grow(ctx context.Context, n int64) error {
+	if c == nil || n <= 0 {
+		return nil
+	}
+	w, victims, err := c.tryGrow(n)
+	if w == nil {
+		return err
+	}
+	for _, v := range victims {
+		v.evict()
+	}
+	select {
+	case <-w.done:
+		return w.result()
+	default:
+	}
+	timeout := timer.New(c.budget.clock, growWait)
+	defer timeout.Stop()
+	select {
+	case <-w.done:
+		return w.result()
+	case <-timeout.C:
+		return c.budget.abandon(w, nil)
+	case <-ctx.Done():
+		return c.budget.abandon(w, context.Cause(ctx))
+	}
+}
+
+// tryGrow grows the claim if there is room. Otherwise it returns a waiter if there may
+// be room later, with the claims whose evict function is to be called for it.
+func (c *Claim) tryGrow(n int64) (w *waiter, victims []*Claim, err error) {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	after := c.held + n
+	switch {
+	case c.leaving || c.closed:
+		return nil, nil, b.refusal(GaveWay)
+	case after > b.limit(after):
+		return nil, nil, b.refusal(Size)
+	case b.fits(c, n, b.kept(after)):
+		c.add(n)
+		return nil, nil, nil
+	}
+	w = &waiter{claim: c, n: n, done: make(chan struct{})}
+	b.enqueue(w)
+	return w, b.makeRoom(w), nil
+}
+
+// abandon ends the wait of a waiter, unless it has just ended. The cause is nil if
+// the time is over.
+func (b *Budget) abandon(w *waiter, cause error) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-w.done:
+		return w.result()
+	default:
+	}
+	why := Full
+	if b.accountWaits(w.claim, w.n) {
+		why = Account
+	}
+	b.refuse(w, why)
+	// The waiters behind it may have waited for what was kept for it.
+	b.admitWaiters()
+	if cause != nil {
+		return fault.New(fault.Canceled, "the caller disconnected").WithCause(cause)
+	}
+	return w.result()
+}
+
+// Shrink gives n bytes back, or all if the claim holds less.
+func (c *Claim) Shrink(n int64) {
+	if c == nil || n <= 0 {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.add(-min(n, c.held))
+	c.budget.admitWaiters()
+}
+
+// Progress records that the caller has sent or taken bytes.
+func (c *Claim) Progress() {
+	if c == nil {
+		return
+	}
+	now := c.budget.clock.Now()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.progress = now
+}
+
+// SetAccount records whose key the current request carries; "" if it is not known.
+func (c *Claim) SetAccount(name string) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if !c.closed && c.accountName != name {
+		c.moveTo(name)
+		c.budget.admitWaiters()
+	}
+}
+
+// SetPhase records what the connection does.
+func (c *Claim) SetPhase(p Phase) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.phase = p
+}
+
+// GaveWay reports whether the claim has given way, so that its request is not to be
+// sent to a target any more.
+func (c *Claim) GaveWay() bool {
+	if c == nil {
+		return false
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.leaving
+}
+
+// Close gives everything back. It may be called any number of times; the other
+// methods have no effect afterwards, and Grow fails.
+func (c *Claim) Close() {
+	if c == nil {
+		return
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.closed {
+		return
+	}
+	b.refuseWaiters(c)
+	c.add(-c.held)
+	c.moveTo("")
+	c.closed = true
+	delete(b.claims, c)
+	b.admitWaiters()
+}
+
+// add changes what the claim holds, and all sums with it.
+func (c *Claim) add(n int64) {
+	c.held += n
+	c.budget.used += n
+	if c.leaving {
+		c.budget.leaving += n
+	}
+	if c.account != nil {
+		c.account.held += n
+		if c.leaving {
+			c.account.leaving += n
+		}
+	}
+}
+
+// moveTo moves the claim to another account.
+func (c *Claim) moveTo(name string) {
+	leaving := int64(0)
+	if c.leaving {
+		leaving = c.held
+	}
+	if a := c.account; a != nil {
+		a.held, a.leaving = a.held-c.held, a.leaving-leaving
+		a.waiting -= c.waiting
+		if a.claims--; a.claims == 0 {
+			delete(c.budget.accounts, c.accountName)
+		}
+	}
+	c.account, c.accountName = nil, name
+	if name == "" {
+		return
+	}
+	a := c.budget.accounts[name]
+	if a == nil {
+		a = &account{}
+		c.budget.accounts[name] = a
+	}
+	a.claims++
+	a.held, a.leaving = a.held+c.held, a.leaving+leaving
+	a.waiting += c.waiting
+	c.account = a
+}
+
+// overHalf reports whether the claim's account holds more than half of the bound.
+func (c *Claim) overHalf() bool {
+	return c.account != nil && c.account.held-c.account.leaving > c.budget.bytes/2
+}
+
+// idle returns the time without progress.
+func (c *Claim) idle(now time.Time) time.Duration {
+	if c.waiting > 0 {
+		now = c.waitedFrom
+	}
+	return c.progressAge(now)
+}
+
+func (c *Claim) progressAge(now time.Time) time.Duration { return max(0, now.Sub(c.progress)) }
+
+func (c *Claim) rank(now time.Time) rank {
+	return rank{
+		overHalf: c.overHalf(), stalled: float64(c.held) * c.idle(now).Seconds(), anonymous: c.account == nil, held: c.held, id: c.id,
+	}
+}
+
+func (c *Claim) evictionReason(now time.Time) Reason {
+	switch {
+	case c.overHalf():
+		return Account
+	case c.idle(now) >= stalledAge:
+		return Stalled
+	}
+	return Size
+}
+
+// before reports whether a claim with rank r gives way before one with rank o. Among
+// equal claims, the newer gives way first.
+func (r rank) before(o rank) bool {
+	if r.overHalf != o.overHalf {
+		return r.overHalf
+	}
+	if r.stalled != o.stalled {
+		return r.stalled > o.stalled
+	}
+	if r.anonymous != o.anonymous {
+		return r.anonymous
+	}
+	return cmp.Or(cmp.Compare(r.held, o.held), cmp.Compare(r.id, o.id)) > 0
+}
