cmds, conf: callers' connections and heads claim memory

Nothing counted the memory of connections and heads. Each connection of the callers' listener of gateway and entry now claims 32 kB from the process's budget, and for its head the bytes read and 128 bytes a line until the request ends. A head that was read together with the request before it is claimed when its handler starts. Without room the request is refused with 503 and outcome NotRun before it runs. A claim that gives way closes its connection.

The bound is Callers.MemoryShare (0.3) of MemoryMegabytes, which the entry has now too (512). Callers.Connections lowers the bound on connections. Metrics, gateway status and event=CallersEvicted show the figures.

--- a/internal/cmds/callerconn.go
+++ b/internal/cmds/callerconn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"shallotcourse/internal/budget"
 )
 
 const (
@@ -17,8 +19,10 @@
 	// that still sends when its connection is closed.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 4 << 20
-	// writeStallTimeout is the time after which a connection is closed that accepts
-	// no byte of a write, unless the handler has set a deadline.
+	// writeStallTimeout is the time after which a write fails of which the caller
+	// accepts no byte, unless the handler has set a deadline. A write that was
+	// accepted in part is repeated, so a caller that stops reading is cut after at
+	// most twice this time.
 	writeStallTimeout = 15 * time.Second
 	// writePieceBytes is the most that is written at once, so that progress is seen
 	// during long writes.
@@ -47,6 +51,15 @@
 	callerConn struct {
 		*net.TCPConn
 		set *connSet
+		// claim is nil on listeners without a budget.
+		claim *budget.Claim
+
+		// These fields are used by the server's goroutine while no handler runs.
+		// claimed is true once the claim of the connection is granted, and headBytes
+		// is what is claimed for the head that is read or handled now.
+		claimed   bool
+		headBytes int64
+		head      headScan
 
 		// These fields are guarded by set.mu.
 		phase connPhase
@@ -81,19 +94,32 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What is read before a handler runs is claimed as part
+// of a head.
 func (c *callerConn) Read(b []byte) (int, error) {
+	if !c.claimed && c.claimHead(nil) != nil {
+		return 0, c.refuseHead()
+	}
 	for {
 		n, err := c.TCPConn.Read(b)
-		if !c.noteRead(n, err) {
-			return n, err
+		again, head := c.noteRead(n, err)
+		if again {
+			continue
+		}
+		if n > 0 {
+			c.claim.Progress()
 		}
+		if head && c.claimHead(b[:n]) != nil {
+			return 0, c.refuseHead()
+		}
+		return n, err
 	}
 }
 
-// noteRead records the result of a read and reports whether it is to be repeated,
-// because it was interrupted although data had arrived.
-func (c *callerConn) noteRead(n int, err error) (again bool) {
+// noteRead records the result of a read. It reports whether the read is to be
+// repeated, because it was interrupted although data had arrived, and whether it
+// has read a part of a head.
+func (c *callerConn) noteRead(n int, err error) (again, head bool) {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
 	again = c.ending && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.unread() > 0
@@ -107,7 +133,7 @@
 		c.ending = false
 		_ = c.SetReadDeadline(c.set.clock.Now().Add(c.set.limits.Head))
 	}
-	return again
+	return again, n > 0 && !c.handling && c.phase != hijacked
 }
 
 // unread returns the number of bytes that have arrived and are not read.
@@ -158,7 +184,7 @@
 // accepted is no error, unless it is that of a whole response.
 func (c *callerConn) writePiece(b []byte) (int, error) {
 	if c.deadlineSet.Load() || c.isHijacked() {
-		return c.TCPConn.Write(b)
+		return c.writeNow(b)
 	}
 	whole := c.set.limits.Respond
 	if first := !c.responding.Swap(true); whole > 0 && first {
@@ -167,18 +193,38 @@
 	if whole == 0 {
 		_ = c.TCPConn.SetWriteDeadline(c.set.clock.Now().Add(writeStallTimeout))
 	}
-	n, err := c.TCPConn.Write(b)
+	n, err := c.writeNow(b)
 	if whole == 0 && n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		err = nil
 	}
 	return n, err
 }
 
+func (c *callerConn) writeNow(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	if n > 0 {
+		c.claim.Progress()
+	}
+	return n, err
+}
+
 // ReadFrom implements io.ReaderFrom, so that all data passes through Write.
 func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
 	return io.Copy(struct{ io.Writer }{c}, r)
 }
 
+// evict closes the connection to give back its memory.
+func (c *callerConn) evict() {
+	c.set.mu.Lock()
+	open := c.phase != closed
+	c.set.enter(c, closed)
+	c.set.mu.Unlock()
+	if open {
+		_ = c.TCPConn.Close()
+		c.set.crowd.noteMemory()
+	}
+}
+
 func (c *callerConn) isHijacked() bool {
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
--- a/internal/cmds/connlimits.go
+++ b/internal/cmds/connlimits.go
@@ -6,6 +6,15 @@
 	"golang.org/x/sys/unix"
 )
 
+// The reasons for which connections are evicted and refused at the bounds of the
+// listeners. The budget has reasons of its own.
+const (
+	callersReason   = "Connections"
+	checksReason    = "CheckConnections"
+	operatorsReason = "OperatorConnections"
+	linksReason     = "LinkConnections"
+)
+
 const (
 	// assumedDescriptors is the limit on descriptors if it cannot be read.
 	assumedDescriptors = 1024
@@ -60,14 +69,14 @@
 	if most := max(1, descriptors/4, descriptors-descriptorReserve(descriptors)); connections <= 0 || connections > most {
 		connections = most
 	}
-	return connLimits{Connections: connections, Reason: "Connections", Head: headerTimeout}
+	return connLimits{Connections: connections, Reason: callersReason, Head: headerTimeout}
 }
 
 // checkLimits returns the limits of the readiness listener. It and the operators'
 // listener together take at most half of the reserve.
 func checkLimits(descriptors int) connLimits {
 	return connLimits{
-		Connections: min(maxCheckConnections, descriptorReserve(descriptors)/4), Reason: "CheckConnections",
+		Connections: min(maxCheckConnections, descriptorReserve(descriptors)/4), Reason: checksReason,
 		Head: shortRequestTimeout, Receive: shortRequestTimeout, Respond: shortRequestTimeout, DropBodies: true,
 	}
 }
@@ -75,7 +84,7 @@
 // operatorLimits returns the limits of the operators' listener.
 func operatorLimits(descriptors int) connLimits {
 	return connLimits{
-		Connections: min(maxOperatorConnections, descriptorReserve(descriptors)/4), Reason: "OperatorConnections",
+		Connections: min(maxOperatorConnections, descriptorReserve(descriptors)/4), Reason: operatorsReason,
 		Head: shortRequestTimeout, Receive: shortRequestTimeout, Respond: shortRequestTimeout,
 	}
 }
@@ -83,5 +92,5 @@
 // linkLimits returns the limits of the link listener. Links have no time limit,
 // since they last as long as both processes.
 func linkLimits(descriptors int) connLimits {
-	return connLimits{Connections: max(1, min(maxLinkConnections, descriptors/4)), Reason: "LinkConnections", Head: headerTimeout}
+	return connLimits{Connections: max(1, min(maxLinkConnections, descriptors/4)), Reason: linksReason, Head: headerTimeout}
 }
--- a/internal/cmds/conns.go
+++ b/internal/cmds/conns.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/timer"
 )
 
@@ -28,9 +29,11 @@
 	// them, and ends only connections on which no request has begun to arrive.
 	connSet struct {
 		clock timer.Service
-		// limits and crowd are set before the first connection.
+		// limits, crowd and budget are set before the first connection. budget is
+		// nil on listeners that are not for callers.
 		limits connLimits
 		crowd  *crowd
+		budget *budget.Budget
 
 		// mu also guards the state of the connections.
 		mu sync.Mutex
@@ -64,6 +67,9 @@
 		return nil
 	}
 	out := &callerConn{TCPConn: c, set: s}
+	if s.budget != nil {
+		out.claim = s.budget.Open(out.evict)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[out] = struct{}{}
@@ -139,6 +145,7 @@
 
 // remove removes a connection whose server has ended.
 func (s *connSet) remove(c *callerConn) {
+	defer c.claim.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.enter(c, closed)
@@ -174,7 +181,14 @@
 
 // withConn is an http.Server.ConnContext hook.
 func (s *connSet) withConn(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, nc)
+	c, ok := nc.(*callerConn)
+	if !ok {
+		return ctx
+	}
+	if c.claim != nil {
+		ctx = budget.WithClaim(ctx, c.claim)
+	}
+	return context.WithValue(ctx, connKey{}, c)
 }
 
 // end waits until all connections have closed, or ctx ends. Connections that
--- a/internal/cmds/conns_evict_test.go
+++ b/internal/cmds/conns_evict_test.go
@@ -149,6 +149,26 @@
 	is.Equal(len(r.set.list()), 0)
 }
 
+// Guards against a connection that stays open although its memory was taken back,
+// and against a place that is given back twice.
+func TestConnectionEvictedForMemory(t *testing.T) {
+	for _, step := range []string{"idle", "head", "request", "upload", "linger"} {
+		t.Run(step, func(t *testing.T) {
+			is := is.New(t)
+			r := &connRow{T: t, set: newConnSet(timer.System{})}
+			is.True(r.open())
+			r.step(step, 0)
+			r.conns[0].evict()
+			r.conns[0].evict()
+			_ = r.callers[0].SetReadDeadline(time.Now().Add(5 * time.Second))
+			_, err := io.Copy(io.Discard, r.callers[0])
+			timeout, ok := err.(net.Error)
+			is.True(!ok || !timeout.Timeout()) // closed or reset
+			is.Equal(r.set.size(), 0)
+		})
+	}
+}
+
 // Guards against bounds that exceed the limit on descriptors.
 func TestConnectionBounds(t *testing.T) {
 	for _, c := range []struct{ descriptors, callers, checks, links int }{
--- a/internal/cmds/crowd.go
+++ b/internal/cmds/crowd.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/timer"
 )
 
@@ -25,6 +26,9 @@
 		clock timer.Service
 		// report gets the counts since the last report. It may be nil.
 		report func(crowdCounts)
+		// budget is set before the first connection and counts what gives way for
+		// lack of memory. It may be nil.
+		budget *budget.Budget
 
 		mu    sync.Mutex
 		total crowdCounts
@@ -51,8 +55,7 @@
 	c.reportNew()
 }
 
-// noteRefused counts a connection that was closed, or a request that was refused,
-// for lack of room.
+// noteRefused counts a connection that was closed at a bound.
 func (c *crowd) noteRefused(reason string) {
 	c.mu.Lock()
 	c.total.Refused[reason]++
@@ -60,11 +63,25 @@
 	c.reportNew()
 }
 
-// counts returns the totals.
+// noteMemory reports what the budget has counted.
+func (c *crowd) noteMemory() { c.reportNew() }
+
+// counts returns the totals, with those of the budget.
 func (c *crowd) counts() crowdCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.total.clone()
+	out := crowdCounts{Evicted: maps.Clone(c.total.Evicted), Refused: maps.Clone(c.total.Refused)}
+	if c.budget == nil {
+		return out
+	}
+	stats := c.budget.Stats()
+	for reason, n := range stats.Evicted {
+		out.Evicted[string(reason)] += n
+	}
+	for reason, n := range stats.Refused {
+		out.Refused[string(reason)] += n
+	}
+	return out
 }
 
 // reportNew reports what has been counted since the last report, unless that was
@@ -84,23 +101,20 @@
 }
 
 func (c *crowd) takeNew() (fresh crowdCounts, ok bool) {
+	total := c.counts()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting {
 		return fresh, false
 	}
-	fresh = c.total.since(c.reported)
+	fresh = total.since(c.reported)
 	if len(fresh.Evicted)+len(fresh.Refused) == 0 {
 		return fresh, false
 	}
-	c.reported, c.waiting = c.total.clone(), true
+	c.reported, c.waiting = total, true
 	return fresh, true
 }
 
-func (c crowdCounts) clone() crowdCounts {
-	return crowdCounts{Evicted: maps.Clone(c.Evicted), Refused: maps.Clone(c.Refused)}
-}
-
 // since returns the counts that have grown, less the earlier ones.
 func (c crowdCounts) since(before crowdCounts) crowdCounts {
 	grown := func(now, before map[string]uint64) map[string]uint64 {
--- a/internal/cmds/daemon.go
+++ b/internal/cmds/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/conf"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/link"
@@ -46,6 +47,8 @@
 		incarnation string
 		// crowd counts the evicted and refused connections of all listeners.
 		crowd *crowd
+		// budget bounds the memory that callers claim; nil in an agent.
+		budget *budget.Budget
 
 		// stopping is set when the listeners are about to close.
 		stopping  atomic.Bool
@@ -64,6 +67,9 @@
 		headerBytes   int64
 		limits        connLimits
 		handler       http.Handler
+		// budget bounds the memory that callers claim; nil on listeners that are not
+		// for callers.
+		budget *budget.Budget
 	}
 
 	// linkDownCounter counts closed links by the error code of the reason.
@@ -129,7 +135,7 @@
 	if err != nil {
 		return fault.Newf(fault.BadInput, "cannot listen on %s for %s", s.address, s.name).WithCause(err)
 	}
-	l.conns.limits, l.conns.crowd = s.limits, d.crowd
+	l.conns.limits, l.conns.crowd, l.conns.budget = s.limits, d.crowd, s.budget
 	server := &http.Server{
 		Handler: d.trackRequests(s.handler), ReadHeaderTimeout: s.limits.Head, ReadTimeout: s.limits.Receive,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: int(s.headerBytes),
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -105,6 +105,7 @@
 
 func newEntryDaemon(settings conf.Entry, logs io.Writer) *entryDaemon {
 	d := newDaemon(settings.Instance, settings.Log, logs)
+	d.boundCallers(settings.Callers, settings.MemoryMegabytes)
 	e := &entryDaemon{daemon: d, replica: newReplica(d, settings.Platform), settings: settings, stopping: make(chan struct{})}
 	handlers := &deferredHandlers{}
 	e.links = d.newLinkGroup(linkSettings{times: settings.Links, hello: e.hello, handler: handlers})
@@ -135,12 +136,13 @@
 		Store: e.store, Sync: e.sync, Operators: operatorsOf(e.settings.OperatorKeyHashes), Self: e.hello(),
 		Clock: e.clock, Log: e.logger, Stopping: e.stopping,
 	}))
-	descriptors, callerBounds := descriptorLimit(), callerLimits(0, descriptorLimit())
-	callerBounds.Receive = e.settings.Limits.Request.Duration
+	descriptors := descriptorLimit()
+	limits := callerLimits(e.settings.Callers.Connections, descriptors)
+	limits.Receive = e.settings.Limits.Request.Duration
 	for _, l := range []listenerSettings{
 		{name: "links", address: e.settings.LinkListen, limits: linkLimits(descriptors), handler: linkRouter(e.links)},
 		{name: "operators", address: e.settings.OperatorListen, limits: operatorLimits(descriptors), handler: operators},
-		{name: "callers", address: e.settings.Listen, limits: callerBounds, handler: callers},
+		{name: "callers", address: e.settings.Listen, limits: limits, handler: callers, budget: e.budget},
 	} {
 		l.headerBytes = e.settings.Limits.HeaderBytes
 		if err := e.serve(l); err != nil {
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -170,6 +170,7 @@
 
 func newGateway(file string, settings conf.Gateway, logs io.Writer) *gatewayDaemon {
 	d := newDaemon(settings.Instance, settings.Log, logs)
+	d.boundCallers(settings.Callers, settings.MemoryMegabytes)
 	g := &gatewayDaemon{daemon: d, settings: settings, file: file}
 	g.gatewayCount.Store(1)
 	g.store = platform.NewStore(settings.Store, plat.WithTimeout(storeTimeout), plat.WithResponseBytes(storeResponseBytes), plat.WithClock(d.clock))
@@ -272,7 +273,10 @@
 		{name: "links", address: g.settings.LinkListen, limits: linkLimits(descriptors), handler: linkRouter(g.links)},
 		{name: "operators", address: g.settings.OpsListen, limits: operatorLimits(descriptors), handler: operators},
 		{name: "checks", address: g.settings.ReadyListen, limits: checkLimits(descriptors), handler: checks},
-		{name: "callers", address: g.settings.Listen, limits: callerLimits(0, descriptors), handler: g.server},
+		{
+			name: "callers", address: g.settings.Listen, limits: callerLimits(g.settings.Callers.Connections, descriptors),
+			handler: g.server, budget: g.budget,
+		},
 	} {
 		l.headerBytes = gatewayHeaderBytes
 		if err := g.serve(l); err != nil {
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -78,6 +78,10 @@
 	row("INSTANCE", "CONFIGURATION", "PROVED", "LIST", "ERA", "GATEWAYS", "OPEN", "KEYS REQUIRED")
 	row(s.Instance, s.Version, s.ConfigAge+" ago", s.FleetAge+" old", s.StoreEra, s.Gateways, s.Open, s.KeysRequired)
 	row()
+	row("CALLERS' MEMORY", "BOUND", "CONNECTIONS", "BOUND", "REFUSED", "EVICTED")
+	row(s.Callers.MemoryBytes, s.Callers.MemoryBound, s.Callers.Connections, s.Callers.ConnectionBound,
+		countsText(s.Callers.Refused), countsText(s.Callers.Evicted))
+	row()
 	row("ROUTE", "HOST", "PREFIX", "KIND", "SERVICES", "TIMEOUT", "PUBLIC")
 	for _, r := range s.Routes {
 		var shares []string
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -31,8 +31,10 @@
 		StoreEra uint64
 		Gateways int64
 		Open     int
-		Routes   []topo.Route
-		Targets  []targetStatus
+		// Callers holds what callers hold and what was refused or evicted.
+		Callers callerStatus
+		Routes  []topo.Route
+		Targets []targetStatus
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
@@ -77,7 +79,8 @@
 	out := gatewayStatus{
 		Instance: g.settings.Instance, Version: config.Version, ConfigAge: g.configs.Age().Round(time.Millisecond).String(),
 		KeysRequired: !config.Keyless(), StoreEra: g.store.Era(), FleetAge: g.fleets.Age().Round(time.Millisecond).String(), Gateways: g.gatewayCount.Load(), Open: g.server.OpenRequests(),
-		Routes: config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
+		Callers: g.callerStatus(),
+		Routes:  config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
 		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
--- a/internal/cmds/requests.go
+++ b/internal/cmds/requests.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"shallotcourse/internal/budget"
 )
 
 // abandonedBodyTime bounds the time in which the server reads and drops the rest
@@ -46,7 +48,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		// The server reads the rest of a body also after a panic.
-		defer c.boundRest()
+		defer c.endHandler()
+		if err := c.settleHead(r); err != nil {
+			refuseRequest(w, err)
+			return
+		}
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -100,8 +106,9 @@
 	}
 }
 
-// boundRest bounds the reading of a body whose end the handler has not read.
-func (c *callerConn) boundRest() {
+// endHandler bounds the reading of a body whose end the handler has not read.
+func (c *callerConn) endHandler() {
+	c.claim.SetPhase(budget.Sending)
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
 	if c.phase == receiving && !c.set.limits.DropBodies {
@@ -111,6 +118,7 @@
 
 // endRequest marks the connection as idle.
 func (c *callerConn) endRequest() {
+	c.releaseHead()
 	c.set.mu.Lock()
 	defer c.set.mu.Unlock()
 	c.handling, c.reused = false, true
--- a/internal/conf/entry.go
+++ b/internal/conf/entry.go
@@ -23,7 +23,10 @@
 		// OperatorKeyHashes maps the name of each operator to the hex SHA-256
 		// digest of the operator's key. Audit rows show the name.
 		OperatorKeyHashes map[string]string
-		Limits            EntryLimits
+		// MemoryMegabytes is the memory of the process.
+		MemoryMegabytes int
+		Callers         Callers
+		Limits          EntryLimits
 		// BalancerLag is how long the load balancer may still send requests
 		// after /readyz has begun to fail.
 		BalancerLag Duration
@@ -72,6 +75,9 @@
 		Listen:         ":8080",
 		OperatorListen: ":8081",
 		LinkListen:     ":8082",
+
+		MemoryMegabytes: defaultEntryMegabytes,
+		Callers:         defaultCallers(),
 		Limits: EntryLimits{
 			BodyBytes:       8 << 20,
 			HeaderBytes:     64 << 10,
@@ -113,6 +119,8 @@
 	c.hashes("OperatorKeyHashes", e.OperatorKeyHashes)
 	c.duration("BalancerLag", e.BalancerLag, time.Millisecond, 10*time.Minute)
 	c.duration("StopTimeout", e.StopTimeout, 0, time.Hour)
+	c.number("MemoryMegabytes", int64(e.MemoryMegabytes), 32, 1<<20)
+	c.callers(e.Callers)
 	c.limits(e.Limits)
 	c.links(e.Links)
 	c.log(e.Log)
