proxy: request bodies and responses are claimed

Each request's body was kept whole at once, grew by copying and was copied again for each send, and nothing counted the sum: 400 connections with 4 MB each ended a gateway of 284 MB.

Bodies are read in blocks of at most 64 kB, each claimed before it is read. Sends read the blocks. Whole responses and long events are claimed while they wait for their caller. Writes go through budget.Writer: a caller that takes nothing for the configured idle time (15 s without one) loses its connection; this replaces the limit of 5 s on a write of a stream.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -30,6 +30,9 @@
 	// stalledAge is the time without progress from which an eviction counts as
 	// Stalled.
 	stalledAge = time.Second
+
+	// fullDetail is the description of a refusal for lack of room.
+	fullDetail = "there is no memory left for the request at present"
 )
 
 const (
@@ -131,9 +134,10 @@
 	}
 }
 
-// Open returns an empty claim in phase Receiving. If the claim has to give way while
-// it does not wait in Grow, evict is called once and without a lock held; it closes
-// the connection or ends the read. The memory counts until the claim is closed.
+// Open returns an empty claim in phase Receiving. If the claim has to give way, evict is
+// called once and without a lock held; it closes the connection or ends the read. It is
+// not called for a claim that waits in Grow as it receives: that call fails instead, and
+// its caller can still be answered. The memory counts until the claim is closed.
 func (b *Budget) Open(evict func()) *Claim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -237,7 +241,7 @@
 // refusal counts a refusal and returns the failure of the request.
 func (b *Budget) refusal(why Reason) *fault.Error {
 	b.refused[why]++
-	detail := "there is no memory left for the request at present"
+	detail := fullDetail
 	if why == Account {
 		detail = "the account holds too much memory while others wait"
 	}
@@ -307,9 +311,8 @@
 	return first
 }
 
-// giveWay marks a claim as leaving and reports whether its evict function is to be
-// called. A claim that waits in Grow is told by its failure instead, so that its
-// request can still be answered.
+// giveWay marks a claim as leaving, ends its waits, and reports whether its evict function
+// is to be called.
 func (b *Budget) giveWay(c *Claim, now time.Time) (evict bool) {
 	why := c.evictionReason(now)
 	c.leaving = true
@@ -317,12 +320,12 @@
 	if c.account != nil {
 		c.account.leaving += c.held
 	}
-	if c.waiting == 0 {
+	evict = c.waiting == 0 || c.phase == Sending
+	b.refuseWaiters(c)
+	if evict {
 		b.evicted[why]++
-		return true
 	}
-	b.refuseWaiters(c)
-	return false
+	return evict
 }
 
 func (w *waiter) small() bool { return w.claim.held+w.n <= SmallBytes }
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -170,6 +170,29 @@
 	c.phase = p
 }
 
+// beginWrite sets the phase to Sending and returns the one before.
+func (c *Claim) beginWrite() Phase {
+	if c == nil {
+		return Receiving
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	before := c.phase
+	c.phase = Sending
+	return before
+}
+
+// endWrite records progress and sets the phase to the one before the write.
+func (c *Claim) endWrite(before Phase) {
+	if c == nil {
+		return
+	}
+	now := c.budget.clock.Now()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.phase, c.progress = before, now
+}
+
 // GaveWay reports whether the claim has given way, so that its request is not to be
 // sent to a target any more.
 func (c *Claim) GaveWay() bool {
@@ -181,6 +204,24 @@
 	return c.leaving
 }
 
+// gaveWay returns the failure of a request whose claim has given way, or nil.
+func (c *Claim) gaveWay() *fault.Error {
+	if !c.GaveWay() {
+		return nil
+	}
+	return fault.New(fault.Overloaded, fullDetail).WithRetryAfter(retryAfter)
+}
+
+// BeginRun sets the phase to Running. It fails if the claim has given way, so that the
+// request is not sent to a target any more.
+func (c *Claim) BeginRun() error {
+	c.SetPhase(Running)
+	if failure := c.gaveWay(); failure != nil {
+		return failure
+	}
+	return nil
+}
+
 // Close gives everything back. It may be called any number of times; the other
 // methods have no effect afterwards, and Grow fails.
 func (c *Claim) Close() {
--- a/internal/proxy/admit.go
+++ b/internal/proxy/admit.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/timer"
@@ -88,6 +88,7 @@
 			return fault.New(fault.Unauthorized, "the API key is unknown")
 		}
 		q.admission, q.account = admittedByKey, account.Name
+		q.claim.SetAccount(account.Name)
 	}
 	name := route.Pick(q.headers.ID)
 	if q.service, ok = config.Service(name); !ok {
@@ -152,29 +153,34 @@
 		return fault.Newf(fault.TooLarge, "the request body has %d bytes, the limit is %d", q.r.ContentLength, limit)
 	}
 	body, err := q.readAllInTime(limit + 1)
+	var failure *fault.Error
+	if errors.As(err, &failure) {
+		return noRoomError(failure)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return fault.New(fault.Deadline, "the request body did not end before the deadline of the route or the caller").WithCause(err)
 	}
 	if err != nil {
 		return fault.New(fault.BadInput, "reading the request body failed").WithCause(err)
 	}
-	if int64(len(body)) > limit {
+	q.body = body
+	if body.Len() > limit {
 		return fault.Newf(fault.TooLarge, "the request body exceeds %d bytes", limit)
 	}
-	q.body, q.bodyRead = body, true
+	q.bodyRead = true
 	return nil
 }
 
 // readAllInTime reads the request's body up to some number of bytes, until the
 // request's deadline at the latest.
-func (q *request) readAllInTime(limit int64) ([]byte, error) {
+func (q *request) readAllInTime(limit int64) (*budget.Body, error) {
 	if q.r.ContentLength == 0 {
 		return nil, nil
 	}
 	control := http.NewResponseController(q.w)
 	// A writer that does not support deadlines belongs to no connection.
 	_ = control.SetReadDeadline(q.deadline)
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, limit))
+	body, err := budget.ReadBody(q.r.Context(), q.r.Body, q.r.ContentLength, limit)
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 	}
--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"slices"
 	"sync/atomic"
@@ -30,14 +31,26 @@
 
 // reserveEvent counts an event that is to wait for its caller, and reports whether
 // there is room for it.
-func (b *responseBuffers) reserveEvent(ev event) bool {
-	return len(ev.raw) <= uncountedEventBytes || b.reserve(int64(len(ev.raw)))
+func (s *stream) reserveEvent(ctx context.Context, ev event) bool {
+	n := int64(len(ev.raw))
+	if n <= uncountedEventBytes {
+		return true
+	}
+	if !s.buffers.reserve(n) {
+		return false
+	}
+	if err := s.claim.Grow(ctx, n); err != nil {
+		s.buffers.bytes.Add(-n)
+		return false
+	}
+	return true
 }
 
 // releaseEvent takes back what reserveEvent has counted.
-func (b *responseBuffers) releaseEvent(ev event) {
-	if len(ev.raw) > uncountedEventBytes {
-		b.bytes.Add(-int64(len(ev.raw)))
+func (s *stream) releaseEvent(ev event) {
+	if n := int64(len(ev.raw)); n > uncountedEventBytes {
+		s.buffers.bytes.Add(-n)
+		s.claim.Shrink(n)
 	}
 }
 
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -69,6 +69,11 @@
 		if !q.Limits.Take(t) {
 			return fault.Newf(fault.TargetLimit, "target %s has reached the limit that it named", t.ID)
 		}
+		if q.sendCount == 0 {
+			if err := q.beginRun(); err != nil {
+				return err
+			}
+		}
 		tried = append(tried, t.ID)
 		q.sendCount++
 		q.pathLog += " " + t.ID
@@ -357,8 +362,13 @@
 	return a, nil
 }
 
-// writeResponse sends a complete response to the caller.
+// writeResponse sends a complete response to the caller. It is held until the caller
+// has taken it; without room for it, the caller gets a failure.
 func (q *request) writeResponse(resp *response) {
+	if err := q.writer.Hold(q.r.Context(), len(resp.body)); err != nil {
+		q.refuse(fault.As(err).WithOutcome(fault.Unknown))
+		return
+	}
 	copyHeaders(q.w.Header(), resp.header)
 	if resp.unframed {
 		// A length would vouch for the body. Without one, it ends with the
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -22,8 +22,6 @@
 	callerObjectives = 4
 	callerPauses     = 8
 	silenceMargin    = 500 * time.Millisecond
-	// writeTimeout bounds one write to a caller that does not read.
-	writeTimeout = 5 * time.Second
 )
 
 // relay forwards the response and reacts to silence, suspicions and timeouts.
@@ -173,25 +171,18 @@
 	}
 	s.writeHead()
 	// The server writes the end of the response when the handler returns.
-	s.extendWriteDeadline()
+	s.writer.Extend()
 	s.noteComplete(unframed)
 	return nil
 }
 
-// extendWriteDeadline gives the next write to the caller writeTimeout.
-func (s *stream) extendWriteDeadline() {
-	// A writer that does not support deadlines belongs to no connection.
-	_ = s.control.SetWriteDeadline(s.Clock.Now().Add(writeTimeout))
-}
-
 // writeEvents writes an event and all that are queued behind it. It reports
 // whether one of them is more than a comment.
 func (s *stream) writeEvents(ev event, more <-chan event) (progress bool, failure *fault.Error) {
 	s.writeHead()
-	s.extendWriteDeadline()
 	for {
 		_, err := s.w.Write(ev.raw)
-		s.buffers.releaseEvent(ev)
+		s.releaseEvent(ev)
 		if err != nil {
 			return progress, fault.New(fault.Canceled, "writing to the caller failed").WithOutcome(fault.Partial).WithCause(err)
 		}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 	"github.com/go-kit/log/level"
 
 	"shallotcourse/internal/blame"
+	"shallotcourse/internal/budget"
+	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
@@ -25,6 +28,9 @@
 	// defaultTimeout applies to requests if neither the caller nor the route
 	// sets a timeout.
 	defaultTimeout = 30 * time.Second
+	// defaultIdleTimeout is the time after which a caller that takes nothing of a
+	// response loses its connection, unless the configuration names one.
+	defaultIdleTimeout = 15 * time.Second
 )
 
 type (
@@ -91,8 +97,12 @@
 	// request is the state of one caller's request.
 	request struct {
 		*Server
-		w       http.ResponseWriter
-		r       *http.Request
+		w http.ResponseWriter
+		r *http.Request
+		// writer is the part of w that bounds writes; nil if nothing does.
+		writer *budget.Writer
+		// claim is that of the connection; nil counts nothing.
+		claim   *budget.Claim
 		headers RequestHeaders
 		route   topo.Route
 		// service is the service chosen for this request.
@@ -106,7 +116,7 @@
 		admission admission
 		// bodyRead is true once body holds the whole body.
 		bodyRead bool
-		body     []byte
+		body     *budget.Body
 		arrived  time.Time
 		// deadline is the earlier of the caller's and the route's deadline.
 		deadline time.Time
@@ -171,8 +181,11 @@
 	s.openRequests.Add(1)
 	s.totalRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	tracker := &headTracker{ResponseWriter: w}
-	q := &request{Server: s, w: tracker, r: r, arrived: s.Clock.Now()}
+	writer := budget.NewWriter(w, r, s.Clock, s.idleTimeout())
+	tracker := &headTracker{ResponseWriter: writer}
+	q := &request{Server: s, w: tracker, r: r, arrived: s.Clock.Now(), writer: writer, claim: budget.FromContext(r.Context())}
+	q.claim.SetPhase(budget.Receiving)
+	defer q.release()
 	defer q.endPanic(func() bool { return tracker.written })
 	q.headers = s.Dialect.ReadRequest(r.Header)
 	if s.Draining() {
@@ -191,6 +204,32 @@
 	}
 }
 
+// idleTimeout returns the time after which a caller that takes nothing of a response
+// loses its connection.
+func (s *Server) idleTimeout() time.Duration {
+	return cmp.Or(s.Configs.Section().Value().Limits.IdleTimeout, defaultIdleTimeout)
+}
+
+// release gives back what the request has claimed.
+func (q *request) release() {
+	q.writer.Release()
+	q.body.Release()
+	q.claim.SetPhase(budget.Receiving)
+}
+
+// beginRun is called before the first send to a target. It fails if the request has
+// given way to others.
+func (q *request) beginRun() *fault.Error {
+	if err := q.claim.BeginRun(); err != nil {
+		return noRoomError(err)
+	}
+	return nil
+}
+
+// noRoomError returns a failure of the budget without its hint, so that the callers
+// refused at the same time are told to return one after the other.
+func noRoomError(err error) *fault.Error { return fault.As(err).WithRetryAfter(0) }
+
 // remaining returns the time until the request's deadline.
 func (q *request) remaining() time.Duration { return q.deadline.Sub(q.Clock.Now()) }
 
@@ -207,11 +246,11 @@
 		h.Set("User-Agent", "")
 	}
 	out := &http.Request{
-		Method: q.r.Method, URL: &u, Host: q.r.Host, Header: h, ContentLength: int64(len(q.body)),
+		Method: q.r.Method, URL: &u, Host: q.r.Host, Header: h, ContentLength: q.body.Len(),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if len(q.body) > 0 {
-		out.Body = io.NopCloser(strings.NewReader(string(q.body)))
+	if q.body.Len() > 0 {
+		out.Body = io.NopCloser(q.body.Reader())
 	}
 	return out.WithContext(ctx)
 }
--- a/internal/proxy/stale_test.go
+++ b/internal/proxy/stale_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/timer"
@@ -117,7 +118,9 @@
 			for i := range responses {
 				q := &request{Server: s, r: httptest.NewRequest(http.MethodPost, "/", nil), deadline: clock.Now().Add(time.Second)}
 				q.headers.ID = []string{"r0", "r1"}[i+2-len(responses)]
-				q.body = make([]byte, 1<<20)
+				body, bodyErr := budget.ReadBody(ctx, strings.NewReader(strings.Repeat("\x00", 1<<20)), 1<<20, 1<<20)
+				is.NoErr(bodyErr)
+				q.body = body
 				var resp *http.Response
 				if resp, err = q.roundTrip(ctx, []topo.Target{target}, TargetHeaders{}); err == nil {
 					_, _ = io.Copy(io.Discard, resp.Body)
--- a/internal/proxy/standby.go
+++ b/internal/proxy/standby.go
@@ -56,7 +56,7 @@
 	r.upstream.cancel()
 	r.ticket.Close()
 	for _, ev := range r.received {
-		s.buffers.releaseEvent(ev)
+		s.releaseEvent(ev)
 	}
 	r.received = nil
 }
@@ -153,7 +153,7 @@
 		return true
 	}
 	if ok {
-		s.buffers.releaseEvent(ev)
+		s.releaseEvent(ev)
 	}
 	target := s.standby.hops[0].Target
 	s.excluded[target.ID], s.youngLosses[target.ID] = true, true
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -184,6 +184,9 @@
 			// The hold is newer than the check above, which came before the waits.
 			return nil, s.heldError(h)
 		}
+		if err := s.beginRun(); err != nil {
+			return nil, err
+		}
 		if r, err := s.startRun(hops); err == nil {
 			return r, nil
 		}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -81,7 +81,7 @@
 		u.end <- s.readEvents(ctx, resp, u.events, begun)
 		<-ctx.Done()
 		for ev := range u.events {
-			s.buffers.releaseEvent(ev)
+			s.releaseEvent(ev)
 		}
 	}()
 	return u
@@ -150,13 +150,13 @@
 			return failure
 		}
 		first = first && ev.comment
-		if !s.buffers.reserveEvent(ev) {
+		if !s.reserveEvent(ctx, ev) {
 			return fault.New(fault.TargetLost, "too many long events are waiting").WithOutcome(fault.Partial)
 		}
 		select {
 		case events <- ev:
 		case <-ctx.Done():
-			s.buffers.releaseEvent(ev)
+			s.releaseEvent(ev)
 			return fault.New(fault.Canceled, "the stream was abandoned").WithOutcome(fault.Partial)
 		}
 	}
