cmds: the budget's writers see what callers have confirmed

A blocked write goes on only once much of the kernel's buffer is free, so a slow caller looked like one that takes nothing. The context of a connection now has the number of bytes that its caller has not confirmed (budget.WithUnsent).

--- a/internal/cmds/callerconn.go
+++ b/internal/cmds/callerconn.go
@@ -137,13 +137,20 @@
 }
 
 // unread returns the number of bytes that have arrived and are not read.
-func (c *callerConn) unread() int {
+func (c *callerConn) unread() int { return c.queued(unix.TIOCINQ) }
+
+// unsent returns the number of bytes that were written and that the caller has not
+// confirmed.
+func (c *callerConn) unsent() int { return c.queued(unix.TIOCOUTQ) }
+
+// queued returns the size of a queue of the socket; 0 if it is closed.
+func (c *callerConn) queued(request uint) int {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
 	n := 0
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), request) })
 	return n
 }
 
--- a/internal/cmds/conns.go
+++ b/internal/cmds/conns.go
@@ -186,7 +186,7 @@
 		return ctx
 	}
 	if c.claim != nil {
-		ctx = budget.WithClaim(ctx, c.claim)
+		ctx = budget.WithUnsent(budget.WithClaim(ctx, c.claim), c.unsent)
 	}
 	return context.WithValue(ctx, connKey{}, c)
 }
--- a/internal/cmds/conns_evict_test.go
+++ b/internal/cmds/conns_evict_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// Guards against a slow caller that is taken for one that stands still, since what it
+// has not taken yet is not known.
+func TestUnsentBytes(t *testing.T) {
+	is := is.New(t)
+	r := &connRow{T: t, set: newConnSet(timer.System{})}
+	is.True(r.open())
+	is.Equal(r.conns[0].unsent(), 0)
+	is.NoErr(r.conns[0].SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
+	_, err := r.conns[0].Write(make([]byte, 16<<20))
+	is.True(err != nil)
+	is.True(r.conns[0].unsent() > 0)
+	go func() { _, _ = io.Copy(io.Discard, r.callers[0]) }()
+	eventually(t, "the caller has taken all", func() bool { return r.conns[0].unsent() == 0 })
+	_ = r.conns[0].Close()
+	is.Equal(r.conns[0].unsent(), 0)
+}
+
 // Guards against bounds that exceed the limit on descriptors.
 func TestConnectionBounds(t *testing.T) {
 	for _, c := range []struct{ descriptors, callers, checks, links int }{
