entry, conf, cmds: callers' memory is claimed and bounded

The entry read each body whole without counting it, and bounded writes only for streams.

Bodies and whole responses of the entry are claimed like those of the proxy, bodies over the limit are refused by their announced length, and all writes have the rolling deadline of Limits.Write. Settings Callers.MemoryShare (0.3) for gateway and entry, and MemoryMegabytes (512) for the entry. The callers' listeners let handlers see how many bytes the caller has not confirmed, so that a slow reader is not cut; without that, TestCallerThatReadsSlowly fails with an i/o timeout. In the budget, a pause under 100 ms no longer counts as standing still: on the busy machine it made sound senders give way.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -27,6 +27,9 @@
 	// retryAfter is the hint for refused callers. Claims that stand still give way
 	// at once, so the memory is held by requests that run; most take seconds.
 	retryAfter = time.Second
+	// pauseAge is the time without progress that says nothing of a caller: packets and
+	// scheduling take as long on a busy machine.
+	pauseAge = 100 * time.Millisecond
 	// stalledAge is the time without progress from which an eviction counts as
 	// Stalled.
 	stalledAge = time.Second
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -41,11 +40,13 @@
 	rank struct {
 		// overHalf is true if the claim's account holds more than half of the bound.
 		overHalf bool
-		// stalled is what the claim holds, times the seconds without progress.
+		// stalled is what the claim holds, times the seconds without progress; 0 while
+		// the caller goes on.
 		stalled   float64
 		anonymous bool
-		held      int64
-		id        uint64
+		// large is true if the claim holds more than SmallBytes.
+		large bool
+		id    uint64
 	}
 )
 
@@ -301,9 +302,11 @@
 func (c *Claim) progressAge(now time.Time) time.Duration { return max(0, now.Sub(c.progress)) }
 
 func (c *Claim) rank(now time.Time) rank {
-	return rank{
-		overHalf: c.overHalf(), stalled: float64(c.held) * c.idle(now).Seconds(), anonymous: c.account == nil, held: c.held, id: c.id,
+	r := rank{overHalf: c.overHalf(), anonymous: c.account == nil, large: c.held > SmallBytes, id: c.id}
+	if idle := c.idle(now); idle >= pauseAge {
+		r.stalled = float64(c.held) * idle.Seconds()
 	}
+	return r
 }
 
 func (c *Claim) evictionReason(now time.Time) Reason {
@@ -317,7 +320,7 @@
 }
 
 // before reports whether a claim with rank r gives way before one with rank o. Among
-// equal claims, the newer gives way first.
+// equal claims, the newer gives way first, so that those that have begun can end.
 func (r rank) before(o rank) bool {
 	if r.overHalf != o.overHalf {
 		return r.overHalf
@@ -328,5 +331,8 @@
 	if r.anonymous != o.anonymous {
 		return r.anonymous
 	}
-	return cmp.Or(cmp.Compare(r.held, o.held), cmp.Compare(r.id, o.id)) > 0
+	if r.large != o.large {
+		return r.large
+	}
+	return r.id > o.id
 }
--- a/internal/budget/writer.go
+++ b/internal/budget/writer.go
@@ -32,6 +32,10 @@
 		unsent func() int
 		// held is what the claim holds for the response.
 		held int64
+		// phase is that of the claim before the current write, and blocked watches the
+		// write; nil if unsent is.
+		phase   Phase
+		blocked *blockedWrite
 	}
 
 	// blockedWrite watches one write. The kernel lets a blocked write go on only once
@@ -39,14 +43,11 @@
 	// that it has confirmed.
 	blockedWrite struct {
 		*Writer
-		// phase is that of the claim before the write.
-		phase Phase
-
 		mu sync.Mutex
 		// last is the number of unsent bytes at the last check.
 		last  int
 		ended bool
-		// cancel cancels the next check; nil if there are none.
+		// cancel cancels the next check.
 		cancel func()
 	}
 
@@ -60,15 +61,21 @@
 	return context.WithValue(ctx, unsentKey{}, unsent)
 }
 
-// NewWriter returns a writer of the response to r, which gives the caller the given time
-// from now on.
+// NewWriter returns a writer of the response to r. A caller that takes nothing of a write
+// for the idle time loses its connection.
 func NewWriter(w http.ResponseWriter, r *http.Request, clock timer.Service, idle time.Duration) *Writer {
 	out := &Writer{ResponseWriter: w, control: http.NewResponseController(w), claim: FromContext(r.Context()), clock: clock, idle: idle}
 	out.unsent, _ = r.Context().Value(unsentKey{}).(func() int)
-	out.Extend()
 	return out
 }
 
+// SetIdle changes the time after which the caller loses its connection.
+func (w *Writer) SetIdle(idle time.Duration) {
+	if w != nil {
+		w.idle = idle
+	}
+}
+
 // Extend gives the caller the whole time again. The deadline stays in force after the
 // last write, since the server sends the rest when the handler returns.
 func (w *Writer) Extend() {
@@ -102,7 +109,8 @@
 
 // Write implements http.ResponseWriter.
 func (w *Writer) Write(p []byte) (int, error) {
-	defer w.begin().end()
+	w.begin()
+	defer w.end()
 	sum := 0
 	for {
 		n, err := w.ResponseWriter.Write(p[sum:min(len(p), sum+pieceBytes)])
@@ -117,7 +125,8 @@
 
 // FlushError sends what the server has buffered.
 func (w *Writer) FlushError() error {
-	defer w.begin().end()
+	w.begin()
+	defer w.end()
 	return w.control.Flush()
 }
 
@@ -126,17 +135,26 @@
 
 // begin begins a write. While it lasts, the write deadline is extended as long as the
 // caller makes progress.
-func (w *Writer) begin() *blockedWrite {
+func (w *Writer) begin() {
 	w.Extend()
-	b := &blockedWrite{Writer: w, phase: w.claim.beginWrite()}
+	w.phase = w.claim.beginWrite()
 	if w.unsent == nil {
-		return b
+		return
 	}
+	b := &blockedWrite{Writer: w, last: w.unsent()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.last = w.unsent()
 	b.cancel = w.clock.After(w.idle/progressChecks, b.check)
-	return b
+	w.blocked = b
+}
+
+// end ends a write.
+func (w *Writer) end() {
+	if w.blocked != nil {
+		w.blocked.end()
+		w.blocked = nil
+	}
+	w.claim.endWrite(w.phase)
 }
 
 // check extends the write deadline if the caller has made progress since the last check.
@@ -158,8 +176,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended = true
-	if b.cancel != nil {
-		b.cancel()
-	}
-	b.claim.endWrite(b.phase)
+	b.cancel()
 }
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -142,7 +142,7 @@
 	if err := e.serve("operators", e.settings.OperatorListen, headerBytes, operators); err != nil {
 		return err
 	}
-	return e.serve("callers", e.settings.Listen, headerBytes, callers)
+	return e.serve("callers", e.settings.Listen, headerBytes, boundWrites(callers, e.clock, e.settings.Limits.Write.Duration))
 }
 
 // closeWhenStopping asks callers to close their connections while the entry
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -73,6 +73,9 @@
 	// defaultBodyBytes bounds a request body if the configuration sets no
 	// limit.
 	defaultBodyBytes = 4 << 20
+	// callerIdleTimeout is the write deadline of a response until its handler sets the
+	// one of the configuration.
+	callerIdleTimeout = 15 * time.Second
 )
 
 // gatewayDaemon is a running gateway process.
@@ -274,7 +277,7 @@
 		{"links", g.settings.LinkListen, linkRouter(g.links)},
 		{"operators", g.settings.OpsListen, operators},
 		{"checks", g.settings.ReadyListen, checks},
-		{"callers", g.settings.Listen, g.server},
+		{"callers", g.settings.Listen, boundWrites(g.server, g.clock, callerIdleTimeout)},
 	} {
 		if err := g.serve(l.name, l.address, gatewayHeaderBytes, l.handler); err != nil {
 			return err
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -92,6 +92,10 @@
 	c.duration("Links.DialTimeout", l.DialTimeout, 10*time.Millisecond, time.Minute)
 }
 
+func (c *checker) callers(v Callers) {
+	c.require(v.MemoryShare >= 0.05 && v.MemoryShare <= 0.6, "Callers.MemoryShare", v.MemoryShare, "0.05 to 0.6")
+}
+
 func (c *checker) result() error {
 	if len(c.problems) == 0 {
 		return nil
@@ -108,6 +112,8 @@
 	return err == nil && n >= minPort && n <= 65535 && (net.ParseIP(host) != nil || allowEmptyHost && host == "")
 }
 
+func defaultCallers() Callers { return Callers{MemoryShare: callerMemoryShare} }
+
 func defaultLog() Log { return Log{Level: "info", Format: "logfmt"} }
 
 func defaultLinks() Links {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -18,7 +18,24 @@
 // first value of a wrong type, which is removed for the next.
 const maxDecodePasses = 64
 
+const (
+	// callerMemoryShare is the default of Callers.MemoryShare. It leaves room for the
+	// process itself, the responses that are being read (32 MB) and the garbage that
+	// the runtime has not collected yet.
+	callerMemoryShare = 0.3
+	// largeClaimShare is the part of the callers' memory that a single large request
+	// can get; the rest is the reserve for small ones.
+	largeClaimShare = 0.875
+)
+
 type (
+	// Callers bounds what the callers of a process can make it hold.
+	Callers struct {
+		// MemoryShare is the part of MemoryMegabytes that requests and responses of
+		// callers may take together.
+		MemoryShare float64
+	}
+
 	// Duration is a time.Duration that is written as text, such as "1.5s".
 	Duration struct {
 		time.Duration
@@ -50,6 +67,11 @@
 	Problems []*fault.Error
 )
 
+// Bytes returns the bound on the memory of callers in a process with the given memory.
+func (v Callers) Bytes(megabytes int) int64 {
+	return int64(v.MemoryShare * float64(megabytes) * (1 << 20))
+}
+
 // Error implements error.
 func (ps Problems) Error() string {
 	lines := make([]string, len(ps))
--- a/internal/conf/entry.go
+++ b/internal/conf/entry.go
@@ -23,7 +23,11 @@
 		// OperatorKeyHashes maps the name of each operator to the hex SHA-256
 		// digest of the operator's key. Audit rows show the name.
 		OperatorKeyHashes map[string]string
-		Limits            EntryLimits
+		// MemoryMegabytes is the memory of the process, from which the callers' share
+		// follows.
+		MemoryMegabytes int
+		Callers         Callers
+		Limits          EntryLimits
 		// BalancerLag is how long the load balancer may still send requests
 		// after /readyz has begun to fail.
 		BalancerLag Duration
@@ -69,9 +73,11 @@
 // DefaultEntry returns the defaults of the settings that a file may omit.
 func DefaultEntry() Entry {
 	return Entry{
-		Listen:         ":8080",
-		OperatorListen: ":8081",
-		LinkListen:     ":8082",
+		Listen:          ":8080",
+		OperatorListen:  ":8081",
+		LinkListen:      ":8082",
+		MemoryMegabytes: 512,
+		Callers:         defaultCallers(),
 		Limits: EntryLimits{
 			BodyBytes:       8 << 20,
 			HeaderBytes:     64 << 10,
@@ -113,7 +119,13 @@
 	c.hashes("OperatorKeyHashes", e.OperatorKeyHashes)
 	c.duration("BalancerLag", e.BalancerLag, time.Millisecond, 10*time.Minute)
 	c.duration("StopTimeout", e.StopTimeout, 0, time.Hour)
+	c.number("MemoryMegabytes", int64(e.MemoryMegabytes), 32, 1<<20)
+	c.callers(e.Callers)
 	c.limits(e.Limits)
+	// A long body is held twice while it is joined.
+	room := largeClaimShare * float64(e.Callers.Bytes(e.MemoryMegabytes))
+	c.require(room >= 2*float64(e.Limits.BodyBytes), "Callers.MemoryShare", e.Callers.MemoryShare,
+		"seven eighths of the share of MemoryMegabytes hold Limits.BodyBytes twice")
 	c.links(e.Links)
 	c.log(e.Log)
 	return e, c.result()
--- a/internal/conf/gateway.go
+++ b/internal/conf/gateway.go
@@ -30,6 +30,7 @@
 		FirstStart bool
 		// MemoryMegabytes bounds the memory of the process.
 		MemoryMegabytes int
+		Callers         Callers
 		// Processor is the processor time that the process may use, in cores.
 		// The gateways with the most cores relay the state of the others.
 		Processor float64
@@ -78,6 +79,7 @@
 	return Gateway{
 		Listen: ":8080", ReadyListen: ":8081", LinkListen: ":8082", OpsListen: ":8083", ReadyPath: "/readyz",
 		MemoryMegabytes: 256,
+		Callers:         defaultCallers(),
 		Processor:       1,
 		KeyLife:         newDuration(bounds.Default.KeyLife),
 		StallLimit:      newDuration(2 * time.Second),
@@ -108,6 +110,7 @@
 	c.address("Advertise", g.Advertise)
 	c.address("Store", g.Store)
 	c.number("MemoryMegabytes", int64(g.MemoryMegabytes), 32, 1<<20)
+	c.callers(g.Callers)
 	c.require(g.Processor > 0 && g.Processor <= 1024, "Processor", g.Processor, "above 0, up to 1024")
 	c.duration("KeyLife", g.KeyLife, time.Second, time.Hour)
 	c.duration("StallLimit", g.StallLimit, 100*time.Millisecond, time.Minute)
--- a/internal/conf/gateway_test.go
+++ b/internal/conf/gateway_test.go
@@ -1,6 +1,7 @@
 package conf_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -38,3 +39,15 @@
 		})
 	}
 }
+
+// Guards against a share of the memory that leaves nothing for callers or for the process,
+// and against a bound that does not follow from the share.
+func TestCallersOfGateway(t *testing.T) {
+	is := is.New(t)
+	g := conf.DefaultGateway()
+	is.Equal(g.Callers.Bytes(1000), int64(300<<20))
+	for _, share := range []string{"0", "0.04", "0.7", "-1", "nan"} {
+		_, err := conf.ParseGateway([]byte("Callers.MemoryShare = " + share))
+		is.True(strings.Contains(err.Error(), "Callers.MemoryShare is "))
+	}
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,12 +5,10 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 	"unicode/utf8"
 
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/steps"
-	"shallotcourse/internal/timer"
 )
 
 const (
@@ -75,12 +73,11 @@
 
 	// streamSink writes an answer as server-sent events.
 	streamSink struct {
-		builder      responseBuilder
-		decoder      textDecoder
-		w            http.ResponseWriter
-		control      *http.ResponseController
-		timer        timer.Service
-		writeTimeout time.Duration
+		builder responseBuilder
+		decoder textDecoder
+		// w bounds the time that a caller who does not read may take.
+		w       http.ResponseWriter
+		control *http.ResponseController
 		// started is true once the header has been written.
 		started bool
 		// unflushed is true while events wait in the buffer of the HTTP server.
@@ -231,9 +228,6 @@
 		s.w.Header().Set("Cache-Control", "no-store")
 		s.w.WriteHeader(http.StatusOK)
 	}
-	// Without a deadline, a caller that does not read would block the request
-	// indefinitely.
-	_ = s.control.SetWriteDeadline(s.timer.Now().Add(s.writeTimeout))
 	s.unflushed = true
 	event := s.eventBuf[:0]
 	if name != "" {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/gorilla/mux"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/once"
 	"shallotcourse/internal/route"
@@ -55,7 +56,7 @@
 }
 
 // serveCall handles a call to a service.
-func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request, account string) error {
+func (e *Entry) serveCall(w *budget.Writer, r *http.Request, account string) error {
 	e.metrics.calls.Inc()
 	name := mux.Vars(r)["Service"]
 	spec, ok := store.Spec[resrc.Service](e.cfg.Snapshot.Value(), name)
@@ -82,6 +83,9 @@
 		return err
 	}
 	defer admitted.release()
+	if err := budget.FromContext(r.Context()).BeginRun(); err != nil {
+		return err
+	}
 	q := serviceCall{account: account, service: name, deadline: deadline, call: wire.Call{
 		ID: newID(), Method: r.Method, Path: callPath, Header: forwardedHeaders(r.Header), Body: body,
 		Repeatable: spec.Repeatable(r.Method, callPath),
@@ -91,13 +95,13 @@
 	}
 	switch {
 	case q.call.Repeatable:
-		return e.writeResult(w, e.callRepeatable(r.Context(), q))
+		return e.writeResult(r.Context(), w, e.callRepeatable(r.Context(), q))
 	case key == "":
-		return e.writeResult(w, e.callOnce(r.Context(), q))
+		return e.writeResult(r.Context(), w, e.callOnce(r.Context(), q))
 	}
 	// The outcome of a call with a key is recorded even if its caller has
 	// disconnected.
-	return e.writeResult(w, e.callKeyed(context.WithoutCancel(r.Context()), q, key))
+	return e.writeResult(r.Context(), w, e.callKeyed(context.WithoutCancel(r.Context()), q, key))
 }
 
 // callRepeatable retries a failed call at other targets, within its deadline,
@@ -191,7 +195,7 @@
 }
 
 // writeResult writes the result of a call to its caller.
-func (e *Entry) writeResult(w http.ResponseWriter, r callResult) error {
+func (e *Entry) writeResult(ctx context.Context, w *budget.Writer, r callResult) error {
 	if r.failure != nil {
 		return e.admission.withRetryHint(e.admission.services, r.failure)
 	}
@@ -201,9 +205,7 @@
 			h[http.CanonicalHeaderKey(name)] = values
 		}
 	}
-	w.WriteHeader(r.outcome.Status)
-	_, _ = w.Write(r.outcome.Body)
-	return nil
+	return writeWhole(ctx, w, r.outcome.Status, r.outcome.Body)
 }
 
 // servicePath returns the path that is sent to the service. Paths with dot
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -3,19 +3,20 @@
 import (
 	"net/http"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/steps"
 )
 
-func (e *Entry) completions(w http.ResponseWriter, r *http.Request, account string) error {
+func (e *Entry) completions(w *budget.Writer, r *http.Request, account string) error {
 	return e.serveModel(w, r, account, false)
 }
 
-func (e *Entry) chatCompletions(w http.ResponseWriter, r *http.Request, account string) error {
+func (e *Entry) chatCompletions(w *budget.Writer, r *http.Request, account string) error {
 	return e.serveModel(w, r, account, true)
 }
 
 // serveModel handles a completion or chat request.
-func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request, account string, chat bool) error {
+func (e *Entry) serveModel(w *budget.Writer, r *http.Request, account string, chat bool) error {
 	e.metrics.requests.Inc()
 	start := e.cfg.Timer.Now()
 	m, err := readRequest(r, chat)
@@ -31,6 +32,9 @@
 		return err
 	}
 	defer admitted.release()
+	if err := budget.FromContext(r.Context()).BeginRun(); err != nil {
+		return err
+	}
 	deadline := start.Add(e.bounds.Request)
 	builder := responseBuilder{id: p.Request, model: m.Model, chat: chat, created: start.Unix()}
 	if !m.Stream {
@@ -40,11 +44,10 @@
 			return e.admission.withRetryHint(admitted.gate, undeliveredOutcome(result.Failure, false))
 		}
 		text := out.text.String() + out.decoder.incomplete
-		return writeJSON(w, builder.completeBody(p, text, result.Reason, len(coordinator.Answer())))
+		return writeJSON(r.Context(), w, builder.completeBody(p, text, result.Reason, len(coordinator.Answer())))
 	}
 	out := &streamSink{
-		builder: builder, decoder: textDecoder{tokenizer: e.cfg.Tokenizer}, w: w,
-		control: http.NewResponseController(w), timer: e.cfg.Timer, writeTimeout: e.bounds.WriteTimeout,
+		builder: builder, decoder: textDecoder{tokenizer: e.cfg.Tokenizer}, w: w, control: http.NewResponseController(w),
 	}
 	result, coordinator := e.runSession(r.Context(), job{p, layers, start, deadline, admitted}, out)
 	return e.finishStream(out, result, coordinator, m, admitted)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -18,6 +19,7 @@
 	"github.com/gorilla/mux"
 
 	"shallotcourse/internal/bearer"
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/fault"
 	"shallotcourse/pkg/resrc"
 )
@@ -33,13 +35,15 @@
 
 // callerHandler handles the request of an authenticated caller. It returns its
 // failure, unless it has already written the failure to the body.
-type callerHandler func(w http.ResponseWriter, r *http.Request, account string) error
+type callerHandler func(w *budget.Writer, r *http.Request, account string) error
 
 // callerBody is the body of a request.
 type callerBody struct {
 	io.ReadCloser
 	// ended is true once the body has been read to its end.
 	ended bool
+	// held is what has been read of it; nil before.
+	held *budget.Body
 }
 
 func (e *Entry) routes() http.Handler {
@@ -48,10 +52,10 @@
 	m.Methods(http.MethodPost).Path("/v1/chat/completions").Handler(e.authenticated(e.chatCompletions))
 	m.Methods(http.MethodGet).Path("/v1/models").Handler(e.authenticated(e.models))
 	m.PathPrefix("/services/{Service}/").Handler(e.authenticated(e.serveCall))
-	m.NotFoundHandler = e.authenticated(func(http.ResponseWriter, *http.Request, string) error {
+	m.NotFoundHandler = e.authenticated(func(*budget.Writer, *http.Request, string) error {
 		return fault.New(fault.NotFound, "path does not exist")
 	})
-	m.MethodNotAllowedHandler = e.authenticated(func(http.ResponseWriter, *http.Request, string) error {
+	m.MethodNotAllowedHandler = e.authenticated(func(*budget.Writer, *http.Request, string) error {
 		return fault.New(fault.NotFound, "method is not supported at this path")
 	})
 	return m
@@ -65,23 +69,30 @@
 		// the request or the request is refused.
 		e.metrics.open.Add(1)
 		defer e.metrics.open.Add(-1)
-		body := &callerBody{ReadCloser: r.Body, ended: r.ContentLength == 0}
+		body := &callerBody{ReadCloser: http.MaxBytesReader(w, r.Body, e.bounds.BodyBytes), ended: r.ContentLength == 0}
 		r.Body = body
-		if err := e.admitCaller(h, w, r); err != nil {
+		claim := budget.FromContext(r.Context())
+		claim.SetPhase(budget.Receiving)
+		defer claim.SetPhase(budget.Receiving)
+		defer func() { body.held.Release() }()
+		out := budget.NewWriter(w, r, e.cfg.Timer, e.bounds.WriteTimeout)
+		defer out.Release()
+		if err := e.admitCaller(h, out, r); err != nil {
 			if !body.ended {
-				e.abandonBody(w)
+				e.abandonBody(out)
 			}
-			e.writeError(w, fault.As(err))
+			e.writeError(out, fault.As(err))
 		}
 	})
 }
 
 // admitCaller authenticates the caller, applies the size limits and calls h.
-func (e *Entry) admitCaller(h callerHandler, w http.ResponseWriter, r *http.Request) error {
+func (e *Entry) admitCaller(h callerHandler, w *budget.Writer, r *http.Request) error {
 	account, ok := e.authenticate(r)
 	if !ok {
 		return fault.New(fault.Unauthorized, "API key is missing or wrong")
 	}
+	budget.FromContext(r.Context()).SetAccount(account)
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 		return errDraining
@@ -89,15 +100,18 @@
 	if n := headerBytes(r.Header); n > e.bounds.HeaderBytes {
 		return fault.Newf(fault.TooLarge, "header has %d bytes; allowed: %d", n, e.bounds.HeaderBytes)
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, e.bounds.BodyBytes)
+	if r.ContentLength > e.bounds.BodyBytes {
+		return bodyTooLarge(e.bounds.BodyBytes)
+	}
 	return h(w, r, account)
 }
 
 // abandonBody makes the server send the response before the rest of the request's
 // body, which it would otherwise await without a deadline, and bounds the time in
 // which it reads and drops that rest.
-func (e *Entry) abandonBody(w http.ResponseWriter) {
+func (e *Entry) abandonBody(w *budget.Writer) {
 	w.Header().Set("Connection", "close")
+	w.SetIdle(abandonedBodyTime)
 	// A writer that does not support deadlines belongs to no connection.
 	_ = http.NewResponseController(w).SetReadDeadline(e.cfg.Timer.Now().Add(abandonedBodyTime))
 }
@@ -209,30 +223,51 @@
 	return n
 }
 
+// readBody returns the body, which the request's claim holds until the request ends.
 func readBody(r *http.Request) ([]byte, error) {
-	b, err := io.ReadAll(r.Body)
+	b, err := budget.ReadBody(r.Context(), r.Body, r.ContentLength, math.MaxInt64)
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, fault.Newf(fault.TooLarge, "body is too large; allowed: %d bytes", large.Limit)
-	}
-	if err != nil {
+	var failure *fault.Error
+	switch {
+	case errors.As(err, &large):
+		return nil, bodyTooLarge(large.Limit)
+	case errors.As(err, &failure):
+		return nil, failure
+	case err != nil:
 		return nil, fault.New(fault.Canceled, "request body could not be read").WithCause(err)
 	}
-	return b, nil
+	if body, ok := r.Body.(*callerBody); ok {
+		body.held = b
+	}
+	return b.Join(r.Context())
+}
+
+func bodyTooLarge(limit int64) *fault.Error {
+	return fault.Newf(fault.TooLarge, "body is too large; allowed: %d bytes", limit)
+}
+
+// writeWhole writes a whole body, which is held until the caller has taken it. Without
+// room for it, the caller gets a failure, although its request has run.
+func writeWhole(ctx context.Context, w *budget.Writer, status int, b []byte) error {
+	if err := w.Hold(ctx, len(b)); err != nil {
+		return fault.As(err).WithOutcome(fault.Unknown)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+	return nil
 }
 
-func writeJSON(w http.ResponseWriter, v any) error {
+func writeJSON(ctx context.Context, w *budget.Writer, v any) error {
 	b, err := json.Marshal(v)
 	if err != nil {
 		return fault.New(fault.Internal, "cannot encode response").WithOutcome(fault.Unknown).WithCause(err)
 	}
 	w.Header().Set("Content-Type", contentJSON)
-	_, _ = w.Write(b)
-	return nil
+	return writeWhole(ctx, w, http.StatusOK, b)
 }
 
 // models lists the models and adapters that a caller may request.
-func (e *Entry) models(w http.ResponseWriter, _ *http.Request, _ string) error {
+func (e *Entry) models(w *budget.Writer, r *http.Request, _ string) error {
 	type item struct {
 		ID      string `json:"id"`
 		Object  string `json:"object"`
@@ -245,9 +280,9 @@
 	body.Object, body.Data = "list", []item{}
 	snap := e.cfg.Snapshot.Value()
 	for _, kind := range []resrc.Kind{resrc.KindModel, resrc.KindAdapter} {
-		for _, r := range snap.List(kind) {
-			body.Data = append(body.Data, item{ID: r.Name, Object: "model", OwnedBy: "shallotcourse"})
+		for _, listed := range snap.List(kind) {
+			body.Data = append(body.Data, item{ID: listed.Name, Object: "model", OwnedBy: "shallotcourse"})
 		}
 	}
-	return writeJSON(w, body)
+	return writeJSON(r.Context(), w, body)
 }
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -65,6 +65,7 @@
 		return
 	}
 	q.w.Header().Set("Connection", "close")
+	q.writer.SetIdle(abandonedBodyTime)
 	// A writer that does not support deadlines belongs to no connection.
 	_ = http.NewResponseController(q.w).SetReadDeadline(q.Clock.Now().Add(abandonedBodyTime))
 }
