--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -37,7 +37,7 @@
 	f := newFixture(t, Bounds{})
 	b := budgetServer(t, f, 8<<20)
 	prompt := `{"model":"oak","prompt":"` + strings.Repeat("x", 1<<20) + `"}`
-	resp, body := f.post("/v1/completions", prompt)
+	_, body := f.post("/v1/completions", prompt)
 	code, _ := decodeError(t, body)
 	is.Equal(code, "TooLarge") // the model takes shorter prompts
 	for end := time.Now().Add(5 * time.Second); b.Stats().Used != 0; time.Sleep(time.Millisecond) {
@@ -46,7 +46,7 @@
 	full := b.Open(nil)
 	is.NoErr(full.Grow(t.Context(), 7<<20))
 	full.SetPhase(budget.Running)
-	resp, body = f.post("/v1/completions", prompt)
+	resp, body := f.post("/v1/completions", prompt)
 	code, outcome := decodeError(t, body)
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(code, "Overloaded")
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/matryer/is"
 
+	"shallotcourse/internal/budget"
+	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
 
@@ -60,7 +62,8 @@
 }
 
 // Guards against a gateway that runs out of memory because a faulty target sends long
-// events without end, faster than callers read.
+// events without end, faster than callers read, and against claims of the callers that
+// do not count these events or keep them.
 func TestLongEventsShareMemory(t *testing.T) {
 	is := is.New(t)
 	s := newAnswerSite(t)
@@ -71,11 +74,13 @@
 	s.targets["a:1"] = &answeringTarget{id: "a"}
 	s.list()
 	before := heapBytes()
+	memory := budget.New(budget.Options{Bytes: maxStreamsHeap, Clock: timer.System{}})
 	released := make(chan struct{})
 	var wg sync.WaitGroup
 	for i := range longStreams {
 		r := httptest.NewRequest(http.MethodGet, "http://site.example/draft/x", nil)
 		r.Header.Set("Request-Id", fmt.Sprint(i))
+		r = r.WithContext(budget.WithClaim(r.Context(), memory.Open(nil)))
 		wg.Go(func() {
 			// A response that has begun is aborted by a panic.
 			defer func() { _ = recover() }()
@@ -86,12 +91,14 @@
 	held := heapBytes() - before
 	t.Logf("%d MB held", held>>20)
 	is.True(held < maxStreamsHeap)
+	is.True(memory.Stats().Used > 1<<20)
 	close(released)
 	wg.Wait()
 	for end := time.Now().Add(5 * time.Second); bufferedBytes(s) != "0" && time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
 	}
 	is.Equal(bufferedBytes(s), "0")
+	is.Equal(memory.Stats().Used, int64(0))
 }
 
 func heapBytes() int64 {
--- a/internal/proxy/request_bench_test.go
+++ b/internal/proxy/request_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,7 +12,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
+	"golang.org/x/sys/unix"
 
+	"shallotcourse/internal/budget"
 	"shallotcourse/internal/follow"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
@@ -25,6 +28,9 @@
 
 	// benchDialect reads no headers.
 	benchDialect struct{}
+
+	// benchConnKey is the context key of a connection.
+	benchConnKey struct{}
 )
 
 // RoundTrip implements http.RoundTripper.
@@ -43,8 +49,8 @@
 
 func newBenchServer() *Server {
 	clock, logger := timer.System{}, log.NewNopLogger()
-	start := time.Now()
-	bootClock := func() time.Duration { return time.Minute + time.Since(start) }
+	// Configuration and target list do not age.
+	bootClock := func() time.Duration { return time.Minute }
 	configs, fleets := follow.NewConfigs(routeSource{}, clock, bootClock, logger), follow.NewFleets(nil, clock, bootClock, logger)
 	configs.ApplySync(1, []byte("s"), bootClock(), "g")
 	fleets.ApplySync(topo.Version{Number: 1}, []topo.Target{{ID: "t", Address: "t:1", Service: "s", Slots: 100}}, bootClock(), "g")
@@ -71,3 +77,52 @@
 		}
 	}
 }
+
+// BenchmarkSmallRequestOnConnection measures the same request on a connection, with a
+// claim on a budget.
+func BenchmarkSmallRequestOnConnection(b *testing.B) {
+	server := httptest.NewUnstartedServer(benchHandler(newBenchServer()))
+	server.Config.ConnContext = benchConnContext()
+	server.Start()
+	defer server.Close()
+	body := strings.Repeat("x", 2000)
+	client := server.Client()
+	b.ReportAllocs()
+	for b.Loop() {
+		r, _ := http.NewRequest(http.MethodPost, server.URL+"/x", strings.NewReader(body))
+		r.Host = "site.example"
+		resp, err := client.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			b.Fatal(resp.StatusCode)
+		}
+	}
+}
+
+// benchConnContext gives each connection a claim.
+func benchConnContext() func(context.Context, net.Conn) context.Context {
+	memory := budget.New(budget.Options{Bytes: 64 << 20, Clock: timer.System{}})
+	return func(ctx context.Context, c net.Conn) context.Context {
+		claim := memory.Open(func() { _ = c.Close() })
+		return budget.WithClaim(context.WithValue(ctx, benchConnKey{}, c), claim)
+	}
+}
+
+// benchHandler lets the handler see the bytes that are not confirmed, as a gateway does.
+func benchHandler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Minute))
+		c, _ := r.Context().Value(benchConnKey{}).(*net.TCPConn)
+		unsent := func() int {
+			raw, _ := c.SyscallConn()
+			n := 0
+			_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+			return n
+		}
+		h.ServeHTTP(w, r.WithContext(budget.WithUnsent(r.Context(), unsent)))
+	})
+}
