--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -97,8 +97,9 @@
 		// used is the sum of all claims, and leaving that of the claims that have
 		// given way and are not closed yet.
 		used, leaving int64
-		claims        map[*Claim]struct{}
-		accounts      map[string]*account
+		// claims holds the open claims; claims[i].index is i.
+		claims   []*Claim
+		accounts map[string]*account
 		// waiters is in order of arrival.
 		waiters          []*waiter
 		refused, evicted map[Reason]uint64
@@ -132,7 +133,7 @@
 // New returns a Budget without claims.
 func New(o Options) *Budget {
 	return &Budget{
-		bytes: o.Bytes, clock: o.Clock, claims: map[*Claim]struct{}{}, accounts: map[string]*account{},
+		bytes: o.Bytes, clock: o.Clock, accounts: map[string]*account{},
 		refused: map[Reason]uint64{}, evicted: map[Reason]uint64{},
 	}
 }
@@ -148,8 +149,8 @@
 	if evict == nil {
 		evict = func() {}
 	}
-	c := &Claim{budget: b, id: b.lastID, evict: evict, progress: b.clock.Now()}
-	b.claims[c] = struct{}{}
+	c := &Claim{budget: b, id: b.lastID, index: len(b.claims), evict: evict, progress: b.clock.Now()}
+	b.claims = append(b.claims, c)
 	return c
 }
 
@@ -303,7 +304,7 @@
 func (b *Budget) victim(now time.Time) *Claim {
 	var first *Claim
 	var firstRank rank
-	for c := range b.claims {
+	for _, c := range b.claims {
 		if c.phase == Running || c.leaving || c.held == 0 {
 			continue
 		}
@@ -331,6 +332,15 @@
 	return evict
 }
 
+// drop removes a claim from the open ones.
+func (b *Budget) drop(c *Claim) {
+	last := len(b.claims) - 1
+	b.claims[c.index] = b.claims[last]
+	b.claims[c.index].index = c.index
+	b.claims[last] = nil
+	b.claims = b.claims[:last]
+}
+
 func (w *waiter) small() bool { return w.claim.held+w.n <= SmallBytes }
 
 // result returns the outcome of a waiter that is done.
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -19,6 +19,8 @@
 
 		// The fields below are guarded by budget.mu.
 
+		// index is the place in budget.claims.
+		index int
 		// held is not negative, and 0 once the claim is closed.
 		held  int64
 		phase Phase
@@ -239,7 +241,7 @@
 	c.add(-c.held)
 	c.moveTo("")
 	c.closed = true
-	delete(b.claims, c)
+	b.drop(c)
 	b.admitWaiters()
 }
 
