--- a/internal/cmds/callers.go
+++ b/internal/cmds/callers.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"runtime/debug"
 
 	"shallotcourse/internal/budget"
 	"shallotcourse/internal/conf"
 )
 
+// heapShare is the share of MemoryMegabytes that the Go runtime may use before it
+// collects garbage more often.
+const heapShare = 0.6
+
 // crowdReasons are the reasons for which connections are evicted and requests or
 // connections refused.
 var crowdReasons = []string{
@@ -23,10 +28,15 @@
 	Refused, Evicted map[string]uint64
 }
 
+// limitHeap sets the heap from which the Go runtime collects garbage more often.
+func limitHeap(megabytes int) {
+	debug.SetMemoryLimit(int64(heapShare * float64(megabytes) * (1 << 20)))
+}
+
 // boundCallers creates the budget of the process, before its listeners, and exports
 // the figures of its callers.
 func (d *daemon) boundCallers(s conf.Callers, megabytes int) {
-	d.budget = budget.New(budget.Options{Bytes: int64(s.MemoryShare * float64(megabytes) * (1 << 20)), Clock: d.clock})
+	d.budget = budget.New(budget.Options{Bytes: s.Bytes(megabytes), Clock: d.clock})
 	d.crowd.budget = d.budget
 	gauge := func(name string, value func(callerStatus) float64) {
 		d.metrics.NewGauge("shallotcourse_"+name, func() float64 { return value(d.callerStatus()) })
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -78,6 +78,7 @@
 func runEntry(ctx context.Context, settings conf.Entry, logs io.Writer) error {
 	signaled, cancel := signals(ctx, syscall.SIGHUP)
 	defer cancel()
+	limitHeap(settings.MemoryMegabytes)
 	e := newEntryDaemon(settings, logs)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -56,9 +56,6 @@
 	storeTimeout = 700 * time.Millisecond
 	// storeResponseBytes bounds a response of the store. Pages of rows have 1 MB.
 	storeResponseBytes = 8 << 20
-	// heapShare is the share of MemoryMegabytes that the Go runtime may use
-	// before it collects garbage more often.
-	heapShare = 0.6
 	// gatewayGCPercent is the heap growth in percent between garbage
 	// collections. The live heap is small compared with the memory limit.
 	gatewayGCPercent = 300
@@ -141,7 +138,7 @@
 	defer cancel()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMegabytes) * (1 << 20)))
+	limitHeap(settings.MemoryMegabytes)
 	debug.SetGCPercent(gatewayGCPercent)
 	lines := spool.New(logs, timer.System{})
 	defer lines.Close()
