cmds: a refused head ends its connection

Cause: without room for a head, Read answers and returns io.EOF once. Ruled out: the linger of closed connections, the order of giving way.

Change: a refused connection returns io.EOF from then on. A connection that only drops what arrives keeps a claim of 12 kB.

TestNoRoomInTheMiddleOfALine fails before (1 claim left after 3 s).

--- a/internal/cmds/callerconn.go
+++ b/internal/cmds/callerconn.go
@@ -19,6 +19,9 @@
 	// that still sends when its connection is closed.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 4 << 20
+	// lingerClaimBytes is the claim of a connection that drops what arrives, for its
+	// goroutine and its part of the buffers.
+	lingerClaimBytes = 12 << 10
 	// writeStallTimeout is the time after which a write fails of which the caller
 	// accepts no byte, unless the handler has set a deadline. A write that was
 	// accepted in part is repeated, so a caller that stops reading is cut after at
@@ -60,6 +63,9 @@
 		claimed   bool
 		headBytes int64
 		head      headScan
+		// refused is true once there was no room for a head. The server reads again
+		// after an error in the middle of a line.
+		refused bool
 
 		// These fields are guarded by set.mu.
 		phase connPhase
@@ -97,6 +103,9 @@
 // Read implements net.Conn. What is read before a handler runs is claimed as part
 // of a head.
 func (c *callerConn) Read(b []byte) (int, error) {
+	if c.refused {
+		return 0, io.EOF
+	}
 	if !c.claimed && c.claimHead(nil) != nil {
 		return 0, c.refuseHead()
 	}
@@ -242,6 +251,9 @@
 // which may destroy an answer on its way, so they are read first.
 func (c *callerConn) Close() error {
 	if c.beginLinger() {
+		// The server has released its buffers. The rest counts until the end, which
+		// takes longer than others wait for room.
+		c.claim.ShrinkTo(lingerClaimBytes)
 		go c.linger()
 		return nil
 	}
--- a/internal/cmds/connclaim.go
+++ b/internal/cmds/connclaim.go
@@ -110,6 +110,7 @@
 // refuseHead answers a request for whose head there is no room. It returns the
 // error with which the server ends the connection without a response of its own.
 func (c *callerConn) refuseHead() error {
+	c.refused = true
 	c.set.crowd.noteMemory()
 	_ = c.SetWriteDeadline(c.set.clock.Now().Add(noRoomWriteTimeout))
 	// A write error means that the caller has disconnected, or was evicted.
--- a/internal/cmds/connclaim_test.go
+++ b/internal/cmds/connclaim_test.go
@@ -180,3 +180,20 @@
 		})
 	}
 }
+
+// Guards against a connection that stays open, with what it has claimed, after a head was
+// refused in the middle of a line: net/http reads once more then.
+func TestNoRoomInTheMiddleOfALine(t *testing.T) {
+	is := is.New(t)
+	b, d := claimListener(t, connBytes+2*headLineBytes+1000, func(http.ResponseWriter, *http.Request) {})
+	conn := dialCallers(t, d)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nX: ")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(conn, strings.Repeat("a", 2000))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	eventually(t, "the connection closes", func() bool { return b.Stats().Claims == 0 })
+}
