proxy: responses are claimed as they are read

Callers: beside a crowd, ordinary small requests got 502 after they had run, since the first byte of their response had no room (TestGatewayEndlessChunks), and many large responses at once took a gateway over its memory (TestGatewaySlowReadsAtOnce, 96 of 96 MB).

Cause: a response was claimed only once it had been read, and a buffer that grows was copied with both copies held and one counted.

Change: 8 kB are claimed before a request is sent, or it is refused as not run; the rest of a response is claimed before it is read, in one buffer of its announced length. A lack of room says nothing of the target.

--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -269,6 +269,8 @@
 		q.latencies.recordAbandoned(t.ID, took)
 	case err.Code == fault.Outdated:
 		q.noteUnsent(t, err)
+	case err.Code == fault.Overloaded && err.Outcome != fault.NotRun:
+		// The gateway had no room for the response, which says nothing of the target.
 	default:
 		q.latencies.recordFailure(t.ID)
 		q.suspectIf(err.Code == fault.Unavailable, t, err)
@@ -348,7 +350,7 @@
 // run it.
 func (q *request) readResponse(resp *http.Response) (*response, *fault.Error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := q.buffers.readAll(resp.Body)
+	body, err := q.buffers.readAll(q.r.Context(), q.room, resp.Body, resp.ContentLength)
 	if err != nil {
 		return nil, err
 	}
@@ -362,13 +364,8 @@
 	return a, nil
 }
 
-// writeResponse sends a complete response to the caller. It is held until the caller
-// has taken it; without room for it, the caller gets a failure.
+// writeResponse sends a complete response to the caller.
 func (q *request) writeResponse(resp *response) {
-	if err := q.writer.Hold(q.r.Context(), len(resp.body)); err != nil {
-		q.refuse(fault.As(err).WithOutcome(fault.Unknown))
-		return
-	}
 	copyHeaders(q.w.Header(), resp.header)
 	if resp.unframed {
 		// A length would vouch for the body. Without one, it ends with the
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -109,7 +109,9 @@
 		// writer is the part of w that bounds writes; nil if nothing does.
 		writer *budget.Writer
 		// claim is that of the connection; nil counts nothing.
-		claim   *budget.Claim
+		claim *budget.Claim
+		// room is the part of claim for responses.
+		room    *responseRoom
 		headers RequestHeaders
 		route   topo.Route
 		// service is the service chosen for this request.
@@ -198,6 +200,9 @@
 	writer := budget.NewWriter(w, r, s.Clock, s.idleTimeout())
 	tracker := &headTracker{ResponseWriter: writer}
 	q := &request{Server: s, w: tracker, r: r, arrived: s.Clock.Now(), writer: writer, claim: budget.FromContext(r.Context())}
+	if q.claim != nil {
+		q.room = &responseRoom{claim: q.claim}
+	}
 	q.claim.SetPhase(budget.Receiving)
 	defer q.release()
 	defer q.endPanic(func() bool { return tracker.written })
@@ -226,7 +231,7 @@
 
 // release gives back what the request has claimed.
 func (q *request) release() {
-	q.writer.Release()
+	q.room.end()
 	q.body.Release()
 	q.claim.SetPhase(budget.Receiving)
 }
@@ -234,6 +239,9 @@
 // beginRun is called before the first send to a target. It fails if the request has
 // given way to others.
 func (q *request) beginRun() *fault.Error {
+	if err := q.room.reserve(q.r.Context()); err != nil {
+		return err
+	}
 	if err := q.claim.BeginRun(); err != nil {
 		return noRoomError(err)
 	}
