budget: short pauses weigh little

A sound caller with the largest body gave way to a crowd of heads that held less for longer, as soon as it paused for 100 ms on a busy machine. What a claim holds now counts by the time beyond 250 ms.

--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -42,8 +42,8 @@
 	rank struct {
 		// overHalf is true if the claim's account holds more than half of the bound.
 		overHalf bool
-		// stalled is what the claim holds, times the seconds without progress; 0 while
-		// the caller goes on.
+		// stalled is what the claim holds, times the seconds without progress beyond
+		// pauseAge; 0 while the caller goes on.
 		stalled   float64
 		anonymous bool
 		// large is true if the claim holds more than SmallBytes.
@@ -139,6 +139,19 @@
 	c.budget.admitWaiters()
 }
 
+// ShrinkTo gives all but n bytes back.
+func (c *Claim) ShrinkTo(n int64) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if c.held > n {
+		c.add(n - c.held)
+		c.budget.admitWaiters()
+	}
+}
+
 // Progress records that the caller has sent or taken bytes.
 func (c *Claim) Progress() {
 	if c == nil {
@@ -305,8 +318,8 @@
 
 func (c *Claim) rank(now time.Time) rank {
 	r := rank{overHalf: c.overHalf(), anonymous: c.account == nil, large: c.held > SmallBytes, id: c.id}
-	if idle := c.idle(now); idle >= pauseAge {
-		r.stalled = float64(c.held) * idle.Seconds()
+	if pause := c.idle(now) - pauseAge; pause > 0 {
+		r.stalled = float64(c.held) * pause.Seconds()
 	}
 	return r
 }
