--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -56,9 +56,6 @@
 	storeTimeout = 700 * time.Millisecond
 	// storeResponseBytes bounds a response of the store. Pages of rows have 1 MB.
 	storeResponseBytes = 8 << 20
-	// heapShare is the share of MemoryMegabytes that the Go runtime may use
-	// before it collects garbage more often.
-	heapShare = 0.6
 	// gatewayGCPercent is the heap growth in percent between garbage
 	// collections. The live heap is small compared with the memory limit.
 	gatewayGCPercent = 300
@@ -141,7 +138,7 @@
 	defer cancel()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMegabytes) * (1 << 20)))
+	limitHeap(settings.MemoryMegabytes)
 	debug.SetGCPercent(gatewayGCPercent)
 	lines := spool.New(logs, timer.System{})
 	defer lines.Close()
@@ -172,6 +169,7 @@
 
 func newGateway(file string, settings conf.Gateway, logs io.Writer) *gatewayDaemon {
 	d := newDaemon(settings.Instance, settings.Log, logs)
+	d.boundCallers(settings.Callers, settings.MemoryMegabytes)
 	g := &gatewayDaemon{daemon: d, settings: settings, file: file}
 	g.gatewayCount.Store(1)
 	g.store = platform.NewStore(settings.Store, plat.WithTimeout(storeTimeout), plat.WithResponseBytes(storeResponseBytes), plat.WithClock(d.clock))
@@ -272,16 +270,18 @@
 	g.registerOperations(operators, g.ready)
 	operators.HandleFunc("/status", g.status).Methods(http.MethodGet)
 	operators.HandleFunc("/explain", g.explain).Methods(http.MethodGet)
-	for _, l := range []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"links", g.settings.LinkListen, linkRouter(g.links)},
-		{"operators", g.settings.OpsListen, operators},
-		{"checks", g.settings.ReadyListen, checks},
-		{"callers", g.settings.Listen, g.server},
+	descriptors := descriptorLimit()
+	for _, l := range []listenerSettings{
+		{name: "links", address: g.settings.LinkListen, limits: linkLimits(descriptors), handler: linkRouter(g.links)},
+		{name: "operators", address: g.settings.OpsListen, limits: operatorLimits(descriptors), handler: operators},
+		{name: "checks", address: g.settings.ReadyListen, limits: checkLimits(descriptors), handler: checks},
+		{
+			name: "callers", address: g.settings.Listen, limits: callerLimits(g.settings.Callers.Connections, descriptors),
+			handler: g.server, budget: g.budget,
+		},
 	} {
-		if err := g.serve(l.name, l.address, gatewayHeaderBytes, l.handler); err != nil {
+		l.headerBytes = gatewayHeaderBytes
+		if err := g.serve(l); err != nil {
 			return err
 		}
 	}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -69,6 +69,11 @@
 		if !q.Limits.Take(t) {
 			return fault.Newf(fault.TargetLimit, "target %s has reached the limit that it named", t.ID)
 		}
+		if q.sendCount == 0 {
+			if err := q.beginRun(); err != nil {
+				return err
+			}
+		}
 		tried = append(tried, t.ID)
 		q.sendCount++
 		q.pathLog += " " + t.ID
@@ -258,6 +263,8 @@
 		q.latencies.recordAbandoned(t.ID, took)
 	case err.Code == fault.Outdated:
 		q.noteUnsent(t, err)
+	case err.Code == fault.Overloaded && err.Outcome != fault.NotRun:
+		// The gateway had no room for the response, which says nothing of the target.
 	default:
 		q.latencies.recordFailure(t.ID)
 		q.suspectIf(err.Code == fault.Unavailable, t, err)
@@ -340,7 +347,7 @@
 // run it.
 func (q *request) readResponse(resp *http.Response) (*response, *fault.Error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := q.buffers.readAll(resp.Body)
+	body, err := q.buffers.readAll(q.r.Context(), q.room, resp.Body, resp.ContentLength)
 	if err != nil {
 		return nil, err
 	}
