--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -33,7 +33,7 @@
 	// leaves out another overloaded target.
 	maxSearches = 4
 	// entryCrossingCost is the extra cost of a first target in another data centre
-	// than the gateway. It is small because only the request and its events cross.
+	// than the gateway where no other is known. It is small because only the request and its events cross.
 	entryCrossingCost = 2 * time.Millisecond
 )
 
@@ -74,6 +74,12 @@
 		Tokens int
 		// DataCentre is the data centre of the gateway.
 		DataCentre string
+		// Crossings holds what it costs to begin in another data centre; for those
+		// that are missing it is entryCrossingCost.
+		Crossings map[string]Crossing
+		// Confined is true if closed data centres may not be used even if no other
+		// can run the request.
+		Confined bool
 		// PrevDataCentre is the data centre of the target before the requested
 		// layers; empty if they begin the chain.
 		PrevDataCentre string
@@ -94,6 +100,15 @@
 		Forced bool
 	}
 
+	// Crossing is what it costs to begin a chain in another data centre.
+	Crossing struct {
+		// Cost is added to the time of a token.
+		Cost time.Duration
+		// Closed is true if the data centre is used only if no other can run the
+		// request.
+		Closed bool
+	}
+
 	// costedChain is a chain with its cost.
 	costedChain struct {
 		hops []Hop
@@ -155,21 +170,14 @@
 
 // Choose returns the cheapest chain that covers the requested layers. If any
 // data centre holds all these layers, the chain stays within one, since prompts
-// would saturate the network between data centres. The failure is NoTarget if no
+// would saturate the network between data centres; closed ones are used only if
+// the others have no chain. The failure is NoTarget if no
 // target holds some layer, TargetPause with the time to wait if some layer is held only
 // by targets that pause, TargetLimit if no chain can begin because of NotFirst,
 // and Overloaded if the targets that hold the layers have no memory or time left.
 func Choose(m *topo.Model, candidates []Candidate, req Request) ([]Hop, error) {
-	usable := make([]*Candidate, 0, len(candidates))
 	byDC := map[string][]*Candidate{}
-	for i := range candidates {
-		c := &candidates[i]
-		if c.usable(m, req) && c.PausedFor <= 0 {
-			usable = append(usable, c)
-			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
-		}
-	}
-	usable = limitPerKind(usable, byDC)
+	usable := considered(m, candidates, req, byDC)
 	if hole := firstUncovered(usable, req.Layers); hole.Len() > 0 {
 		if wait, ok := pauseOver(m, candidates, req); ok {
 			return nil, fault.Newf(fault.TargetPause, "the targets that hold layers %d to %d want nothing at present", hole.From, hole.To).WithRetryAfter(wait)
@@ -178,11 +186,14 @@
 	}
 	var best *costedChain
 	covered, tooLate := false, false
-	for _, dc := range slices.Sorted(maps.Keys(byDC)) {
+	for _, dc := range req.openFirst(byDC) {
 		if firstUncovered(byDC[dc], req.Layers).Len() > 0 {
 			continue
 		}
 		covered = true
+		if req.Crossings[dc].Closed && (best != nil || req.Confined) {
+			break
+		}
 		f, lateHere := searchInTime(m, byDC[dc], req)
 		tooLate = tooLate || lateHere
 		if f != nil && (best == nil || f.cost < best.cost) {
@@ -203,6 +214,27 @@
 	return nil, fault.New(fault.Overloaded, "no chain of targets has enough free memory and slots")
 }
 
+// openFirst returns the names of data centres in their order, those that are closed last.
+func (r Request) openFirst(byDC map[string][]*Candidate) []string {
+	return slices.SortedFunc(maps.Keys(byDC), func(a, b string) int {
+		return cmp.Or(compareBool(r.Crossings[a].Closed, r.Crossings[b].Closed), cmp.Compare(a, b))
+	})
+}
+
+// considered returns the candidates that the search for a chain considers, and adds them
+// to byDC by their data centre.
+func considered(m *topo.Model, candidates []Candidate, req Request, byDC map[string][]*Candidate) []*Candidate {
+	usable := make([]*Candidate, 0, len(candidates))
+	for i := range candidates {
+		c := &candidates[i]
+		if c.usable(m, req) && c.PausedFor <= 0 {
+			usable = append(usable, c)
+			byDC[c.DataCentre] = append(byDC[c.DataCentre], c)
+		}
+	}
+	return limitPerKind(usable, byDC)
+}
+
 // limitPerKind keeps the least loaded maxPerKind of the targets with the same card,
 // layers and data centre. It returns the targets kept and removes the others from
 // byDC too.
@@ -301,8 +333,7 @@
 		if n == 0 || c.State != topo.Ready || c.PausedFor > 0 || !m.Runs(c.Target) {
 			continue
 		}
-		stage := Stage{Card: c.Card, Layers: n, SlowFactor: c.SlowFactor}
-		if wait := time.Duration(float64(c.Load.Unread) * float64(stage.ReadToken(m, 0))); shortest < 0 || wait < shortest {
+		if wait := c.promptWait(m, n, 0); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
@@ -319,9 +350,7 @@
 	worst, longest := hops[0], time.Duration(0)
 	for _, h := range hops {
 		c := byID[h.Target.ID]
-		stage := Stage{Card: c.Card, Layers: h.Layers.Len(), SlowFactor: c.SlowFactor}
-		writers := float64(c.Load.Running) / float64(len(hops))
-		if wait := time.Duration(float64(c.Load.Unread) * float64(stage.ReadToken(m, writers))); wait > longest {
+		if wait := c.promptWait(m, h.Layers.Len(), float64(c.Load.Running)/float64(len(hops))); wait > longest {
 			worst, longest = h, wait
 		}
 	}
@@ -393,9 +422,7 @@
 	s := &chainSearch{req: req, targets: make([]searchTarget, len(cs)), bounds: rangeBounds(cs, req.Layers), dataCentre: make([]int, len(cs)), sameAddress: make([]int, len(cs))}
 	numbers, addresses := map[string]int{}, make(map[string]int, len(cs))
 	for i, c := range cs {
-		s.targets[i] = searchTarget{
-			Candidate: c, used: c.Load.TokenLayers, capacity: m.FreeMegabytes(c.Card, c.Held.Len()) / m.TokenMegabytes, layerTime: layerTime(m, c),
-		}
+		s.targets[i] = newSearchTarget(m, c)
 		n, known := numbers[c.DataCentre]
 		if !known {
 			n = len(numbers)
@@ -436,7 +463,7 @@
 		if t.Held.From > at || t.Held.To <= at || s.contains(p, c) {
 			continue
 		}
-		if p.last < 0 && (t.NotFirst && s.req.begins() || !s.req.Forced && t.Slots > 0 && t.Load.First >= t.Slots) {
+		if p.last < 0 && !t.mayBeFirst(&s.req) {
 			continue
 		}
 		cost := p.cost + s.crossingCost(p.last, c)
@@ -495,8 +522,8 @@
 	switch {
 	case from >= 0 && s.dataCentre[from] != s.dataCentre[to], from < 0 && req.PrevDataCentre != "" && req.PrevDataCentre != dc:
 		return hopDelay + req.Cross
-	case from < 0 && req.PrevDataCentre == "" && req.DataCentre != dc:
-		return hopDelay + entryCrossingCost
+	case from < 0 && req.begins():
+		return hopDelay + req.entryCost(dc)
 	}
 	return hopDelay
 }
@@ -504,10 +531,7 @@
 // hopTime is the time of one token in n layers of a target, weighted by how
 // full its memory is. It returns false if the request does not fit.
 func (t *searchTarget) hopTime(n int, req Request) (time.Duration, bool) {
-	fill := 1.0
-	if t.capacity > 0 {
-		fill = (t.used + float64(req.Tokens*n)) / t.capacity
-	}
+	fill := t.fill(n, req.Tokens)
 	if !req.Forced && fill > req.maxFill() {
 		return 0, false
 	}
--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -127,7 +127,7 @@
 	c.Flags().StringVar(&drain, "drain", "", "Bounds.Drain, in place of the one in the file")
 	c.Flags().StringVar(&configApply, "config-apply", "", "Bounds.ConfigApply, in place of the one in the file")
 	c.Flags().StringVar(&contracts, "contracts", "", "the platform's contracts in force, separated by commas; those on client accounts set RequireKeys")
-	c.AddCommand(gatewayStatusCommand())
+	c.AddCommand(gatewayStatusCommand(), gatewayExplainCommand())
 	return c
 }
 
@@ -218,10 +218,11 @@
 		Settings: proxy.Settings{
 			DataCentre: settings.DataCentre, BodyBytes: defaultBodyBytes,
 			ConfigMaxAge: g.times.KeyMaxAge,
-			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost,
+			StallLimit:   settings.StallLimit.Duration, CrossCost: crossDataCentreCost, CrossByDelays: settings.CrossByDelays,
 		},
 		Clock: d.clock, Log: d.logger, Metrics: d.metrics, Configs: g.configs, Fleets: g.fleets, Ledger: g.ledger,
 		Prompts: g.prompts, Limits: g.limits, Retries: retries, Returns: limit.NewRetryPacer(d.clock), Sched: g.sched, LoadLag: g.peers.LoadLag,
+		LoadAge: g.peers.LoadAge,
 		Dialect: platform.Dialect{}, Engines: engines, Client: client,
 	})
 	g.planner = plan.New(plan.Options{
@@ -268,6 +269,7 @@
 	operators := mux.NewRouter()
 	g.registerOperations(operators, g.ready)
 	operators.HandleFunc("/status", g.status).Methods(http.MethodGet)
+	operators.HandleFunc("/explain", g.explain).Methods(http.MethodGet)
 	descriptors := descriptorLimit()
 	for _, l := range []listenerSettings{
 		{name: "links", address: g.settings.LinkListen, limits: linkLimits(descriptors), handler: linkRouter(g.links)},
--- a/internal/cmds/gateway_show.go
+++ b/internal/cmds/gateway_show.go
@@ -96,6 +96,13 @@
 		row(b.Service, strings.Join(b.DataCentres, ","), int(b.Requests), int(b.Best), fmt.Sprintf("%d-%d", b.Binding.From, b.Binding.To))
 	}
 	row()
+	row("SERVICE", "FROM", "TO", "CROSSING COST", "CLOSED")
+	for _, service := range s.Crossings {
+		for _, c := range service.Costs {
+			row(service.Service, service.From, c.DataCentre, c.PerToken.Round(time.Microsecond), c.Closed)
+		}
+	}
+	row()
 	row("PROMISE", "REQUIRED", "WORST CASE", "KEPT", "STEPS")
 	for _, p := range s.Promises {
 		row(p.Name, p.Bound, p.Sum, p.Kept, p.Steps)
--- a/internal/cmds/gateway_status.go
+++ b/internal/cmds/gateway_status.go
@@ -11,6 +11,7 @@
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/plan"
+	"shallotcourse/internal/proxy"
 	"shallotcourse/internal/sched"
 	"shallotcourse/internal/topo"
 )
@@ -39,6 +40,9 @@
 		// Bounds holds what the targets' memory holds at once, by service and
 		// group of data centres.
 		Bounds []plan.ServiceBound
+		// Crossings holds what it costs to send new requests to other data centres, by
+		// service; empty where the configuration names no delays.
+		Crossings []proxy.ServiceCrossings
 		// Promises holds the times within which changes take effect.
 		Promises []promiseStatus
 		// Holds holds the parts of prompts that are not sent to targets for some
@@ -85,6 +89,7 @@
 		Callers: g.callerStatus(),
 		Routes:  config.Routes(), Bounds: g.planner.Bounds(), Holds: g.prompts.Holds(), Limits: g.limits.Limits(),
 		Leaving: g.limits.Leaving(), Paused: g.limits.Paused(), Promises: promiseStatuses(g.times.Promises), Ranks: g.server.RankStatus(),
+		Crossings: g.server.Crossings(),
 	}
 	loads, placements := g.ledger.TotalLoads(), g.planner.LastPlacements()
 	for _, t := range fleet.All() {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -50,6 +50,9 @@
 		// CrossCost is added to the latency of a hop between data centres when
 		// paths are compared.
 		CrossCost time.Duration
+		// CrossByDelays is true if what it costs to begin in another data centre follows
+		// from the delays that the configuration names; otherwise it is fixed.
+		CrossByDelays bool
 	}
 
 	// Options holds the dependencies of a Server.
@@ -71,6 +74,9 @@
 		// LoadLag returns the number of other gateways and the age of the load
 		// that the ledger holds for them.
 		LoadLag func() (others int, lag time.Duration)
+		// LoadAge returns the age of the loads that the gateways of a data centre
+		// have reported; nil if they are always new.
+		LoadAge func(dataCentre string) time.Duration
 		Dialect Dialect
 		Engines Engines
 		// Client sends requests to targets. It must not retry requests, reuse
@@ -87,7 +93,9 @@
 		acceptUntil atomic.Pointer[time.Time]
 		reports     reportCache
 		buffers     responseBuffers
-		latencies   latencyStats
+		latencies   *latencyStats
+		crossCosts  crossCache
+		dials       *dialTimes
 		// rankedVersion is the version of the configuration whose ranks Sched has; 0
 		// before the first.
 		rankedVersion atomic.Uint64
@@ -141,7 +149,8 @@
 		// firstByte is the time of the first byte sent to the caller.
 		firstByte time.Time
 		// pathLog lists the targets and paths used, for the log.
-		pathLog string
+		pathLog  string
+		crossing crossing
 		// recorded is true once the outcome is logged and counted.
 		recorded bool
 	}
@@ -149,13 +158,12 @@
 
 // New returns a Server with the given dependencies.
 func New(o Options) *Server {
-	s := &Server{Options: o, abortCalls: make(chan struct{})}
+	s := &Server{Options: o, dials: &dialTimes{}, latencies: newLatencyStats(), abortCalls: make(chan struct{})}
 	if s.Sched == nil {
 		s.Sched = sched.New(o.Clock)
 	}
 	s.abortCtx, s.abort = context.WithCancel(context.Background())
 	s.reports.init()
-	s.latencies.init()
 	o.Metrics.NewGauge("shallotcourse_response_buffer_bytes", func() float64 { return float64(s.buffers.bytes.Load()) })
 	o.Metrics.NewGauge("shallotcourse_requests_open", func() float64 { return float64(s.openRequests.Load()) })
 	return s
@@ -215,14 +223,18 @@
 		return
 	}
 	s.Retries.CountRequest(q.service.Name)
-	switch {
-	case q.route.Semantics == topo.Stream && q.service.Model != nil:
+	if q.isStream() {
 		q.serveStream()
-	default:
+	} else {
 		q.servePlain()
 	}
 }
 
+// isStream reports whether the request is answered by a model's event stream.
+func (q *request) isStream() bool {
+	return q.route.Semantics == topo.Stream && q.service.Model != nil
+}
+
 // idleTimeout returns the time after which a caller that takes nothing of a response
 // loses its connection.
 func (s *Server) idleTimeout() time.Duration {
@@ -320,6 +332,7 @@
 		"sendAge", time.Duration(q.oldestList.Load()).Round(time.Millisecond), "status", status, "outcome", outcome, "sends", q.sendCount, "took", took.Round(time.Millisecond), "path", q.pathLog,
 		"prompt", promptText(q.headers.PromptParts), "priority", q.priority, "waited", q.waited.Round(time.Millisecond),
 	}
+	fields = append(fields, q.crossFields()...)
 	if !q.firstByte.IsZero() {
 		q.Metrics.GetOrCreateHistogram(`shallotcourse_first_byte_seconds{Service="` + q.service.Name + `"}`).Update(q.firstByte.Sub(q.arrived).Seconds())
 		fields = append(fields, "first", q.firstByte.Sub(q.arrived).Round(time.Millisecond))
