sched: only priorities that requests can have make ranks

Cause: the priority of a route counted as one in use, also where each account has its own, which takes precedence. It showed once test deployments with an account priority of 0 met routes with 1.

Change: a route's priority counts if the route is public, no key is needed or an account has none.

--- a/internal/sched/ranks.go
+++ b/internal/sched/ranks.go
@@ -1,6 +1,10 @@
 package sched
 
-import "shallotcourse/internal/topo"
+import (
+	"slices"
+
+	"shallotcourse/internal/topo"
+)
 
 // Classes returns the classes of requests that a configuration allows, by service with a
 // model; the targets of others have no memory to share and know no priorities. The
@@ -10,7 +14,10 @@
 	accounts := c.Accounts()
 	out := map[string][]Class{}
 	for _, r := range c.Routes() {
-		classes := []Class{{r.Priority, r.Objective}}
+		var classes []Class
+		if r.Public || c.Keyless() || slices.ContainsFunc(accounts, func(a topo.Account) bool { return a.Priority == nil }) {
+			classes = append(classes, Class{r.Priority, r.Objective})
+		}
 		for _, a := range accounts {
 			if a.Priority != nil && !r.Public {
 				classes = append(classes, Class{*a.Priority, r.Objective})
