proxy: the rate of starts does not make a wait hopeless

Callers: a burst after a quiet time was refused at once ("more urgent requests wait"), since only as many requests had started in the last seconds as had come. Cause: the highest rate of starts was taken for the most that the targets can take. Change: only the queue of prompts makes a wait hopeless. TestWaitBehindOthersIsNotHopeless fails before.

--- a/internal/proxy/ranks_test.go
+++ b/internal/proxy/ranks_test.go
@@ -78,3 +78,18 @@
 		last = after
 	}
 }
+
+// Guards against a burst after a quiet time that is refused at once, because few requests
+// were sent while few came.
+func TestWaitBehindOthersIsNotHopeless(t *testing.T) {
+	is := is.New(t)
+	s := newCrossingSite(nil)
+	s.Sched.Configure(1, map[string][]sched.Class{"llm": {{Priority: 0, Objective: 500 * time.Millisecond}, {Priority: 1, Objective: 500 * time.Millisecond}}})
+	q := &request{Server: s.Server, service: s.service, route: topo.Route{Objective: 500 * time.Millisecond}}
+	w := roomWait{stream: &stream{request: q, excluded: map[string]bool{}, tokens: 100}}
+	s.Sched.Started("llm", w.need())
+	for range 20 {
+		w.place = s.Sched.Wait("llm", w.need(), s.clock.Now())
+	}
+	is.Equal(w.hopeless(200*time.Millisecond), time.Duration(0))
+}
--- a/internal/proxy/wait.go
+++ b/internal/proxy/wait.go
@@ -163,9 +163,8 @@
 	if over := prompts - limits.MaxPromptWait; limits.MaxPromptWait > 0 && over > left {
 		return over
 	}
-	if after := w.place.Estimate(); after > left {
-		return after
-	}
+	// The rate of starts is no reason to give up: while few requests came, it says
+	// nothing of the room.
 	return 0
 }
 
