budget, cmds: idle connections give way before new ones

Cause: among claims that do not stand still the newest gives way, which is right for bodies and wrong for connections without a request. Change: those are in phase Idle and give way first, the oldest before the others.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -40,12 +40,14 @@
 )
 
 const (
-	// Receiving is the phase in which the request is read or awaited.
+	// Receiving is the phase in which the request is read.
 	Receiving Phase = iota
 	// Running is the phase in which the request may be at a target.
 	Running
 	// Sending is the phase in which the response is written.
 	Sending
+	// Idle is the phase in which no byte of a request has arrived.
+	Idle
 )
 
 const (
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -44,7 +44,9 @@
 		overHalf bool
 		// stalled is what the claim holds, times the seconds without progress beyond
 		// pauseAge; 0 while the caller goes on.
-		stalled   float64
+		stalled float64
+		// idle is true if the claim has no request.
+		idle      bool
 		anonymous bool
 		// large is true if the claim holds more than SmallBytes.
 		large bool
@@ -317,7 +319,7 @@
 func (c *Claim) progressAge(now time.Time) time.Duration { return max(0, now.Sub(c.progress)) }
 
 func (c *Claim) rank(now time.Time) rank {
-	r := rank{overHalf: c.overHalf(), anonymous: c.account == nil, large: c.held > SmallBytes, id: c.id}
+	r := rank{overHalf: c.overHalf(), idle: c.phase == Idle, anonymous: c.account == nil, large: c.held > SmallBytes, id: c.id}
 	if pause := c.idle(now) - pauseAge; pause > 0 {
 		r.stalled = float64(c.held) * pause.Seconds()
 	}
@@ -335,7 +337,8 @@
 }
 
 // before reports whether a claim with rank r gives way before one with rank o. Among
-// equal claims, the newer gives way first, so that those that have begun can end.
+// equal claims, the newer gives way first, so that those that have begun can end; among
+// those without a request, the older.
 func (r rank) before(o rank) bool {
 	if r.overHalf != o.overHalf {
 		return r.overHalf
@@ -343,6 +346,12 @@
 	if r.stalled != o.stalled {
 		return r.stalled > o.stalled
 	}
+	if r.idle != o.idle {
+		return r.idle
+	}
+	if r.idle {
+		return r.id < o.id
+	}
 	if r.anonymous != o.anonymous {
 		return r.anonymous
 	}
--- a/internal/cmds/callerconn.go
+++ b/internal/cmds/callerconn.go
@@ -136,6 +136,7 @@
 	// idle connections.
 	first := n > 0 && c.phase == idle && c.reused
 	if c.phase == idle && (n > 0 || again) {
+		c.claim.SetPhase(budget.Receiving)
 		c.set.enter(c, receiving)
 	}
 	if first || c.ending && (n > 0 || again) {
--- a/internal/cmds/connclaim.go
+++ b/internal/cmds/connclaim.go
@@ -104,7 +104,7 @@
 func (c *callerConn) releaseHead() {
 	c.claim.Shrink(c.headBytes)
 	c.headBytes, c.head = 0, headScan{}
-	c.claim.SetPhase(budget.Receiving)
+	c.claim.SetPhase(budget.Idle)
 }
 
 // refuseHead answers a request for whose head there is no room. It returns the
--- a/internal/cmds/conns.go
+++ b/internal/cmds/conns.go
@@ -69,6 +69,7 @@
 	out := &callerConn{TCPConn: c, set: s}
 	if s.budget != nil {
 		out.claim = s.budget.Open(out.evict)
+		out.claim.SetPhase(budget.Idle)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
