budget: claims give way by kind, then by bytes and time

Cause: claims below the threshold for a pause were all taken to go on, and among those the newest gives way, which is the sound caller.

Change: no threshold. Claims have a kind (account over half of the bound, large and stalled for a second, without a request, large, small) and within it give way by what they hold times the time without progress.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -27,10 +27,6 @@
 	// retryAfter is the hint for refused callers. Claims that stand still give way
 	// at once, so the memory is held by requests that run; most take seconds.
 	retryAfter = time.Second
-	// pauseAge is the time without progress that says nothing of a caller: packets and
-	// scheduling take as long on a busy machine. With 100 ms, a sound caller with the
-	// largest body gave way to a crowd that held less for longer.
-	pauseAge = 250 * time.Millisecond
 	// stalledAge is the time without progress from which an eviction counts as
 	// Stalled.
 	stalledAge = time.Second
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -8,6 +8,18 @@
 	"shallotcourse/internal/timer"
 )
 
+const (
+	// overHalf is for claims of an account that holds more than half of the bound.
+	overHalf rankClass = iota
+	// stalledLarge is for claims over SmallBytes without progress for stalledAge.
+	stalledLarge
+	// withoutRequest is for claims in phase Idle.
+	withoutRequest
+	otherLarge
+	// otherSmall claims take little, so that they are the last to make room.
+	otherSmall
+)
+
 type (
 	// Claim is what one connection holds of a Budget. All methods may be called at
 	// any time by any goroutine; on a nil Claim they count nothing.
@@ -40,18 +52,15 @@
 
 	// rank is the place of a claim in the order of giving way.
 	rank struct {
-		// overHalf is true if the claim's account holds more than half of the bound.
-		overHalf bool
-		// stalled is what the claim holds, times the seconds without progress beyond
-		// pauseAge; 0 while the caller goes on.
-		stalled float64
-		// idle is true if the claim has no request.
-		idle      bool
+		class rankClass
+		// weight is what the claim holds, times the seconds without progress.
+		weight    float64
 		anonymous bool
-		// large is true if the claim holds more than SmallBytes.
-		large bool
-		id    uint64
+		id        uint64
 	}
+
+	// rankClass is the kind of a claim; lower ones give way first.
+	rankClass int
 )
 
 // Grow claims n more bytes, before they are read. If there is no room, other claims
@@ -319,11 +328,21 @@
 func (c *Claim) progressAge(now time.Time) time.Duration { return max(0, now.Sub(c.progress)) }
 
 func (c *Claim) rank(now time.Time) rank {
-	r := rank{overHalf: c.overHalf(), idle: c.phase == Idle, anonymous: c.account == nil, large: c.held > SmallBytes, id: c.id}
-	if pause := c.idle(now) - pauseAge; pause > 0 {
-		r.stalled = float64(c.held) * pause.Seconds()
-	}
-	return r
+	return rank{class: c.rankClass(now), weight: float64(c.held) * c.idle(now).Seconds(), anonymous: c.account == nil, id: c.id}
+}
+
+func (c *Claim) rankClass(now time.Time) rankClass {
+	switch large := c.held > SmallBytes; {
+	case c.overHalf():
+		return overHalf
+	case large && c.idle(now) >= stalledAge:
+		return stalledLarge
+	case c.phase == Idle:
+		return withoutRequest
+	case large:
+		return otherLarge
+	}
+	return otherSmall
 }
 
 func (c *Claim) evictionReason(now time.Time) Reason {
@@ -336,27 +355,19 @@
 	return Size
 }
 
-// before reports whether a claim with rank r gives way before one with rank o. Among
-// equal claims, the newer gives way first, so that those that have begun can end; among
-// those without a request, the older.
+// before reports whether a claim with rank r gives way before one with rank o. Those
+// without a request give way in the order of opening. Among equal others, the newer gives
+// way first, so that those that have begun can end.
 func (r rank) before(o rank) bool {
-	if r.overHalf != o.overHalf {
-		return r.overHalf
-	}
-	if r.stalled != o.stalled {
-		return r.stalled > o.stalled
-	}
-	if r.idle != o.idle {
-		return r.idle
-	}
-	if r.idle {
+	switch {
+	case r.class != o.class:
+		return r.class < o.class
+	case r.class == withoutRequest:
 		return r.id < o.id
-	}
-	if r.anonymous != o.anonymous {
+	case r.weight != o.weight:
+		return r.weight > o.weight
+	case r.anonymous != o.anonymous:
 		return r.anonymous
 	}
-	if r.large != o.large {
-		return r.large
-	}
 	return r.id > o.id
 }
