sched: a short objective bounds the queue of all later ranks

Callers: where the most urgent rank has a shorter objective than two others, the last rank could be admitted to longer queues of prompts than the one before it (1.40 s against 0.93 s). Cause: the bound of a more urgent rank was compared before the reserve was taken off, so it did not apply.

TestShortObjectiveBoundsAllLaterRanks fails before.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -219,10 +219,11 @@
 // room returns the limits of a rank, given the reserves of all ranks.
 func (v *service) room(rank int, objective time.Duration, reserves []float64) Limits {
 	l := Base(objective).less(reserves[rank])
-	for i, r := range v.ranks[:rank] {
-		urgent := Base(r.shortest).less(reserves[i])
-		if urgent.MaxPromptWait > 0 && (l.MaxPromptWait == 0 || urgent.MaxPromptWait < l.MaxPromptWait) {
-			l.MaxPromptWait = urgent.less(max(0, reserves[rank]-reserves[i])).MaxPromptWait
+	for _, r := range v.ranks[:rank] {
+		// No longer than what is left of the wait of any more urgent rank.
+		wait := Base(r.shortest).less(reserves[rank]).MaxPromptWait
+		if wait > 0 && (l.MaxPromptWait == 0 || wait < l.MaxPromptWait) {
+			l.MaxPromptWait = wait
 		}
 	}
 	return l
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -74,3 +74,21 @@
 		}
 	})
 }
+
+// Guards against a longer queue of prompts for a less urgent rank than for the one before
+// it, where the first has a shorter objective than both (seed 10341967580573611096).
+func TestShortObjectiveBoundsAllLaterRanks(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	s := sched.New(clock)
+	classes := []sched.Class{{Priority: 0, Objective: 2 * time.Second}, {Priority: 1, Objective: 3 * time.Second}, {Priority: 2, Objective: 3 * time.Second}}
+	s.Configure(1, map[string][]sched.Class{"s": classes})
+	for range 20 {
+		s.Arrived("s", sched.Request{Class: classes[0], Need: 100})
+		clock.Advance(100 * time.Millisecond)
+	}
+	fleet := sched.Fleet{Gateways: 1, Capacity: 1630}
+	second, third := s.Room("s", sched.Request{Class: classes[1]}, fleet), s.Room("s", sched.Request{Class: classes[2]}, fleet)
+	is.True(second.MaxFill < chain.MaxFill)
+	is.True(third.MaxPromptWait <= second.MaxPromptWait)
+}
