sched: the test of the short objective fails before its fix

As committed with the fix it passed without it as well: both ranks lay on the same side of the bound. With 0.30 and 0.36 of the room kept from them it fails on the code before the fix and passes after.

--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -85,9 +85,11 @@
 	s.Configure(1, map[string][]sched.Class{"s": classes})
 	for range 20 {
 		s.Arrived("s", sched.Request{Class: classes[0], Need: 100})
+		s.Arrived("s", sched.Request{Class: classes[1], Need: 20})
 		clock.Advance(100 * time.Millisecond)
 	}
-	fleet := sched.Fleet{Gateways: 1, Capacity: 1630}
+	// 0.30 of the room is kept from the second rank, and 0.36 from the third.
+	fleet := sched.Fleet{Gateways: 1, Capacity: 1811}
 	second, third := s.Room("s", sched.Request{Class: classes[1]}, fleet), s.Room("s", sched.Request{Class: classes[2]}, fleet)
 	is.True(second.MaxFill < chain.MaxFill)
 	is.True(third.MaxPromptWait <= second.MaxPromptWait)
