sched: the test of the short objective fails before its fix, with the rate as measured

The rate counts whole seconds, so the capacity of the commit before kept 0.20 and 0.24 and the test passed on both. With 0.30 and 0.36 it fails on the code before the fix (seen) and passes after.

--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -89,7 +89,7 @@
 		clock.Advance(100 * time.Millisecond)
 	}
 	// 0.30 of the room is kept from the second rank, and 0.36 from the third.
-	fleet := sched.Fleet{Gateways: 1, Capacity: 1811}
+	fleet := sched.Fleet{Gateways: 1, Capacity: 1207}
 	second, third := s.Room("s", sched.Request{Class: classes[1]}, fleet), s.Room("s", sched.Request{Class: classes[2]}, fleet)
 	is.True(second.MaxFill < chain.MaxFill)
 	is.True(third.MaxPromptWait <= second.MaxPromptWait)
