Review case 9: a revoked key is used by a request whose body comes late

Cause: key, route and age of the configuration are checked when the head arrives, and not again after the body. Change: a script in which a key is taken away between the heads and the bodies of five requests.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -13,7 +13,7 @@
 	"endless-head": endlessCase("--endless-head", 31000),
 	"endless-body": endlessCase("--endless-body", 250000),
 	"interim":      interimCase,
-	"options":      optionsCase,
+	"revoked":      revokedCase,
 }
 
 func main() {
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -368,6 +368,11 @@
 
 // call sends one request on a channel of its own. seen is called with the body so far.
 func call(address, method, path, id, body string, deadline time.Duration, header map[string]string, seen func([]byte)) answer {
+	return callSlowly(address, method, path, id, body, deadline, header, nil, seen)
+}
+
+// callSlowly is like call, but calls beforeBody between the head and the body.
+func callSlowly(address, method, path, id, body string, deadline time.Duration, header map[string]string, beforeBody func(), seen func([]byte)) answer {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return answer{err: err}
@@ -382,7 +387,15 @@
 	if body != "" || method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
-	b.WriteString("\r\n" + body)
+	b.WriteString("\r\n")
+	if beforeBody != nil {
+		if _, err := io.WriteString(conn, b.String()); err != nil {
+			return answer{err: err}
+		}
+		b.Reset()
+		beforeBody()
+	}
+	b.WriteString(body)
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		return answer{err: err}
 	}
