Review case 6: answers of calls that have run are lost under a crowd

Cause: the budget of callers' memory spares only claims in phase Running; a request that has run is in another phase while its answer is written, and gives way to new callers. Change: a script with a crowd of legal requests beside ordinary callers of a call that may run once.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -12,7 +12,7 @@
 	"unframed":     unframedCase,
 	"endless-head": endlessCase("--endless-head", 31000),
 	"endless-body": endlessCase("--endless-body", 250000),
-	"interim":      interimCase,
+	"crowd":        crowdCase,
 	"revoked":      revokedCase,
 }
 
--- a/review/_stand2/plain.go
+++ b/review/_stand2/plain.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -49,57 +47,3 @@
 func soundAnswer(out io.Writer, request, id string) {
 	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Length: 5\r\n\r\nhello", request, id)
 }
-
-// interimCase lets one of two engines spoil two answers in a hundred: they are interim
-// responses that nobody asked for.
-func interimCase(w *world) (bool, error) {
-	const calls, workers, spoiled = 600, 6, 50
-	const timeout = 2 * time.Second
-	if err := w.startStore(timeout); err != nil {
-		return false, err
-	}
-	answered := atomic.Int64{}
-	for i := range 2 {
-		id := fmt.Sprintf("p-%d", i)
-		err := w.startPlainEngine(id, func(out io.Writer, request string) {
-			time.Sleep(5 * time.Millisecond)
-			if i == 0 && w.trouble && answered.Add(1)%spoiled == 0 {
-				w.note("engine %s spoils its answer to %s", id, request)
-				_, _ = fmt.Fprintf(out, "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: %s\r\n\r\n", request)
-				return
-			}
-			soundAnswer(out, request, id)
-		})
-		if err != nil {
-			return false, err
-		}
-	}
-	g, err := w.startGateway("front-x-1", "x", 284)
-	if err != nil {
-		return false, err
-	}
-	time.Sleep(time.Second)
-	var broken atomic.Bool
-	var wg sync.WaitGroup
-	next, good := atomic.Int64{}, atomic.Int64{}
-	for range workers {
-		wg.Go(func() {
-			for n := next.Add(1); n <= calls; n = next.Add(1) {
-				id := fmt.Sprintf("request-%d", n)
-				a := call(g.callers, http.MethodPost, "/register/x", id, "body", timeout, nil, nil)
-				switch {
-				case a.interim != "" && a.status == 0:
-					broken.Store(true)
-					w.note("%s: the caller got %q and no answer until %v after it had sent the request (%v)", id, a.interim, a.took.Round(time.Millisecond), a.err)
-				case a.err != nil || a.status != http.StatusOK:
-					w.note("%s: status %d, error %v", id, a.status, a.err)
-				default:
-					good.Add(1)
-				}
-			}
-		})
-	}
-	wg.Wait()
-	w.note("%d of %d calls got the engine's answer", good.Load(), calls)
-	return broken.Load(), nil
-}
