httpc: a response that a reset cut off is no whole one

Callers got a part of a response as the whole one: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: such a body ends with io.EOF. The kernel reports a reset once, to whichever of a read and a write comes first; when the write of the upload takes it, later reads return 0 bytes, which net/http cannot tell from the end.

Change: the connections of all HTTP clients keep the error of the first write that failed, and return it in place of io.EOF. At io.EOF a write may just be returning with the error; it is waited for, and ended by a deadline if it waits for a server that has ended only its own side. EPIPE is no loss: the kernel returns it where the end had arrived before the reset. One function makes the transports of requests, polls and orders to targets (first, resumed and standby runs), of engines, services, the platform, its store and pkg/clnt. Links between processes carry framed messages, so a cut is an error there already.

--- a/internal/cmds/gateway.go
+++ b/internal/cmds/gateway.go
@@ -23,6 +23,7 @@
 	"shallotcourse/internal/conf"
 	"shallotcourse/internal/fault"
 	"shallotcourse/internal/follow"
+	"shallotcourse/internal/httpc"
 	"shallotcourse/internal/ledger"
 	"shallotcourse/internal/limit"
 	"shallotcourse/internal/link"
@@ -239,9 +240,9 @@
 func targetClient() *http.Client {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpc.NewTransport(&http.Transport{
 			DialContext: proxy.CheckSends(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: targetHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/httpc"
 )
 
 const (
@@ -46,14 +47,14 @@
 // NewClient returns a client for the engine at a base URL.
 func NewClient(base string) *Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	return &Client{baseURL: base, httpClient: &http.Client{Transport: &http.Transport{
+	return &Client{baseURL: base, httpClient: &http.Client{Transport: httpc.NewTransport(&http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}, noReuseClient: &http.Client{Transport: &http.Transport{
+	})}, noReuseClient: &http.Client{Transport: httpc.NewTransport(&http.Transport{
 		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	})}}
 }
 
 // OpenSession opens a session, or returns the state of a session that is
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/httpc"
 )
 
 type (
@@ -54,10 +55,10 @@
 // response and it considers the request replayable (a safe method, or
 // an Idempotency-Key header). With a new connection for each request, this cannot
 // happen.
-func newNoRetryTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+func newNoRetryTransport(dial httpc.DialFunc) http.RoundTripper {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{DialContext: dial, DisableKeepAlives: true, Protocols: protocols, MaxResponseHeaderBytes: maxHeadBytes}
+	return httpc.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, Protocols: protocols, MaxResponseHeaderBytes: maxHeadBytes})
 }
 
 // Do sends a call and returns the response. Redirects are not followed. An error
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/httpc"
 	"shallotcourse/internal/timer"
 )
 
@@ -118,10 +119,10 @@
 	}
 	if t.http == nil {
 		dialer := &net.Dialer{Timeout: t.timeout}
-		t.http = &http.Client{Transport: &http.Transport{
+		t.http = &http.Client{Transport: httpc.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
 			MaxResponseHeaderBytes: maxHeadBytes,
-		}}
+		})}
 	}
 	return t
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -10,14 +10,12 @@
 
 	"shallotcourse/internal/chain"
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/httpc"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/topo"
 )
 
 type (
-	// DialFunc opens a connection, like net.Dialer.DialContext.
-	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 	// sendCheck is the check of a request right before it is sent. That may be long
 	// after its targets were chosen, as the connection is opened in between.
 	sendCheck struct {
@@ -40,7 +38,7 @@
 
 // CheckSends returns a dial function for the client that sends requests to targets. Its
 // connections ask the proxy right before they send a request.
-func CheckSends(dial DialFunc) DialFunc {
+func CheckSends(dial httpc.DialFunc) httpc.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		check, ok := ctx.Value(sendCheckKey{}).(*sendCheck)
--- a/pkg/clnt/pool.go
+++ b/pkg/clnt/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/httpc"
 	"shallotcourse/internal/timer"
 )
 
@@ -59,12 +60,12 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	p := &pool{
 		key: key, clock: timer.System{},
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpc.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
-		}},
-		noReuseClient: &http.Client{Transport: &http.Transport{
+		})},
+		noReuseClient: &http.Client{Transport: httpc.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
-		}},
+		})},
 	}
 	for _, e := range entries {
 		if !strings.Contains(e, "://") {
