httpc: a blank or a line feed in the name of a field is an error

An engine in trouble answered with a head in which the name of a field held a blank or a control byte. Callers got it as an answer: the line was passed on as a part of the line before it, or the body was not the engine's, because the field that was not recognized was the length or the encoding.

Cause: net/http refuses control bytes and most else in names, but - accepts blanks, and does not recognize such a name: "Content-Length : 5" names no length, "Transfer -Encoding: chunked" no encoding; - joins a line that begins with a blank or a tab to the line before; - takes an empty line that ends with a line feed alone for the end of the head, so that the rest of it becomes the body.

Change: the transport of all HTTP clients fails on names with a blank, and their connections read the heads as they arrive and fail on the other two: a line that begins with a blank or a tab, and an empty line that ends otherwise than the status line. Heads with line feeds alone are served as before. RFC 9112 (5.2) has senders generate no folded lines and gateways replace such responses by 502 or unfold them; an odd name cannot be told from a folded value, so they are refused. Links between processes check the response to their upgrade in the same way, and TLS connections are opened by the transport's own dial function, above which the heads can be read.

Handled before, by net/http: control bytes, tabs and carriage returns inside a name, line feeds inside a name, empty names, and a blank before the first name.

--- a/internal/cmds/gateway_resume_test.go
+++ b/internal/cmds/gateway_resume_test.go
@@ -44,6 +44,8 @@
 		{"status 206", status("206 Partial Content") + framed(event(5)), "1 2 3 4", false},
 		{"status 204", status("204 No Content") + "\r\n", "1 2 3 4", false},
 		{"status 000", status("000 None") + "Content-Type: text/event-stream\r\n" + framed(event(5)), "1 2 3 4", false},
+		{"a blank in the name of a field", ok + events + "Odd Name: x\r\n" + framed(event(5)), "1 2 3 4", false},
+		{"a blank before the name of a field", ok + events + " Odd: x\r\n" + framed(event(5)), "1 2 3 4", false},
 		{"status 500 after 103", "HTTP/1.1 103 Early Hints\r\nLink: odd\r\n\r\n" + status("500 Internal Server Error") + framed("odd text"), "1 2 3 4", false},
 		{"status 101", status("101 Switching Protocols") + "Connection: upgrade\r\nUpgrade: odd\r\n\r\nodd text\n\n", "1 2 3 4", false},
 		{"JSON", ok + own + "Content-Type: application/json\r\n" + framed(`{"error":"odd text"}`+"\n\n"), "1 2 3 4", false},
--- a/internal/httpc/conn.go
+++ b/internal/httpc/conn.go
@@ -6,18 +6,21 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"shallotcourse/internal/fault"
 )
 
-// conn is a client's connection. It tells the end of what the server sends from the loss
-// of the connection: the kernel reports a loss once, to whichever of a read and a write
-// comes first, and later reads see io.EOF.
+// conn is a client's connection. Its reads fail at broken heads, and tell the end of what
+// the server sends from the loss of the connection: the kernel reports a loss once, to
+// whichever of a read and a write comes first, and later reads see io.EOF.
 type conn struct {
 	net.Conn
 
+	// head reads the response to the current request; it is never nil.
+	head atomic.Pointer[headScanner]
 	// writing is held during a write.
 	writing sync.Mutex
 	// failure is the error of the first write that failed.
@@ -27,9 +30,23 @@
 // expired is a deadline that has passed.
 var expired = time.Unix(1, 0)
 
+// Watch returns a client's connection whose reads fail if the head of the response to the
+// first request is broken, or if the connection is lost before the response ends.
+func Watch(c net.Conn) net.Conn {
+	watched := &conn{Conn: c}
+	watched.expectHead()
+	return watched
+}
+
+// expectHead prepares for the response to the next request.
+func (c *conn) expectHead() { c.head.Store(&headScanner{}) }
+
 // Read implements net.Conn. It returns io.EOF only if the server has ended its side.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if broken := c.head.Load().scan(b[:n]); broken != nil {
+		return 0, broken
+	}
 	if err == io.EOF {
 		err = c.end()
 	}
--- a/internal/httpc/head_test.go
+++ b/internal/httpc/head_test.go
@@ -18,7 +18,7 @@
 // Guards against a broken response that is taken for a sound one, and a sound one that
 // is refused. The name of each case says what it is; the body of the sound ones is "whole".
 func TestResponses(t *testing.T) {
-	for _, file := range []string{"testdata/status.txtar"} {
+	for _, file := range []string{"testdata/status.txtar", "testdata/names.txtar"} {
 		archive, err := txtar.ParseFile(file)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/httpc/transport.go
+++ b/internal/httpc/transport.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 type (
@@ -19,12 +21,16 @@
 // NewTransport returns a transport that sends requests by t, whose DialContext must be
 // set. It fails with the outcome Unknown if a response is broken.
 func NewTransport(t *http.Transport) http.RoundTripper {
+	t.DialTLSContext = watch(encrypt(t.DialContext, t.TLSClientConfig))
 	t.DialContext = watch(t.DialContext)
 	return transport{t}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !t.DisableKeepAlives {
+		r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: expectHead}))
+	}
 	resp, err := t.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
@@ -36,14 +42,44 @@
 	return resp, nil
 }
 
-// watch returns a dial function whose connections tell the end of what the server sends
-// from the loss of the connection.
+// expectHead prepares a connection for the response to the next request.
+func expectHead(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*conn); ok {
+		c.expectHead()
+	}
+}
+
+// encrypt returns a dial function for connections with TLS. The transport's own are
+// encrypted above those that it dials, where heads cannot be read.
+func encrypt(dial DialFunc, config *tls.Config) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		own := config.Clone()
+		if own == nil {
+			own = &tls.Config{}
+		}
+		if own.ServerName == "" {
+			own.ServerName, _, _ = net.SplitHostPort(address)
+		}
+		c := tls.Client(raw, own)
+		if err := c.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return c, nil
+	}
+}
+
+// watch returns a dial function whose connections are those of Watch.
 func watch(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return Watch(c), nil
 	}
 }
--- a/internal/httpc/transport_test.go
+++ b/internal/httpc/transport_test.go
@@ -1,10 +1,14 @@
 package httpc_test
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +81,60 @@
 		})
 	}
 }
+
+// Guards against a broken head that is taken for a sound one because it is not the first
+// on its connection.
+func TestBrokenHeadOnAReusedConnection(t *testing.T) {
+	is := is.New(t)
+	connections := atomic.Int64{}
+	address := fraw.Start(t, func(conn *net.TCPConn, _ *http.Request) {
+		connections.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			fraw.End(conn, "HTTP/1.1 200 OK\r\nOdd: x\r\n Content-Length: 5\r\n\r\nwhole")
+		}
+	})
+	client := &http.Client{Transport: httpc.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})}
+	resp, err := client.Get("http://" + address)
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	_, err = client.Post("http://"+address, "text/plain", strings.NewReader("x"))
+	is.True(err != nil)
+	is.Equal(connections.Load(), int64(1))
+}
+
+// Guards against broken heads that are taken for sound ones because they are encrypted,
+// and against encrypted bytes that are read as a head.
+func TestEncryptedResponses(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/broken" {
+			_, _ = io.WriteString(w, "whole")
+			return
+		}
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nOdd: x\r\n Content-Length: 5\r\n\r\nwhole")
+			_ = conn.Close()
+		}
+	}))
+	defer server.Close()
+	for name, reuse := range map[string]bool{"reused connections": true, "new connections": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			own := server.Client().Transport.(*http.Transport).Clone()
+			own.DialContext, own.DisableKeepAlives = (&net.Dialer{}).DialContext, !reuse
+			client := &http.Client{Transport: httpc.NewTransport(own)}
+			for range 10 {
+				resp, err := client.Get(server.URL)
+				is.NoErr(err)
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.NoErr(resp.Body.Close())
+				is.Equal(string(body), "whole")
+			}
+			_, err := client.Get(server.URL + "/broken")
+			is.True(err != nil)
+		})
+	}
+}
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -9,6 +9,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/websocket"
+
+	"shallotcourse/internal/httpc"
 )
 
 // maxUpgradeBytes bounds what is read before a connection has become a link. The
@@ -191,14 +193,18 @@
 				return nil, err
 			}
 			stopAbort = context.AfterFunc(ctx, func() { _ = c.Close() })
-			upgrading = &upgradeConn{Conn: c, left: maxUpgradeBytes}
+			upgrading = &upgradeConn{Conn: httpc.Watch(c), left: maxUpgradeBytes}
 			return upgrading, nil
 		},
 	}
-	ws, _, err := dialer.DialContext(ctx, "ws://"+loop.address+Path, nil)
+	ws, resp, err := dialer.DialContext(ctx, "ws://"+loop.address+Path, nil)
 	if err != nil {
 		return nil, errLinkDown.WithCause(err)
 	}
+	if err := httpc.CheckNames(resp.Header); err != nil {
+		_ = ws.Close()
+		return nil, errLinkDown.WithCause(err)
+	}
 	upgrading.upgraded = true
 	c, err := d.group.establish(ws, loop.address, loop.set)
 	if err != nil {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -80,7 +80,8 @@
 		Dialect Dialect
 		Engines Engines
 		// Client sends requests to targets. It must not retry requests, reuse
-		// connections or decompress bodies, and opens connections with CheckSends.
+		// connections or decompress bodies, opens connections with CheckSends, and fails
+		// on broken responses like the transports of httpc.
 		Client *http.Client
 	}
 
