--- a/internal/cmds/gateway_head_test.go
+++ b/internal/cmds/gateway_head_test.go
@@ -13,8 +13,8 @@
 	"shallotcourse/internal/fault"
 )
 
-// brokenResponses returns responses, by a name, which are no answers. ID in them stands
-// for that of the request.
+// brokenResponses returns broken responses by name. ID in them stands for that of the
+// request.
 func brokenResponses(t *testing.T) map[string]string {
 	t.Helper()
 	archive, err := txtar.ParseFile("testdata/answers/broken.txtar")
--- a/internal/httpc/transport.go
+++ b/internal/httpc/transport.go
@@ -21,8 +21,8 @@
 // NewTransport returns a transport that sends requests by t, whose DialContext must be
 // set. It fails with the outcome Unknown if a response is broken.
 func NewTransport(t *http.Transport) http.RoundTripper {
-	t.DialTLSContext = watch(encrypt(t.DialContext, t.TLSClientConfig))
-	t.DialContext = watch(t.DialContext)
+	t.DialTLSContext = watchDials(encrypt(t.DialContext, t.TLSClientConfig))
+	t.DialContext = watchDials(t.DialContext)
 	return transport{t}
 }
 
@@ -73,8 +73,8 @@
 	}
 }
 
-// watch returns a dial function whose connections are those of Watch.
-func watch(dial DialFunc) DialFunc {
+// watchDials returns a dial function whose connections are those of Watch.
+func watchDials(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"shallotcourse/internal/fakes/fengn"
 	"shallotcourse/internal/fault"
+	"shallotcourse/internal/httpc"
 	"shallotcourse/internal/timer"
 	"shallotcourse/internal/token"
 )
@@ -115,9 +117,10 @@
 	}
 	ctx, cancel := timer.WithTimeout(ctx, l.Clock, l.Time)
 	defer cancel()
+	dialer := &net.Dialer{}
 	r := &loadRun{
 		load: l, start: l.Clock.Now(),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight}},
+		client: &http.Client{Transport: httpc.NewTransport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxInFlight})},
 		first:  hdrhistogram.New(1, maxLatencyMicros, histogramDigits), gaps: hdrhistogram.New(1, maxLatencyMicros, histogramDigits),
 	}
 	r.report.Outcomes = map[string]int{}
