--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 # of a time, Go's fuzzer may report "context deadline exceeded" without a failure.
 FUZZTIME ?= 200000x
 FUZZERS := internal/proxy:FuzzEventReader platform:FuzzDecodeTarget platform:FuzzReport platform:FuzzDecodeConfig platform:FuzzRequestHeaders \
-  internal/wire:FuzzDecode internal/conf:FuzzParseGateway
+  internal/wire:FuzzDecode internal/conf:FuzzParseGateway internal/httpc:FuzzHead
 fuzz:
 	@set -e; for f in $(FUZZERS); do \
 	  $(GO) test -run XXX -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME) "./$${f%:*}"; done
