--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -179,7 +179,8 @@
 	var own *fault.Error
 	switch {
 	case errors.As(err, &own):
-		// The guard stopped the request before its body was written.
+		// The guard stopped the request before its body was written, or httpc found the
+		// response broken.
 		return own
 	case errors.As(context.Cause(ctx), &own):
 		// The request was canceled with a specific cause.
--- a/internal/httpc/transport.go
+++ b/internal/httpc/transport.go
@@ -1,5 +1,5 @@
 // Package httpc provides the connections and transports of the HTTP clients of all
-// processes. They report broken responses as errors that net/http takes for whole ones.
+// processes. They fail on broken responses that net/http takes for sound ones.
 package httpc
 
 import (
