review: a request whose body comes late is run by a route that is gone

Cause: route and service are chosen when the head has arrived, and only the stop of the gateway is asked for again when the body is whole. No code is changed.

--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -15,7 +15,9 @@
 		fmt.Fprintln(os.Stderr, "usage: review3 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(folder string, trouble bool) (int, error){"late-accept": lateAccept}
+	cases := map[string]func(folder string, trouble bool) (int, error){
+		"late-accept": lateAccept, "late-body": lateBody,
+	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
