--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -16,7 +16,7 @@
 		os.Exit(exitNotRun)
 	}
 	cases := map[string]func(folder string, trouble bool) (int, error){
-		"late-accept": lateAccept, "late-body": lateBody,
+		"late-accept": lateAccept, "late-body": lateBody, "unsealed-success": unsealedSuccess,
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
