--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -11,8 +11,8 @@
 )
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review3 CASE FOLDER")
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: review3 CASE FOLDER TROUBLE (0: without the disruption)")
 		os.Exit(exitNotRun)
 	}
 	cases := map[string]func(folder string, trouble bool) (int, error){
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(exitNotRun)
 	}
-	status, err := run(os.Args[2], os.Getenv("TROUBLE") != "0")
+	status, err := run(os.Args[2], os.Args[3] != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		status = exitNotRun
